--- /dev/null
+++ b/include/petrelpond/sender.hpp
@@ -0,0 +1,171 @@
+// The decisions' interface: what a host tells a sender, and what a sender decides. It knows no protocol.
+//
+// A host makes one Sender, reports each input as it comes, and after every round of inputs pulls
+// decisions with next() until there is none. Inputs only update what is known.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "petrelpond/ids.hpp"
+#include "petrelpond/time.hpp"
+
+namespace petrelpond {
+
+// ---- settings, one small record for each matter -------------------------------------------------------
+
+enum class Effect { resendable, referenced, onceOnly };
+enum class Decay { linear, halving };
+
+struct Product {
+    Span sla;            // delivered within this, a text earns its whole revenue
+    Span validity;       // from when it was first handed in
+    Effect effect = Effect::onceOnly;
+    Span memory;         // referenced: how long a destination knows the reference
+    bool memoryByZone = false;  // referenced: only endpoints of one zone share that memory
+    double revenue = 1;
+    double lateShare = 0;  // share of the revenue left at the end of the validity period
+    bool inOrder = false;  // texts with one key go one at a time
+};
+
+struct Kind {
+    int batch = 1;                // texts in one call at most
+    bool separateRoutes = false;  // each endpoint has its own limit, pace and outages
+};
+
+struct Tenant {
+    double quotaPerSecond = 0;  // of all senders together; 0: no share is stated
+};
+
+struct Crew {
+    int senders = 1;
+    ZoneIx zone;
+};
+
+struct Room {
+    int calls = 0;       // calls out at once; 0: not limited
+    int held = 0;        // texts held at most; 0: not limited
+    int submits = 0;     // submits of one text at most; 0: not limited
+    bool cancel = false;
+    Span tick;           // the host's rounds come no closer than this
+    Span longestPause;   // the longest pause a client observes after a nack; 0: none is passed on
+};
+
+struct ColdRule {
+    double share = 0;     // of its capacity that a returning destination has at least
+    Span warmUp;          // and all of it after this
+    double multiple = 0;  // sent more than this times what it can do
+    Span window;          // for this long, it falls over
+};
+
+struct ListRule {
+    bool onRequest = false;   // changes come only to those that asked
+    bool ratesListed = false; // entries carry the destination's rate in calls a second
+    Span mustAskIn;
+};
+
+struct Earnings {
+    Decay decay = Decay::linear;
+    double overShareWorth = 1;  // of a text beyond its tenant's share
+    double crossZonePrice = 0;
+    double handshakePrice = 0;
+    double wastePrice = 0;
+    std::vector<double> feeByZone;  // for a text that a separate route in that zone takes on
+};
+
+struct Links {
+    Span idle;            // connections close after this
+    Span connectTimeout;
+    Span answerSlack;     // a final answer this much after the validity period still counts
+    Span orderRest;       // a key rests this long after a submit that may still run
+};
+
+// ---- inputs -------------------------------------------------------------------------------------------
+
+struct Arrival {
+    TextIx text;
+    DestinationIx destination;
+    ProductIx product;
+    TenantIx tenant;
+    Instant validUntil;
+    std::optional<uint64_t> key;
+};
+
+enum class End { delivered, error, full, timeout, unreachable, reset, cancelled, notSent };
+
+struct SubmitEnd {
+    TextIx text;
+    EndpointIx endpoint;
+    int submit = 0;  // counted from 0 for each text
+    End end = End::error;
+    bool over = false;       // the text has had its final answer
+    Span took;
+    Span wait;               // full: the told wait, zero if none
+    std::optional<double> reportedShare;  // of the limit that is left, where it is reported
+    std::optional<double> reportedLimit;  // calls a second, 0 where there is none
+};
+
+enum class Listed { active, leaving, gone };
+enum class ListScope { changes, whole, old };
+
+struct ListEntry {
+    EndpointIx endpoint;
+    DestinationIx destination;
+    ZoneIx zone;
+    KindIx kind;
+    Listed state = Listed::active;
+    double rate = 0;
+};
+
+// ---- decisions ----------------------------------------------------------------------------------------
+
+struct Submit {
+    TextIx text;
+    EndpointIx endpoint;
+    Span timeout;  // zero: until the text's validity period ends
+};
+struct Nack {
+    TextIx text;
+    Span pause;  // zero: no advice
+};
+struct Undeliverable {
+    TextIx text;
+};
+struct CancelSubmit {
+    TextIx text;
+    int submit = 0;
+};
+struct WakeAt {
+    Instant at;
+};
+struct WatchList {};
+struct CloseIdle {
+    EndpointIx endpoint;
+};
+struct Note {
+    std::string words;
+};
+using Decision = std::variant<Submit, Nack, Undeliverable, CancelSubmit, WakeAt, WatchList, CloseIdle, Note>;
+
+class Sender {
+  public:
+    virtual ~Sender() = default;
+    virtual void arrived(Instant now, const Arrival& arrival) = 0;
+    virtual void ended(Instant now, const SubmitEnd& end) = 0;
+    virtual void withdrawn(Instant now, TextIx text) = 0;
+    virtual void listed(Instant now, ListScope scope, const std::vector<ListEntry>& entries) = 0;
+    virtual void listFailed(Instant now) = 0;
+    virtual void woke(Instant now) = 0;
+    virtual std::optional<Decision> next(Instant now) = 0;
+};
+
+std::unique_ptr<Sender> makeSender(uint32_t seed, std::vector<Product> products, std::vector<Kind> kinds,
+                                   const std::vector<Tenant>& tenants, const Crew& crew, const Room& room,
+                                   const ColdRule& cold, const ListRule& list, const Earnings& earnings,
+                                   const Links& links);
+
+}  // namespace petrelpond
--- /dev/null
+++ b/simhost/host.cpp
@@ -0,0 +1,324 @@
+#include "simhost/host.hpp"
+
+#include <algorithm>
+#include <istream>
+#include <ostream>
+
+namespace petrelpond {
+
+using wire::Malformed;
+
+namespace {
+
+template <class Value>
+Value named(std::string_view text, std::initializer_list<std::pair<std::string_view, Value>> words) {
+    for (const auto& [word, value] : words) {
+        if (word == text) return value;
+    }
+    throw Malformed("'" + std::string(text.substr(0, 40)) + "' is no word known here");
+}
+
+}  // namespace
+
+bool Host::take(std::string_view text) {
+    ++lineNumber_;
+    wire::Line line(text);
+    if (sheetRows_ > 0) {
+        if (line.tag() != "M") throw Malformed("expected an M line of the list");
+        SheetRow row;
+        row.endpoint = line.text("endpoint");
+        row.site = line.has("site") ? line.text("site") : "";
+        row.model = line.has("model") ? line.text("model") : "";
+        row.dest = line.text("dest");
+        row.state = named<Listed>(line.text("condition"), {{"active", Listed::active},
+                                                           {"leaving", Listed::leaving},
+                                                           {"left", Listed::gone}});
+        row.rate = line.numberOr("weight", 0);
+        sheets_[sheetOpen_].push_back(std::move(row));
+        --sheetRows_;
+        return false;
+    }
+    if (!inBatch_) {
+        if (line.tag() != "CLOCK") throw Malformed("a batch starts with CLOCK");
+        now_ = Instant::atMicros(line.integer("moment"));
+        inBatch_ = true;
+        return false;
+    }
+    if (line.tag() == "GO") {
+        reply();
+        inBatch_ = false;
+        return true;
+    }
+    event(line);
+    return false;
+}
+
+void Host::event(const wire::Line& line) {
+    if (line.tag() == "SHEET") {
+        sheetOpen_ = line.integer("rosterId");
+        sheetRows_ = line.integer("rowsIn");
+        if (sheetOpen_ < 0 || sheetOpen_ > 15) throw Malformed("rosterId lies outside 0 to 15");
+        if (sheetRows_ < 0) throw Malformed("rowsIn is below 0");
+        sheets_[sheetOpen_].clear();
+        return;
+    }
+    int64_t who = line.integer("who");
+    if (std::find(touched_.begin(), touched_.end(), who) == touched_.end()) touched_.push_back(who);
+    if (line.tag() == "OPEN_INSTANCE") return open(who, line);
+    if (line.tag() == "KILL") {
+        instances_.erase(who);
+        broken_.erase(who);
+        return;
+    }
+    auto found = instances_.find(who);
+    if (found == instances_.end()) return complain("event for a sender that is not running");
+    Instance& in = found->second;
+    try {
+        if (line.tag() == "ARRIVAL") {
+            arrival(in, line);
+        } else if (line.tag() == "CLOSED_ATTEMPT") {
+            outcome(in, line);
+        } else if (line.tag() == "FLEET") {
+            fleet(in, line);
+        } else if (line.tag() == "WAKE") {
+            in.sender->woke(now_);
+        } else if (line.tag() == "CANCELLED_BY_CLIENT") {
+            auto text = in.texts.find(std::string(line.text("rid")));
+            if (text == in.texts.end()) return;
+            TextIx index = text->second;
+            in.sender->withdrawn(now_, index);
+            in.rows[index.value].over = true;
+            forgetIfDone(in, index);
+        } else if (line.tag() == "ACK_FIRST" || line.tag() == "HEALTH" || line.tag() == "DATAGRAM") {
+            // Streams, probes and messages between senders have no part in the interface.
+        } else {
+            throw Malformed("unknown event " + std::string(line.tag().substr(0, 40)));
+        }
+    } catch (const Malformed&) {
+        throw;
+    } catch (const std::exception& failure) {
+        broken_[who] = failure.what();
+    }
+}
+
+void Host::open(int64_t who, const wire::Line& line) {
+    instances_.erase(who);
+    broken_.erase(who);
+    Instance& in = instances_[who];
+    wire::Settings set(line);
+    auto span = [&](const std::string& path) { return Span::micros(set.integer(path)); };
+
+    std::vector<Product> products;
+    for (int64_t i = 0; i < set.integer("lanes.count"); ++i) {
+        std::string at = "lanes." + std::to_string(i) + ".";
+        in.products.admit(set.text(at + "name"));
+        Product p;
+        p.sla = span(at + "aim");
+        p.validity = span(at + "deadline");
+        p.effect = named<Effect>(set.text(at + "effect"), {{"read_like", Effect::resendable},
+                                                           {"idempotency_key", Effect::referenced},
+                                                           {"non_idempotent", Effect::onceOnly},
+                                                           {"", Effect::onceOnly}});
+        p.memory = span(at + "window");
+        p.memoryByZone = !set.text(at + "group").empty() && set.text(at + "group") != "all";
+        p.revenue = set.number(at + "worth", 1);
+        p.lateShare = set.number(at + "lateWorth");
+        p.inOrder = set.flag(at + "fifoByKey");
+        products.push_back(p);
+    }
+    std::vector<Kind> kinds;
+    auto batches = set.list("domain.batchByKind"), routes = set.list("domain.separateRoutes");
+    for (std::string_view name : set.list("kinds")) {
+        in.kinds.admit(name);
+        Kind kind;
+        if (kinds.size() < batches.size()) {
+            kind.batch = static_cast<int>(wire::toInteger("domain.batchByKind", batches[kinds.size()]));
+        }
+        if (kinds.size() < routes.size()) kind.separateRoutes = routes[kinds.size()] == "true";
+        kinds.push_back(kind);
+    }
+    std::vector<Tenant> tenants;
+    for (int64_t i = 0; i < set.integer("realms.count"); ++i) {
+        std::string at = "realms." + std::to_string(i) + ".";
+        in.tenants.admit(set.text(at + "name"));
+        tenants.push_back({set.number(at + "quotaPerS")});
+    }
+    for (std::string_view name : set.list("failureDomains")) in.zones.admit(name);
+    Crew crew{static_cast<int>(set.integer("balancers", 1)), in.zones.admit(set.text("zone"))};
+    Room room{static_cast<int>(set.integer("domain.maxCalls")),
+              static_cast<int>(set.integer("limits.mostHeld")),
+              static_cast<int>(set.integer("limits.maxAttempts")),
+              set.flag("limits.cancel"),
+              span("resolution"),
+              set.flag("limits.retryAfter") ? span("limits.maxRetryAfter") : Span()};
+    ColdRule cold{set.number("contract.coldFrom"), span("contract.cold"), set.number("contract.tipMultiple"),
+                  span("contract.fall")};
+    std::string_view weights = set.text("weights");
+    ListRule list{set.text("membershipMode") == "subscribe", weights == "nominal" || weights == "rough",
+                  span("contract.mustAskIn")};
+    Earnings earnings{set.text("domain.decay") == "halving" ? Decay::halving : Decay::linear,
+                      set.number("overShareWorth", 1),
+                      set.number("prices.crossZone"),
+                      set.number("prices.handshake"),
+                      set.number("prices.waste"),
+                      {}};
+    for (std::string_view fee : set.list("domain.feeByZone")) {
+        earnings.feeByZone.push_back(wire::toNumber("domain.feeByZone", fee));
+    }
+    Links links{span("limits.connIdle"), span("limits.connectTimeout"), span("contract.answerSlack"),
+                span("contract.orderSettle")};
+    if (set.text("report.how") == "piggyback") {
+        auto fields = set.list("report.fields");
+        for (size_t i = 0; i < fields.size(); ++i) {
+            if (fields[i] == "x0") in.shareField = static_cast<int>(i);
+            if (fields[i] == "x1") in.limitField = static_cast<int>(i);
+        }
+    }
+    uint64_t seed = set.text("entropy").empty() ? 0 : wire::toUnsigned("entropy", set.text("entropy"));
+    in.sender = makeSender(static_cast<uint32_t>(seed ^ (seed >> 32)), std::move(products), std::move(kinds),
+                           tenants, crew, room, cold, list, earnings, links);
+}
+
+void Host::arrival(Instance& in, const wire::Line& line) {
+    std::string id(line.text("rid"));
+    auto [at, fresh] = in.texts.try_emplace(id, TextIx(in.nextText));
+    if (!fresh) return complain("text " + id + " came twice");
+    Arrival a;
+    a.text = at->second;
+    in.rows[in.nextText++].id = id;
+    a.destination = in.destinations.admit(line.text("destNo"));
+    a.product = in.products.find(line.text("priority"));
+    if (!a.product.known()) complain("text " + id + " is of an unknown product");
+    if (line.has("owner")) a.tenant = in.tenants.find(line.text("owner"));
+    a.validUntil = Instant::atMicros(line.integer("deadline"));
+    if (line.has("entity")) a.key = line.unsignedInteger("entity");
+    in.sender->arrived(now_, a);
+}
+
+void Host::outcome(Instance& in, const wire::Line& line) {
+    SubmitEnd e;
+    e.end = named<End>(line.text("code"), {{"OK", End::delivered},
+                                           {"INTERNAL", End::error},
+                                           {"RESOURCE_EXHAUSTED", End::full},
+                                           {"DEADLINE_EXCEEDED", End::timeout},
+                                           {"UNAVAILABLE", End::unreachable},
+                                           {"ABORTED", End::reset},
+                                           {"CANCELLED", End::cancelled},
+                                           {"TOO_LATE", End::notSent}});
+    e.submit = static_cast<int>(line.integerOr("trial", 0));
+    e.over = line.integerOr("closed", 0) != 0;
+    e.took = Span::micros(line.integerOr("waitTime", 0));
+    if (e.end == End::full) e.wait = Span::millis(line.integerOr("waitMs", 0));
+    if (line.has("telemetry")) {
+        auto row = wire::splitList(line.text("telemetry"));
+        auto field = [&](int i) -> std::optional<double> {
+            if (i < 0 || static_cast<size_t>(i) >= row.size() || row[i].empty()) return std::nullopt;
+            return wire::toNumber("telemetry", row[i]);
+        };
+        e.reportedShare = field(in.shareField);
+        e.reportedLimit = field(in.limitField);
+    }
+    e.endpoint = in.endpoints.find(line.text("endpoint"));
+    if (!e.endpoint.known()) complain("outcome at an unknown endpoint");
+    auto text = in.texts.find(std::string(line.text("rid")));
+    if (text == in.texts.end()) return complain("outcome of an unknown text");
+    e.text = text->second;
+    TextRow& row = in.rows[e.text.value];
+    row.open -= row.open > 0;
+    row.over = row.over || e.over;
+    in.sender->ended(now_, e);
+    forgetIfDone(in, e.text);
+}
+
+void Host::fleet(Instance& in, const wire::Line& line) {
+    std::string_view scope = line.text("scope");
+    if (scope == "Error") return in.sender->listFailed(now_);
+    ListScope how = named<ListScope>(scope, {{"Partial", ListScope::changes},
+                                             {"Complete", ListScope::whole},
+                                             {"Persisted", ListScope::old}});
+    int64_t sheet = line.integer("rosterId");
+    if (sheet < 0 || sheet > 15) throw Malformed("rosterId lies outside 0 to 15");
+    std::vector<ListEntry> entries;
+    for (const SheetRow& row : sheets_[sheet]) {
+        entries.push_back({in.endpoints.admit(row.endpoint), in.destinations.admit(row.dest),
+                           in.zones.admit(row.site), in.kinds.admit(row.model), row.state, row.rate});
+    }
+    in.sender->listed(now_, how, entries);
+}
+
+void Host::reply() {
+    for (int64_t who : touched_) {
+        auto found = instances_.find(who);
+        if (found == instances_.end()) continue;
+        try {
+            if (broken_.count(who) == 0) {
+                while (auto decision = found->second.sender->next(now_)) write(who, found->second, *decision);
+            }
+        } catch (const std::exception& failure) {
+            broken_[who] = failure.what();
+        }
+        auto broken = broken_.find(who);
+        if (broken != broken_.end()) out_ << "GIVE_IN who=" << who << " what=" << broken->second << '\n';
+    }
+    touched_.clear();
+    out_ << "OK\n" << std::flush;
+}
+
+void Host::write(int64_t who, Instance& in, const Decision& decision) {
+    auto rid = [&](TextIx text) -> TextRow& { return in.rows.at(text.value); };
+    if (const auto* submit = std::get_if<Submit>(&decision)) {
+        TextRow& row = rid(submit->text);
+        ++row.submits;
+        ++row.open;
+        out_ << "SEND who=" << who << " rid=" << row.id << " endpoint=" << in.endpoints.name(submit->endpoint);
+        if (submit->timeout > Span()) out_ << " cap=" << submit->timeout.inMicros();
+    } else if (const auto* nack = std::get_if<Nack>(&decision)) {
+        out_ << "REFUSE who=" << who << " rid=" << rid(nack->text).id;
+        if (nack->pause > Span()) out_ << " pause=" << nack->pause.inMicros();
+        rid(nack->text).over = true;
+        forgetIfDone(in, nack->text);
+    } else if (const auto* failed = std::get_if<Undeliverable>(&decision)) {
+        out_ << "END_FAILED who=" << who << " rid=" << rid(failed->text).id;
+        rid(failed->text).over = true;
+        forgetIfDone(in, failed->text);
+    } else if (const auto* cancel = std::get_if<CancelSubmit>(&decision)) {
+        out_ << "ABORT_ATTEMPT who=" << who << " rid=" << rid(cancel->text).id << " trial=" << cancel->submit;
+    } else if (const auto* wake = std::get_if<WakeAt>(&decision)) {
+        out_ << "NOTIFY_ME who=" << who << " time=" << wake->at.inMicros() << " name=0";
+    } else if (std::holds_alternative<WatchList>(decision)) {
+        out_ << "KEEP_INFORMED who=" << who << " enable=1";
+    } else if (const auto* close = std::get_if<CloseIdle>(&decision)) {
+        out_ << "CLOSE_IDLE who=" << who << " endpoint=" << in.endpoints.name(close->endpoint);
+    } else {
+        out_ << "NOTE_DOWN who=" << who << " what=" << std::get<Note>(decision).words;
+    }
+    out_ << '\n';
+}
+
+// A text is kept known until its last submit has ended, because outcomes name it until then.
+void Host::forgetIfDone(Instance& in, TextIx text) {
+    auto row = in.rows.find(text.value);
+    if (row == in.rows.end() || !row->second.over || row->second.open > 0) return;
+    in.texts.erase(row->second.id);
+    in.rows.erase(row);
+}
+
+void Host::complain(const std::string& words) {
+    complaints_ << "petrelpond_simhost: line " << lineNumber_ << ": " << words << '\n';
+}
+
+int serve(std::istream& in, std::ostream& out, std::ostream& complaints) {
+    Host host(out, complaints);
+    std::string text;
+    for (int64_t number = 1; std::getline(in, text); ++number) {
+        try {
+            host.take(text);
+        } catch (const Malformed& wrong) {
+            complaints << "petrelpond_simhost: line " << number << ": " << wrong.what() << '\n';
+            return 2;
+        }
+    }
+    return 0;
+}
+
+}  // namespace petrelpond
--- /dev/null
+++ b/simhost/host.hpp
@@ -0,0 +1,94 @@
+// The host of many senders behind one wire: ids to indices on the way in, decisions to lines on the way
+// out. It makes no choice of its own.
+#pragma once
+
+#include <iosfwd>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "petrelpond/sender.hpp"
+#include "simhost/wire.hpp"
+
+namespace petrelpond {
+
+// Small indices for one sender's names, in the order in which it met them.
+template <class Ix>
+class Door {
+  public:
+    Ix admit(std::string_view name) {
+        auto [at, fresh] = indices_.try_emplace(std::string(name), names_.size());
+        if (fresh) names_.push_back(at->first);
+        return at->second;
+    }
+    Ix find(std::string_view name) const {
+        auto at = indices_.find(std::string(name));
+        return at == indices_.end() ? Ix() : at->second;
+    }
+    const std::string& name(Ix index) const { return names_.at(index.value); }
+
+  private:
+    std::unordered_map<std::string, Ix> indices_;
+    std::vector<std::string> names_;
+};
+
+class Host {
+  public:
+    Host(std::ostream& out, std::ostream& complaints) : out_(out), complaints_(complaints) {}
+    // Takes one line. True when a reply has been written. Throws wire::Malformed.
+    bool take(std::string_view text);
+
+  private:
+    struct TextRow {
+        std::string id;
+        int submits = 0;
+        int open = 0;
+        bool over = false;
+    };
+    struct Instance {
+        std::unique_ptr<Sender> sender;
+        Door<EndpointIx> endpoints;
+        Door<DestinationIx> destinations;
+        Door<ProductIx> products;
+        Door<TenantIx> tenants;
+        Door<ZoneIx> zones;
+        Door<KindIx> kinds;
+        std::unordered_map<std::string, TextIx> texts;
+        std::unordered_map<uint32_t, TextRow> rows;
+        uint32_t nextText = 0;
+        int shareField = -1, limitField = -1;
+    };
+    struct SheetRow {
+        std::string endpoint, site, model, dest;
+        Listed state = Listed::active;
+        double rate = 0;
+    };
+
+    void event(const wire::Line& line);
+    void open(int64_t who, const wire::Line& line);
+    void arrival(Instance& in, const wire::Line& line);
+    void outcome(Instance& in, const wire::Line& line);
+    void fleet(Instance& in, const wire::Line& line);
+    void reply();
+    void write(int64_t who, Instance& in, const Decision& decision);
+    void forgetIfDone(Instance& in, TextIx text);
+    void complain(const std::string& words);
+
+    std::ostream& out_;
+    std::ostream& complaints_;
+    std::map<int64_t, Instance> instances_;
+    std::map<int64_t, std::string> broken_;
+    std::vector<int64_t> touched_;
+    std::vector<SheetRow> sheets_[16];
+    int64_t sheetOpen_ = -1, sheetRows_ = 0, lineNumber_ = 0;
+    bool inBatch_ = false;
+    Instant now_;
+};
+
+// Reads lines until the end of input; the process's exit code.
+int serve(std::istream& in, std::ostream& out, std::ostream& complaints);
+
+}  // namespace petrelpond
--- /dev/null
+++ b/src/logic.cpp
@@ -0,0 +1,765 @@
+// petrelpond's decisions, all of them. The interface is include/petrelpond/sender.hpp: make one Sender for
+// each sending process with makeSender(), report every input as it comes (inputs only update what is
+// known), then call next() until it returns nothing. docs/design.md says which parts are the source's and
+// which are ours; "ours" below marks a starting value that measurement may move.
+#include "petrelpond/sender.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+
+namespace petrelpond {
+namespace {
+
+class Chance {
+  public:
+    explicit Chance(uint32_t seed) : source_(seed) {}
+    double between(double low, double high) { return low + (high - low) * (source_() / 4294967296.0); }
+    Span about(Span s) { return s * between(0.75, 1.25); }
+
+  private:
+    std::mt19937 source_;
+};
+
+// The design's bucket: one token, bound only by a refusal as full or a told wait.
+class Bucket {
+  public:
+    bool bound() const { return bound_; }
+    Instant askAt() const { return askAt_; }
+    // A refusal of a call that left before the last cut says nothing of the cut rate, so it cuts no further:
+    // without this a clump refused at one moment would send the rate straight to the floor.
+    void refused(Instant now, Instant started, double base) {
+        bind(now, base);
+        if (started < cutAt_) return;
+        rate_ = std::max(rate_ / 2, std::min(1.0, base));
+        cutAt_ = raisedAt_ = now;
+    }
+    void toldToWait(Instant now, Instant until, double base, Chance& chance) {
+        bind(now, base);
+        askAt_ = std::max(askAt_, until + jitter(chance));
+    }
+    // The fleet's whole rate is the ceiling: traffic lands unevenly, and a busy sender may use what idle
+    // ones leave, which its successes show.
+    void succeeded(Instant now, double ceiling) {
+        if (!bound_ || now - raisedAt_ < Span::seconds(1)) return;
+        rate_ = std::min(rate_ * 1.25, std::max(ceiling, 1.0));
+        raisedAt_ = now;
+    }
+    // True if a call may start now; the caller then takes the token. A cap from outside (a cold
+    // destination's budget) paces by the same bucket.
+    bool ready(Instant now, double cap, Chance& chance) {
+        if (!bound_ && cap <= 0) return true;
+        double rate = bound_ ? rate_ : cap;
+        if (cap > 0) rate = std::min(rate, cap);
+        if (now < askAt_) return false;
+        tokens_ = std::min(1.0, tokens_ + (now - refilledAt_).inSeconds() * rate);
+        refilledAt_ = now;
+        if (tokens_ >= 1) return true;
+        askAt_ = now + Span::seconds((1 - tokens_) / rate) + jitter(chance);
+        heldAt_ = now;
+        return false;
+    }
+    void take(double tokens) { tokens_ -= tokens; }
+    void empty(Instant now) { tokens_ = 0, refilledAt_ = now; }
+    void dropIfQuiet(Instant now) {
+        if (bound_ && now - std::max(heldAt_, askAt_) > Span::seconds(10)) *this = Bucket();
+    }
+
+  private:
+    void bind(Instant now, double base) {
+        if (!bound_) rate_ = base, tokens_ = 0, refilledAt_ = raisedAt_ = now;
+        bound_ = true;
+        heldAt_ = now;
+    }
+    // The source's 0.05 to 0.25 s is longer than the whole interval at a fast destination and would halve
+    // its rate there, so it shrinks with the interval.
+    Span jitter(Chance& chance) const {
+        return Span::seconds(chance.between(0.05, 0.25) * std::min(1.0, rate_ > 0 ? 1 / rate_ : 1.0));
+    }
+
+    bool bound_ = false;
+    double rate_ = 0, tokens_ = 1;
+    Instant refilledAt_ = Instant::longAgo(), raisedAt_, cutAt_ = Instant::longAgo();
+    Instant askAt_ = Instant::longAgo(), heldAt_ = Instant::longAgo();
+};
+
+// How long calls take: a high quantile, and a mean that counts calls still out by their age, so that a
+// place that stops answering looks slow before its first time-out.
+class AnswerTimes {
+  public:
+    void add(Span took) {
+        double s = std::max(took.inSeconds(), 0.001);
+        high_ = count_ == 0 ? 2 * s : high_ * (s > high_ ? 1.36 : 0.96);
+        sum_ = 0.85 * sum_ + s;
+        weight_ = 0.85 * weight_ + 1;
+        ++count_;
+    }
+    bool known() const { return count_ > 0; }
+    int count() const { return count_; }
+    double high() const { return high_; }
+    double mean(double ageOfThoseOut, double unknown) const {
+        return (sum_ + ageOfThoseOut + 0.5 * unknown) / (weight_ + 0.5);
+    }
+
+  private:
+    double high_ = 0, sum_ = 0, weight_ = 0;
+    int count_ = 0;
+};
+
+// Rule 4. Down, silent, hung, shut and failing places look different but all show as calls that end badly
+// with nothing delivered meanwhile. While down, single trial calls; after the first success, a budget that
+// grows as the settings say a cold destination warms.
+class ReturnGuard {
+  public:
+    enum class Phase { clear, down, returning };
+    Phase phase() const { return phase_; }
+    Instant trialAt() const { return trialAt_; }
+    bool risky() const { return risky_; }
+    Instant lastDelivered() const { return deliveredAt_; }
+
+    void missed(Instant now, Instant started, End end, Span wait, const ColdRule& cold, Chance& chance) {
+        bool nothingSince = deliveredAt_ < started;
+        failing_ = 0.75 * failing_ + (end == End::full ? 0 : 0.25);
+        if (end == End::full) {
+            // Refusals that follow each other with nothing delivered between are no longer a limit's.
+            if (started >= missAt_ && nothingSince) ++fullRounds_;
+        }
+        bool out = end == End::full ? fullRounds_ >= 3 || wait >= cold.window
+                   : end == End::error || end == End::reset ? failing_ > 0.4
+                                                            : nothingSince;
+        missAt_ = now;
+        if (phase_ == Phase::down || out) {
+            if (phase_ != Phase::down) trials_ = 0;
+            phase_ = Phase::down;
+            risky_ = end != End::full && end != End::unreachable;
+            Span pause = Span::seconds(std::min(2.0, 0.4 * std::pow(1.5, trials_++)));
+            trialAt_ = std::max(now + chance.about(pause), now + wait);
+        }
+    }
+    void delivered(Instant now) {
+        deliveredAt_ = now;
+        fullRounds_ = 0;
+        failing_ *= 0.75;
+        if (phase_ == Phase::down) phase_ = Phase::returning, returnedAt_ = now;
+    }
+    // This sender's part of what a returning place may be sent, calls a second; 0 where nothing binds.
+    double budget(Instant now, double capacity, int senders, const ColdRule& cold) {
+        if (phase_ != Phase::returning) return 0;
+        double warmed = cold.warmUp > Span() ? (now - returnedAt_).inSeconds() / cold.warmUp.inSeconds() : 1;
+        if (warmed >= 1) {
+            phase_ = Phase::clear;
+            return 0;
+        }
+        double share = cold.share + (1 - cold.share) * warmed;
+        return 0.6 * std::max(cold.multiple, 1.0) * share * capacity / senders;
+    }
+
+  private:
+    Phase phase_ = Phase::clear;
+    Instant deliveredAt_ = Instant::longAgo(), missAt_ = Instant::longAgo(), returnedAt_, trialAt_;
+    double failing_ = 0;
+    int fullRounds_ = 0, trials_ = 0;
+    bool risky_ = false;
+};
+
+// What a limit, a pace and an outage belong to: a destination, or one route where routes are separate.
+struct Place {
+    Bucket bucket;
+    ReturnGuard guard;
+    AnswerTimes times;
+    Instant toldUntil = Instant::longAgo();
+    double listedRate = 0, reportedRate = 0, peakServed = 0;
+    std::deque<Instant> served;  // of the last two seconds
+    std::multiset<Instant> out;  // starts of the calls that are out
+
+    double servedRate(Instant now) {
+        while (!served.empty() && now - served.front() > Span::seconds(2)) served.pop_front();
+        return static_cast<double>(served.size()) / 2;
+    }
+    double fleetRate() const { return listedRate > 0 ? listedRate : reportedRate; }
+    double slice(Instant now, int senders) {
+        return fleetRate() > 0 ? fleetRate() / senders : std::max(1.0, servedRate(now));
+    }
+    double ageOut(Instant now) const {
+        double sum = 0;
+        for (Instant start : out) sum += (now - start).inSeconds();
+        return sum;
+    }
+};
+
+struct Endpoint {
+    DestinationIx destination;
+    ZoneIx zone;
+    KindIx kind;
+    uint32_t place = 0;
+    bool usable = false;
+    double reach = 4;  // calls that it is thought to take at once (ours)
+    double trickle = 0;  // set aside: calls a second it gets; 0: in full use
+    Instant trickleAt = Instant::longAgo(), deliveredAt = Instant::longAgo();
+    AnswerTimes times;
+    std::multiset<Instant> out;
+};
+
+struct Destination {
+    std::vector<uint32_t> endpoints;
+    std::vector<TextIx> waiting;
+    int out = 0;  // calls
+};
+
+struct Text {
+    Arrival arrival;
+    const Product* product = nullptr;
+    Instant firstMayHaveRun = Instant::never();
+    ZoneIx ranIn;
+    EndpointIx at;
+    Instant started;
+    uint32_t call = 0;
+    int submits = 0;
+    double worth = 1;
+    bool out = false, over = false, mayHaveRun = false;
+};
+
+struct Call {
+    int texts = 0;
+    bool settled = false;
+};
+
+// Texts of one key go in the order taken; after a submit that may still run the key rests.
+class KeyOrder {
+  public:
+    explicit KeyOrder(Span rest) : rest_(rest) {}
+    void taken(uint64_t key, TextIx text) { keys_[key].texts.push_back(text); }
+    bool mayGo(uint64_t key, TextIx text, Instant now) const {
+        const Line& line = keys_.at(key);
+        return line.texts.front() == text && (now >= line.restsUntil || line.restsFor == text);
+    }
+    Instant restsUntil(uint64_t key) const { return keys_.at(key).restsUntil; }
+    void mayStillRun(uint64_t key, TextIx text, Instant now) {
+        Line& line = keys_[key];
+        line.restsUntil = now + rest_;
+        line.restsFor = text;
+    }
+    void done(uint64_t key, TextIx text) {
+        auto& texts = keys_[key].texts;
+        texts.erase(std::remove(texts.begin(), texts.end(), text), texts.end());
+    }
+    void forgetIdle(Instant now) {
+        std::erase_if(keys_, [&](auto& k) { return k.second.texts.empty() && now >= k.second.restsUntil; });
+    }
+
+  private:
+    struct Line {
+        std::deque<TextIx> texts;
+        Instant restsUntil = Instant::longAgo();
+        TextIx restsFor;
+    };
+    std::map<uint64_t, Line> keys_;
+    Span rest_;
+};
+
+// The endpoint list: asked for where changes come only on request, asked again after a failure.
+class ListKeeper {
+  public:
+    ListKeeper(ListRule rule, Chance& chance) : rule_(rule) {
+        askAt_ = rule.onRequest ? Instant::longAgo() + Span::seconds(chance.between(0, 0.01))
+                                : Instant::never();
+    }
+    void answered() { failures_ = 0; }
+    // Everyone's subscription may break at one moment, hence the jitter; asking again inside the time after
+    // which we are deemed told keeps the drain rule ours to keep.
+    void failed(Instant now, Chance& chance) {
+        if (!rule_.onRequest) return;
+        double pause = std::min(0.4 * std::pow(2, failures_++), 4.0);
+        if (rule_.mustAskIn > Span()) pause = std::min(pause, rule_.mustAskIn.inSeconds() / 3);
+        askAt_ = now + chance.about(Span::seconds(pause));
+    }
+    Instant askAt() const { return askAt_; }
+    void asked() { askAt_ = Instant::never(); }
+
+  private:
+    ListRule rule_;
+    Instant askAt_;
+    int failures_ = 0;
+};
+
+class Logic final : public Sender {
+  public:
+    Logic(uint32_t seed, std::vector<Product> products, std::vector<Kind> kinds,
+          const std::vector<Tenant>& tenants, const Crew& crew, const Room& room, const ColdRule& cold,
+          const ListRule& list, const Earnings& earnings, const Links& links)
+        : chance_(seed),
+          products_(std::move(products)),
+          kinds_(std::move(kinds)),
+          crew_(crew),
+          room_(room),
+          cold_(cold),
+          listRule_(list),
+          earnings_(earnings),
+          links_(links),
+          order_(links.orderRest),
+          list_(list, chance_) {
+        crew_.senders = std::max(1, crew_.senders);
+        for (const Tenant& t : tenants) shares_.push_back({t.quotaPerSecond / crew_.senders, 0, Instant()});
+    }
+
+    void arrived(Instant now, const Arrival& a) override {
+        Text& text = texts_[a.text];
+        text.arrival = a;
+        text.product = a.product.value < products_.size() ? &products_[a.product.value] : nullptr;
+        if (!text.product) return toAnswer_.push_back(a.text);
+        text.worth = text.product->revenue * shareWorth(now, a.tenant);
+        if (a.key && text.product->inOrder) order_.taken(*a.key, a.text);
+        destination(a.destination).waiting.push_back(a.text);
+        dues_.insert({a.validUntil - lastCall(), a.text.value});
+    }
+
+    void ended(Instant now, const SubmitEnd& e) override {
+        auto found = texts_.find(e.text);
+        if (found == texts_.end() || !found->second.out) return;
+        Text& text = found->second;
+        text.out = false;
+        noteCall(now, text, e);
+        bool mayRun = e.end == End::error || e.end == End::timeout || e.end == End::reset ||
+                      e.end == End::cancelled;
+        if (mayRun && !text.mayHaveRun) {
+            text.mayHaveRun = true;
+            text.firstMayHaveRun = text.started;
+            text.ranIn = endpoints_[text.at.value].zone;
+        }
+        if (inOrder(text) && mayRun && e.end != End::error) {
+            order_.mayStillRun(*text.arrival.key, e.text, now);
+            dues_.insert({now + links_.orderRest, kNoText});
+        }
+        if (e.over) text.over = true;
+        if (text.over) return forget(e.text);
+        if (!maySubmitAgain(now, text)) return toAnswer_.push_back(e.text);
+        destination(text.arrival.destination).waiting.push_back(e.text);
+    }
+
+    void withdrawn(Instant, TextIx text) override {
+        auto found = texts_.find(text);
+        if (found == texts_.end()) return;
+        found->second.over = true;
+        unqueue(found->second);
+        if (!found->second.out) forget(text);
+    }
+
+    void listed(Instant, ListScope scope, const std::vector<ListEntry>& entries) override {
+        if (scope != ListScope::old) list_.answered();
+        if (scope != ListScope::changes) {
+            for (Endpoint& e : endpoints_) e.usable = false;
+        }
+        for (const ListEntry& entry : entries) {
+            if (entry.endpoint.value >= endpoints_.size()) endpoints_.resize(entry.endpoint.value + 1);
+            Endpoint& e = endpoints_[entry.endpoint.value];
+            if (!e.destination.known()) place(entry, e);
+            e.usable = entry.state == Listed::active;
+            if (listRule_.ratesListed && entry.rate > 0) places_[e.place].listedRate = entry.rate;
+        }
+    }
+
+    void listFailed(Instant now) override { list_.failed(now, chance_); }
+    void woke(Instant) override {}
+
+    std::optional<Decision> next(Instant now) override {
+        if (armed_ <= now) armed_ = Instant::never();
+        while (!dues_.empty() && dues_.begin()->first <= now) {
+            auto found = texts_.find(TextIx(dues_.begin()->second));
+            dues_.erase(dues_.begin());
+            if (found == texts_.end() || found->second.over || found->second.out) continue;
+            if (now + lastCall() < found->second.arrival.validUntil) continue;
+            unqueue(found->second);
+            toAnswer_.push_back(found->first);
+        }
+        while (!toAnswer_.empty()) {
+            auto found = texts_.find(toAnswer_.front());
+            toAnswer_.pop_front();
+            if (found != texts_.end()) return answer(found->second);
+        }
+        if (now >= tickAt_) tick(now);
+        if (out_.empty()) startCall(now);
+        if (!out_.empty()) {
+            Decision d = std::move(out_.front());
+            out_.pop_front();
+            return d;
+        }
+        Instant wake = dues_.empty() ? tickAt_ : std::min(tickAt_, dues_.begin()->first);
+        if (wake < armed_) {
+            armed_ = wake;
+            return WakeAt{wake};
+        }
+        return std::nullopt;
+    }
+
+  private:
+    static constexpr uint32_t kNoText = TextIx::kNone;
+    struct Share {
+        double rate, tokens;
+        Instant at;
+    };
+
+    // ---- what is known
+
+    Destination& destination(DestinationIx d) {
+        if (d.value >= destinations_.size()) destinations_.resize(d.value + 1);
+        return destinations_[d.value];
+    }
+    Kind kind(const Endpoint& e) const { return e.kind.value < kinds_.size() ? kinds_[e.kind.value] : Kind{}; }
+    Span lastCall() const { return room_.tick * 2 + Span::millis(1); }
+    bool inOrder(const Text& t) const { return t.arrival.key && t.product && t.product->inOrder; }
+
+    void place(const ListEntry& entry, Endpoint& e) {
+        e.destination = entry.destination;
+        e.zone = entry.zone;
+        e.kind = entry.kind;
+        Destination& d = destination(entry.destination);
+        if (d.endpoints.empty() || kind(e).separateRoutes) {
+            e.place = static_cast<uint32_t>(places_.size());
+            places_.emplace_back();
+        } else {
+            e.place = endpoints_[d.endpoints.front()].place;
+        }
+        d.endpoints.push_back(entry.endpoint.value);
+    }
+
+    double shareWorth(Instant now, TenantIx tenant) {
+        if (tenant.value >= shares_.size() || shares_[tenant.value].rate <= 0) return 1;
+        Share& s = shares_[tenant.value];
+        s.tokens = std::min(2 * s.rate + 1, s.tokens + (now - s.at).inSeconds() * s.rate);
+        s.at = now;
+        if (s.tokens < 1) return earnings_.overShareWorth;
+        s.tokens -= 1;
+        return 1;
+    }
+
+    void noteCall(Instant now, const Text& text, const SubmitEnd& e) {
+        Endpoint& at = endpoints_[text.at.value];
+        Place& p = places_[at.place];
+        if (e.reportedLimit) p.reportedRate = *e.reportedLimit;
+        Call& call = calls_[text.call];
+        bool first = !call.settled;  // the texts of a call share its fate: it counts once
+        call.settled = true;
+        if (--call.texts == 0) {
+            calls_.erase(text.call);
+            --callsOut_;
+            --destination(at.destination).out;
+            p.out.erase(p.out.find(text.started));
+            at.out.erase(at.out.find(text.started));
+        }
+        if (e.end == End::full && e.wait > Span()) {
+            p.toldUntil = std::max(p.toldUntil, now + e.wait);
+            p.bucket.toldToWait(now, now + e.wait, p.slice(now, crew_.senders), chance_);
+        }
+        if (!first || e.end == End::cancelled || e.end == End::notSent) return;
+        if (e.end == End::delivered) {
+            if (at.trickle > 0) at.trickle *= 2;
+            if (at.trickle > 8) at.trickle = 0;
+            if (static_cast<double>(at.out.size()) + 1 >= at.reach) at.reach += 0.5;
+            p.served.push_back(now);
+            p.peakServed = std::max(p.peakServed, p.servedRate(now));
+            p.bucket.succeeded(now, p.fleetRate() > 0 ? p.fleetRate() : 1e9);
+            p.guard.delivered(now);
+            at.deliveredAt = now;
+            p.times.add(now - text.started);
+            at.times.add(now - text.started);
+            return;
+        }
+        if (e.end == End::full) p.bucket.refused(now, text.started, p.slice(now, crew_.senders));
+        // An endpoint that misses while its fellows deliver is its own trouble, a full table of connections
+        // among them; the place as a whole is out only when none of them delivers.
+        if (e.end != End::full && text.started <= p.guard.lastDelivered() && at.deliveredAt < text.started) {
+            setAside(now, at);
+        }
+        if (e.end == End::unreachable) at.reach = std::max(1.0, 0.7 * static_cast<double>(at.out.size() + 1));
+        p.guard.missed(now, text.started, e.end, e.wait, cold_, chance_);
+        if (p.guard.phase() == ReturnGuard::Phase::down) p.bucket.empty(now);
+    }
+
+    void setAside(Instant now, Endpoint& e) {
+        e.trickle = 0.5;
+        e.trickleAt = now + Span::seconds(chance_.between(1, 2));
+    }
+
+    bool maySubmitAgain(Instant now, const Text& t) const {
+        if (room_.submits > 0 && t.submits >= room_.submits) return false;
+        if (now + lastCall() >= t.arrival.validUntil) return false;
+        if (!t.mayHaveRun || t.product->effect == Effect::resendable) return true;
+        return t.product->effect == Effect::referenced && now + lastCall() < t.firstMayHaveRun + t.product->memory;
+    }
+
+    // Rule 2's word on the final answer: a nack promises that nothing took effect that a repeat would double.
+    Decision answer(const Text& t) {
+        TextIx ix = t.arrival.text;
+        bool harmless = !t.mayHaveRun || t.product->effect == Effect::resendable;
+        forget(ix);
+        if (harmless) return Nack{ix, Span()};
+        return Undeliverable{ix};
+    }
+
+    void forget(TextIx ix) {
+        Text& t = texts_[ix];
+        if (inOrder(t)) order_.done(*t.arrival.key, ix);
+        dues_.erase({t.arrival.validUntil - lastCall(), ix.value});
+        texts_.erase(ix);
+    }
+
+    void unqueue(const Text& t) {
+        auto& w = destination(t.arrival.destination).waiting;
+        w.erase(std::remove(w.begin(), w.end(), t.arrival.text), w.end());
+    }
+
+    // ---- deciding
+
+    // What a text earns if delivered at that time.
+    double earns(const Text& t, Instant at) const {
+        const Product& p = *t.product;
+        double late = (at - (t.arrival.validUntil - p.validity) - p.sla).inSeconds();
+        if (at >= t.arrival.validUntil) return 0;
+        if (late <= 0) return t.worth;
+        if (earnings_.decay == Decay::halving) {
+            return t.worth * std::max(p.lateShare, std::pow(0.5, late / std::max(p.sla.inSeconds(), 0.001)));
+        }
+        double span = std::max((p.validity - p.sla).inSeconds(), 0.001);
+        return t.worth * (1 - (1 - p.lateShare) * std::min(1.0, late / span));
+    }
+
+    // What is lost by passing a text over until the backlog before it has gone, plus a little for what it
+    // earns at all, so that the better paid goes first among those that can wait.
+    double urgency(const Text& t, Instant now, Span takes, Span horizon) const {
+        double soon = earns(t, now + takes);
+        return soon - earns(t, now + takes + horizon) + 0.05 * soon;
+    }
+
+    bool mayGo(const Text& t, Instant now) const {
+        if (!maySubmitAgain(now, t)) return false;
+        return !inOrder(t) || order_.mayGo(*t.arrival.key, t.arrival.text, now);
+    }
+
+    bool groupAllows(const Text& t, const Endpoint& e) const {
+        return !t.mayHaveRun || t.product->effect != Effect::referenced || !t.product->memoryByZone ||
+               e.zone == t.ranIn;
+    }
+
+    // Room at an endpoint for one more call, zero if it may not have one.
+    double roomAt(Instant now, const Endpoint& e) {
+        if (!e.usable) return 0;
+        Place& p = places_[e.place];
+        if (now < p.toldUntil) return blockedUntil(p.toldUntil);
+        double out = static_cast<double>(e.out.size());
+        if (p.guard.phase() == ReturnGuard::Phase::down) {
+            if (!p.out.empty()) return 0;
+            if (now < p.guard.trialAt()) return blockedUntil(p.guard.trialAt());
+            return 1;
+        }
+        if (e.trickle > 0) {
+            if (now < e.trickleAt) return blockedUntil(e.trickleAt);
+            return out < 1 ? 1 : 0;
+        }
+        double room = e.reach - out;
+        if (room < 1 && out > 0) return 0;
+        if (e.zone != crew_.zone) room *= 0.5;
+        return std::max(room, 1.0);
+    }
+
+    bool paced(Instant now, const Endpoint& e) {
+        Place& p = places_[e.place];
+        double capacity = p.fleetRate() > 0 ? p.fleetRate()
+                                            : std::max(1.0, p.peakServed) * crew_.senders;
+        double cap = p.guard.budget(now, capacity, crew_.senders, cold_);
+        if (p.bucket.ready(now, cap, chance_) || p.guard.phase() == ReturnGuard::Phase::down) return true;
+        blockedUntil(p.bucket.askAt());
+        return false;
+    }
+
+    double blockedUntil(Instant at) {
+        dues_.insert({at, kNoText});
+        return 0;
+    }
+
+    // Slots are scarce: a destination may hold calls out up to a multiple of the slots still free, less the
+    // longer its calls take beside the others', so that a hung or slow one never gets them all.
+    bool slotFor(const Destination& d, double takes) const {
+        if (room_.calls <= 0) return true;
+        int free = room_.calls - callsOut_;
+        if (free <= 0) return false;
+        double alpha = std::clamp(2 * usualTime_ / std::max(takes, 0.001), 0.25, 2.0);
+        return d.out == 0 || d.out < alpha * free;
+    }
+
+    double callTime(Instant now, const Destination& d) const {
+        double best = 1e9;
+        for (uint32_t e : d.endpoints) {
+            const Place& p = places_[endpoints_[e].place];
+            best = std::min(best, p.times.mean(p.ageOut(now), usualTime_));
+        }
+        return best;
+    }
+
+    void startCall(Instant now) {
+        if (room_.calls > 0 && callsOut_ >= room_.calls) return;
+        Destination* best = nullptr;
+        uint32_t bestAt = 0;
+        double bestScore = -1;
+        size_t bestText = 0;
+        for (Destination& d : destinations_) {
+            if (d.waiting.empty() || d.endpoints.empty()) continue;
+            double takes = callTime(now, d);
+            if (!slotFor(d, takes)) continue;
+            // Which endpoint: drawn by room among those whose place may have a call now.
+            std::vector<std::pair<uint32_t, double>> open;
+            double sum = 0;
+            for (uint32_t e : d.endpoints) {
+                double room = roomAt(now, endpoints_[e]);
+                if (room <= 0 || !paced(now, endpoints_[e])) continue;
+                open.emplace_back(e, room);
+                sum += room;
+            }
+            if (open.empty()) continue;
+            uint32_t at = draw(open, sum);
+            bool risky = places_[endpoints_[at].place].guard.phase() == ReturnGuard::Phase::down &&
+                         places_[endpoints_[at].place].guard.risky();
+            Span horizon = Span::seconds(std::clamp(static_cast<double>(d.waiting.size()) * takes, 1.0, 8.0));
+            for (size_t i = 0; i < d.waiting.size(); ++i) {
+                const Text& t = texts_[d.waiting[i]];
+                if (!mayGo(t, now) || !groupAllows(t, endpoints_[at])) continue;
+                double score = urgency(t, now, Span::seconds(takes), horizon) / takes;
+                // A trial that may run and not answer would cost a once-only text its one chance.
+                if (risky && t.product->effect == Effect::onceOnly) score *= 0.01;
+                if (score > bestScore) bestScore = score, best = &d, bestAt = at, bestText = i;
+            }
+        }
+        if (!best) return;
+        submitCall(now, *best, bestAt, bestText);
+    }
+
+    uint32_t draw(const std::vector<std::pair<uint32_t, double>>& open, double sum) {
+        double r = chance_.between(0, sum);
+        for (const auto& [e, room] : open) {
+            if (r < room) return e;
+            r -= room;
+        }
+        return open.back().first;
+    }
+
+    void submitCall(Instant now, Destination& d, uint32_t at, size_t firstText) {
+        Endpoint& e = endpoints_[at];
+        Place& p = places_[e.place];
+        bool down = p.guard.phase() == ReturnGuard::Phase::down;
+        uint32_t call = nextCall_++;
+        int room = down ? 1 : std::max(1, kind(e).batch), texts = 0;
+        std::vector<TextIx> going = {d.waiting[firstText]};
+        for (TextIx ix : d.waiting) {
+            if (static_cast<int>(going.size()) >= room) break;
+            const Text& t = texts_[ix];
+            if (ix == going.front() || inOrder(t) || !mayGo(t, now) || !groupAllows(t, e)) continue;
+            going.push_back(ix);
+        }
+        for (TextIx ix : going) {
+            Text& t = texts_[ix];
+            unqueue(t);
+            t.out = true;
+            t.at = EndpointIx(at);
+            t.started = now;
+            t.call = call;
+            ++t.submits;
+            ++texts;
+            out_.push_back(Submit{ix, t.at, timeout(now, t, p)});
+        }
+        calls_[call].texts = texts;
+        ++callsOut_;
+        ++d.out;
+        p.out.insert(now);
+        e.out.insert(now);
+        p.bucket.take(1 + 0.2 * (texts - 1) * (p.guard.phase() == ReturnGuard::Phase::returning));
+        if (e.trickle > 0) e.trickleAt = now + chance_.about(Span::seconds(1 / e.trickle));
+    }
+
+    // Cutting short a text that may be sent again buys a retry; cutting a once-only one loses it for good.
+    Span timeout(Instant now, const Text& t, const Place& p) const {
+        if (t.product->effect == Effect::onceOnly) return Span();
+        double cut = std::max(t.product->sla.inSeconds() / 2, p.times.known() ? 4 * p.times.high() : 2.0);
+        if ((t.arrival.validUntil - now).inSeconds() < 1.5 * cut) return Span();
+        return Span::seconds(cut);
+    }
+
+    // ---- periodic work, all on one timer
+
+    void tick(Instant now) {
+        tickAt_ = now + Span::millis(250);
+        if (now >= list_.askAt()) {
+            list_.asked();
+            out_.push_back(WatchList{});
+        }
+        std::vector<double> means;
+        for (Place& p : places_) {
+            p.bucket.dropIfQuiet(now);
+            p.peakServed *= 0.998;
+            if (p.times.known()) means.push_back(p.times.mean(0, usualTime_));
+        }
+        if (!means.empty()) {
+            std::nth_element(means.begin(), means.begin() + means.size() / 2, means.end());
+            usualTime_ = means[means.size() / 2];
+        }
+        for (const Destination& d : destinations_) judge(now, d);
+        order_.forgetIdle(now);
+    }
+
+    // A high quantile of each endpoint's answer times against its fellows'.
+    void judge(Instant now, const Destination& d) {
+        for (uint32_t i : d.endpoints) {
+            Endpoint& e = endpoints_[i];
+            if (!e.usable || e.trickle > 0 || e.times.count() < 4) continue;
+            std::vector<double> fellows;
+            for (uint32_t j : d.endpoints) {
+                const Endpoint& f = endpoints_[j];
+                if (j != i && f.usable && f.times.known() && f.trickle <= 0) fellows.push_back(f.times.high());
+            }
+            if (fellows.empty()) continue;
+            std::nth_element(fellows.begin(), fellows.begin() + fellows.size() / 2, fellows.end());
+            double usual = fellows[fellows.size() / 2];
+            double own = e.times.high();
+            if (!e.out.empty()) own = std::max(own, (now - *e.out.begin()).inSeconds());
+            if (own > 4 * usual) setAside(now, e);
+        }
+    }
+
+    Chance chance_;
+    std::vector<Product> products_;
+    std::vector<Kind> kinds_;
+    Crew crew_;
+    Room room_;
+    ColdRule cold_;
+    ListRule listRule_;
+    Earnings earnings_;
+    Links links_;
+    KeyOrder order_;
+    ListKeeper list_;
+    std::vector<Share> shares_;
+    std::vector<Destination> destinations_;
+    std::vector<Place> places_;
+    std::vector<Endpoint> endpoints_;
+    std::map<TextIx, Text> texts_;
+    std::map<uint32_t, Call> calls_;
+    std::set<std::pair<Instant, uint32_t>> dues_;
+    std::deque<Decision> out_;
+    std::deque<TextIx> toAnswer_;
+    Instant tickAt_ = Instant::longAgo(), armed_ = Instant::never();
+    double usualTime_ = 0.3;
+    int callsOut_ = 0;
+    uint32_t nextCall_ = 0;
+};
+
+}  // namespace
+
+std::unique_ptr<Sender> makeSender(uint32_t seed, std::vector<Product> products, std::vector<Kind> kinds,
+                                   const std::vector<Tenant>& tenants, const Crew& crew, const Room& room,
+                                   const ColdRule& cold, const ListRule& list, const Earnings& earnings,
+                                   const Links& links) {
+    return std::make_unique<Logic>(seed, std::move(products), std::move(kinds), tenants, crew, room, cold, list,
+                                   earnings, links);
+}
+
+}  // namespace petrelpond
