Fulls mean shut only after a slice's time without a delivery

Cause: three refusals in a row at a route with a small limit were taken for an outage, and the return budget then starved it for its whole warm-up.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -34,7 +34,7 @@
     void refused(Instant now, Instant started, double base) {
         bind(now, base);
         if (started < cutAt_) return;
-        rate_ = std::max(rate_ / 2, std::min(1.0, base));
+        rate_ = std::max(rate_ / 2, std::min(1.0, base / 2));
         cutAt_ = raisedAt_ = now;
     }
     void toldToWait(Instant now, Instant until, double base, Chance& chance) {
@@ -120,14 +120,18 @@
     bool risky() const { return risky_; }
     Instant lastDelivered() const { return deliveredAt_; }
 
-    void missed(Instant now, Instant started, End end, Span wait, const ColdRule& cold, Chance& chance) {
+    void missed(Instant now, Instant started, End end, Span wait, double slice, const ColdRule& cold,
+                Chance& chance) {
         bool nothingSince = deliveredAt_ < started;
         failing_ = 0.75 * failing_ + (end == End::full ? 0 : 0.25);
         if (end == End::full) {
-            // Refusals that follow each other with nothing delivered between are no longer a limit's.
-            if (started >= missAt_ && nothingSince) ++fullRounds_;
+            // Refusals that follow each other with nothing delivered for longer than this sender's slice of
+            // the limit explains are no longer a limit's: the place is shut.
+            if (started >= missAt_ && nothingSince && fullRounds_++ == 0) fullSince_ = now;
         }
-        bool out = end == End::full ? fullRounds_ >= 3 || wait >= cold.window
+        double patience = std::max(1.5, 3 / slice);
+        bool shut = fullRounds_ >= 3 && (now - fullSince_).inSeconds() > patience;
+        bool out = end == End::full ? shut || wait >= cold.window
                    : end == End::error || end == End::reset ? failing_ > 0.4
                                                             : nothingSince;
         missAt_ = now;
@@ -159,7 +163,8 @@
 
   private:
     Phase phase_ = Phase::clear;
-    Instant deliveredAt_ = Instant::longAgo(), missAt_ = Instant::longAgo(), returnedAt_, trialAt_;
+    Instant deliveredAt_ = Instant::longAgo(), missAt_ = Instant::longAgo(), fullSince_, returnedAt_,
+            trialAt_;
     double failing_ = 0;
     int fullRounds_ = 0, trials_ = 0;
     bool risky_ = false;
@@ -474,7 +479,7 @@
             setAside(now, at);
         }
         if (e.end == End::unreachable) at.reach = std::max(1.0, 0.7 * static_cast<double>(at.out.size() + 1));
-        p.guard.missed(now, text.started, e.end, e.wait, cold_, chance_);
+        p.guard.missed(now, text.started, e.end, e.wait, p.slice(now, crew_.senders), cold_, chance_);
         if (p.guard.phase() == ReturnGuard::Phase::down) p.bucket.empty(now);
     }
 
@@ -647,7 +652,7 @@
     void submitCall(Instant now, Destination& d, uint32_t at, size_t firstText) {
         Endpoint& e = endpoints_[at];
         Place& p = places_[e.place];
-        bool down = p.guard.phase() == ReturnGuard::Phase::down;
+        bool down = p.guard.phase() == ReturnGuard::Phase::down && p.guard.risky();
         uint32_t call = nextCall_++;
         int room = down ? 1 : std::max(1, kind(e).batch), texts = 0;
         std::vector<TextIx> going = {d.waiting[firstText]};
