--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -34,7 +34,7 @@
     void refused(Instant now, Instant started, double base) {
         bind(now, base);
         if (started < cutAt_) return;
-        rate_ = std::max(rate_ / 2, std::min(1.0, base / 2));
+        rate_ = std::max(rate_ * 0.5, std::min(1.0, base));
         cutAt_ = raisedAt_ = now;
     }
     void toldToWait(Instant now, Instant until, double base, Chance& chance) {
@@ -158,7 +158,7 @@
             return 0;
         }
         double share = cold.share + (1 - cold.share) * warmed;
-        return 0.6 * std::max(cold.multiple, 1.0) * share * capacity / senders;
+        return 0.9 * std::max(cold.multiple, 1.0) * share * capacity / senders;
     }
 
   private:
@@ -563,6 +563,9 @@
             if (now < e.trickleAt) return blockedUntil(e.trickleAt);
             return out < 1 ? 1 : 0;
         }
+        // Where calls carry many texts, what comes while a call is out travels with the next one: calls are
+        // what the limit counts, and single texts would use it up.
+        if (kind(e).batch > 1 && out > 0) return 0;
         double room = e.reach - out;
         if (room < 1 && out > 0) return 0;
         if (e.zone != crew_.zone) room *= 0.5;
@@ -624,13 +627,15 @@
             }
             if (open.empty()) continue;
             uint32_t at = draw(open, sum);
-            bool risky = places_[endpoints_[at].place].guard.phase() == ReturnGuard::Phase::down &&
-                         places_[endpoints_[at].place].guard.risky();
+            const ReturnGuard& guard = places_[endpoints_[at].place].guard;
+            bool trial = guard.phase() == ReturnGuard::Phase::down, risky = trial && guard.risky();
             Span horizon = Span::seconds(std::clamp(static_cast<double>(d.waiting.size()) * takes, 1.0, 8.0));
             for (size_t i = 0; i < d.waiting.size(); ++i) {
                 const Text& t = texts_[d.waiting[i]];
                 if (!mayGo(t, now) || !groupAllows(t, endpoints_[at])) continue;
                 double score = urgency(t, now, Span::seconds(takes), horizon) / takes;
+                // Trials go round the texts: one text would use up its submits before the place is back.
+                if (trial) score *= std::pow(0.5, t.submits);
                 // A trial that may run and not answer would cost a once-only text its one chance.
                 if (risky && t.product->effect == Effect::onceOnly) score *= 0.01;
                 if (score > bestScore) bestScore = score, best = &d, bestAt = at, bestText = i;
@@ -660,6 +665,7 @@
             if (static_cast<int>(going.size()) >= room) break;
             const Text& t = texts_[ix];
             if (ix == going.front() || inOrder(t) || !mayGo(t, now) || !groupAllows(t, e)) continue;
+            if (p.guard.phase() == ReturnGuard::Phase::down && 2 * t.submits >= room_.submits) continue;
             going.push_back(ix);
         }
         for (TextIx ix : going) {
