Batch calls get time by their load; routes drawn by the limit left; floor at three quarters of a slice

Cause: a batch of ten takes several times a single call, and its resendable texts were cut while it ran; half the calls at a slice of exactly the limit met a refusal.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -34,7 +34,7 @@
     void refused(Instant now, Instant started, double base) {
         bind(now, base);
         if (started < cutAt_) return;
-        rate_ = std::max(rate_ * 0.5, std::min(1.0, base));
+        rate_ = std::max(rate_ / 2, std::min(1.0, 0.75 * base));
         cutAt_ = raisedAt_ = now;
     }
     void toldToWait(Instant now, Instant until, double base, Chance& chance) {
@@ -176,7 +176,8 @@
     ReturnGuard guard;
     AnswerTimes times;
     Instant toldUntil = Instant::longAgo();
-    double listedRate = 0, reportedRate = 0, peakServed = 0;
+    double listedRate = 0, reportedRate = 0, reportedShare = 1, peakServed = 0;
+    Instant reportedAt = Instant::longAgo();
     std::deque<Instant> served;  // of the last two seconds
     std::multiset<Instant> out;  // starts of the calls that are out
 
@@ -188,6 +189,11 @@
     double slice(Instant now, int senders) {
         return fleetRate() > 0 ? fleetRate() / senders : std::max(1.0, servedRate(now));
     }
+    // Share of the allowance thought to be left: what was last reported, refilled since as over a second.
+    double allowance(Instant now) const {
+        if (reportedRate <= 0) return 1;
+        return std::min(1.0, reportedShare + (now - reportedAt).inSeconds());
+    }
     double ageOut(Instant now) const {
         double sum = 0;
         for (Instant start : out) sum += (now - start).inSeconds();
@@ -229,9 +235,13 @@
 
 struct Call {
     int texts = 0;
+    double load = 1;  // beside a call with one text
     bool settled = false;
 };
 
+// Further texts in a call add a little work each (ours; nothing tells how much).
+double loadOf(size_t texts) { return 1 + 0.2 * (static_cast<double>(texts) - 1); }
+
 // Texts of one key go in the order taken; after a submit that may still run the key rests.
 class KeyOrder {
   public:
@@ -444,9 +454,11 @@
         Endpoint& at = endpoints_[text.at.value];
         Place& p = places_[at.place];
         if (e.reportedLimit) p.reportedRate = *e.reportedLimit;
+        if (e.reportedShare) p.reportedShare = *e.reportedShare, p.reportedAt = now;
         Call& call = calls_[text.call];
         bool first = !call.settled;  // the texts of a call share its fate: it counts once
         call.settled = true;
+        double load = call.load;
         if (--call.texts == 0) {
             calls_.erase(text.call);
             --callsOut_;
@@ -468,8 +480,8 @@
             p.bucket.succeeded(now, p.fleetRate() > 0 ? p.fleetRate() : 1e9);
             p.guard.delivered(now);
             at.deliveredAt = now;
-            p.times.add(now - text.started);
-            at.times.add(now - text.started);
+            p.times.add((now - text.started) * (1 / load));
+            at.times.add((now - text.started) * (1 / load));
             return;
         }
         if (e.end == End::full) p.bucket.refused(now, text.started, p.slice(now, crew_.senders));
@@ -569,7 +581,10 @@
         double room = e.reach - out;
         if (room < 1 && out > 0) return 0;
         if (e.zone != crew_.zone) room *= 0.5;
-        return std::max(room, 1.0);
+        room = std::max(room, 1.0);
+        // Routes differ in their limits: the room is what their limits leave.
+        if (kind(e).separateRoutes && p.fleetRate() > 0) room = p.fleetRate() * (0.05 + p.allowance(now));
+        return room;
     }
 
     bool paced(Instant now, const Endpoint& e) {
@@ -659,7 +674,7 @@
         Place& p = places_[e.place];
         bool down = p.guard.phase() == ReturnGuard::Phase::down && p.guard.risky();
         uint32_t call = nextCall_++;
-        int room = down ? 1 : std::max(1, kind(e).batch), texts = 0;
+        int room = down ? 1 : std::max(1, kind(e).batch);
         std::vector<TextIx> going = {d.waiting[firstText]};
         for (TextIx ix : d.waiting) {
             if (static_cast<int>(going.size()) >= room) break;
@@ -668,6 +683,7 @@
             if (p.guard.phase() == ReturnGuard::Phase::down && 2 * t.submits >= room_.submits) continue;
             going.push_back(ix);
         }
+        double load = loadOf(going.size());
         for (TextIx ix : going) {
             Text& t = texts_[ix];
             unqueue(t);
@@ -676,22 +692,21 @@
             t.started = now;
             t.call = call;
             ++t.submits;
-            ++texts;
-            out_.push_back(Submit{ix, t.at, timeout(now, t, p)});
+            out_.push_back(Submit{ix, t.at, timeout(now, t, p, load)});
         }
-        calls_[call].texts = texts;
+        calls_[call] = {static_cast<int>(going.size()), load, false};
         ++callsOut_;
         ++d.out;
         p.out.insert(now);
         e.out.insert(now);
-        p.bucket.take(1 + 0.2 * (texts - 1) * (p.guard.phase() == ReturnGuard::Phase::returning));
+        p.bucket.take(p.guard.phase() == ReturnGuard::Phase::returning ? load : 1);
         if (e.trickle > 0) e.trickleAt = now + chance_.about(Span::seconds(1 / e.trickle));
     }
 
     // Cutting short a text that may be sent again buys a retry; cutting a once-only one loses it for good.
-    Span timeout(Instant now, const Text& t, const Place& p) const {
+    Span timeout(Instant now, const Text& t, const Place& p, double load) const {
         if (t.product->effect == Effect::onceOnly) return Span();
-        double cut = std::max(t.product->sla.inSeconds() / 2, p.times.known() ? 4 * p.times.high() : 2.0);
+        double cut = std::max(t.product->sla.inSeconds() / 2, p.times.known() ? 4 * p.times.high() : 2.0) * load;
         if ((t.arrival.validUntil - now).inSeconds() < 1.5 * cut) return Span();
         return Span::seconds(cut);
     }
