--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -133,6 +133,7 @@
         bool shut = fullRounds_ >= 3 && (now - fullSince_).inSeconds() > patience;
         bool out = end == End::full ? shut || wait >= cold.window
                    : end == End::error || end == End::reset ? failing_ > 0.4
+                   : end == End::timeout                    ? nothingSince && ++silent_ >= 2
                                                             : nothingSince;
         missAt_ = now;
         if (phase_ == Phase::down || out) {
@@ -145,7 +146,7 @@
     }
     void delivered(Instant now) {
         deliveredAt_ = now;
-        fullRounds_ = 0;
+        fullRounds_ = silent_ = 0;
         failing_ *= 0.75;
         if (phase_ == Phase::down) phase_ = Phase::returning, returnedAt_ = now;
     }
@@ -166,7 +167,7 @@
     Instant deliveredAt_ = Instant::longAgo(), missAt_ = Instant::longAgo(), fullSince_, returnedAt_,
             trialAt_;
     double failing_ = 0;
-    int fullRounds_ = 0, trials_ = 0;
+    int fullRounds_ = 0, silent_ = 0, trials_ = 0;
     bool risky_ = false;
 };
 
@@ -485,6 +486,11 @@
             return;
         }
         if (e.end == End::full) p.bucket.refused(now, text.started, p.slice(now, crew_.senders));
+        // A cut call took at least that long: left out, a place that slowed would be cut at its old pace for ever.
+        if (e.end == End::timeout) {
+            p.times.add((now - text.started) * (1 / load));
+            at.times.add((now - text.started) * (1 / load));
+        }
         // An endpoint that misses while its fellows deliver is its own trouble, a full table of connections
         // among them; the place as a whole is out only when none of them delivers.
         if (e.end != End::full && text.started <= p.guard.lastDelivered() && at.deliveredAt < text.started) {
@@ -706,7 +712,7 @@
     // Cutting short a text that may be sent again buys a retry; cutting a once-only one loses it for good.
     Span timeout(Instant now, const Text& t, const Place& p, double load) const {
         if (t.product->effect == Effect::onceOnly) return Span();
-        double cut = std::max(t.product->sla.inSeconds() / 2, p.times.known() ? 4 * p.times.high() : 2.0) * load;
+        double cut = std::max(t.product->sla.inSeconds() / 2, p.times.known() ? 4 * p.times.high() : t.product->sla.inSeconds()) * load;
         if ((t.arrival.validUntil - now).inSeconds() < 1.5 * cut) return Span();
         return Span::seconds(cut);
     }
