--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -712,7 +712,7 @@
     // Cutting short a text that may be sent again buys a retry; cutting a once-only one loses it for good.
     Span timeout(Instant now, const Text& t, const Place& p, double load) const {
         if (t.product->effect == Effect::onceOnly) return Span();
-        double cut = std::max(t.product->sla.inSeconds() / 2, p.times.known() ? 4 * p.times.high() : t.product->sla.inSeconds()) * load;
+        double cut = std::max(t.product->sla.inSeconds(), 4 * p.times.high()) * load;
         if ((t.arrival.validUntil - now).inSeconds() < 1.5 * cut) return Span();
         return Span::seconds(cut);
     }
