--- a/include/petrelpond/sender.hpp
+++ b/include/petrelpond/sender.hpp
@@ -22,10 +22,10 @@
 enum class Decay { linear, halving };
 
 struct Product {
-    Span sla;            // delivered within this, a text earns its whole revenue
-    Span validity;       // from when it was first handed in
+    Span sla;       // delivered within this, a text earns its whole revenue
+    Span validity;  // from when it was first handed in
     Effect effect = Effect::onceOnly;
-    Span memory;         // referenced: how long a destination knows the reference
+    Span memory;                // referenced: how long a destination knows the reference
     bool memoryByZone = false;  // referenced: only endpoints of one zone share that memory
     double revenue = 1;
     double lateShare = 0;  // share of the revenue left at the end of the validity period
@@ -47,12 +47,12 @@
 };
 
 struct Room {
-    int calls = 0;       // calls out at once; 0: not limited
-    int held = 0;        // texts held at most; 0: not limited
-    int submits = 0;     // submits of one text at most; 0: not limited
+    int calls = 0;    // calls out at once; 0: not limited
+    int held = 0;     // texts held at most; 0: not limited
+    int submits = 0;  // submits of one text at most; 0: not limited
     bool cancel = false;
-    Span tick;           // the host's rounds come no closer than this
-    Span longestPause;   // the longest pause a client observes after a nack; 0: none is passed on
+    Span tick;          // the host's rounds come no closer than this
+    Span longestPause;  // the longest pause a client observes after a nack; 0: none is passed on
 };
 
 struct ColdRule {
@@ -63,8 +63,8 @@
 };
 
 struct ListRule {
-    bool onRequest = false;   // changes come only to those that asked
-    bool ratesListed = false; // entries carry the destination's rate in calls a second
+    bool onRequest = false;    // changes come only to those that asked
+    bool ratesListed = false;  // entries carry the destination's rate in calls a second
     Span mustAskIn;
 };
 
@@ -78,10 +78,10 @@
 };
 
 struct Links {
-    Span idle;            // connections close after this
+    Span idle;  // connections close after this
     Span connectTimeout;
-    Span answerSlack;     // a final answer this much after the validity period still counts
-    Span orderRest;       // a key rests this long after a submit that may still run
+    Span answerSlack;  // a final answer this much after the validity period still counts
+    Span orderRest;    // a key rests this long after a submit that may still run
 };
 
 // ---- inputs -------------------------------------------------------------------------------------------
@@ -102,9 +102,9 @@
     EndpointIx endpoint;
     int submit = 0;  // counted from 0 for each text
     End end = End::error;
-    bool over = false;       // the text has had its final answer
+    bool over = false;  // the text has had its final answer
     Span took;
-    Span wait;               // full: the told wait, zero if none
+    Span wait;                            // full: the told wait, zero if none
     std::optional<double> reportedShare;  // of the limit that is left, where it is reported
     std::optional<double> reportedLimit;  // calls a second, 0 where there is none
 };
--- a/simhost/host.cpp
+++ b/simhost/host.cpp
@@ -30,9 +30,9 @@
         row.site = line.has("site") ? line.text("site") : "";
         row.model = line.has("model") ? line.text("model") : "";
         row.dest = line.text("dest");
-        row.state = named<Listed>(line.text("condition"), {{"active", Listed::active},
-                                                           {"leaving", Listed::leaving},
-                                                           {"left", Listed::gone}});
+        row.state =
+            named<Listed>(line.text("condition"),
+                          {{"active", Listed::active}, {"leaving", Listed::leaving}, {"left", Listed::gone}});
         row.rate = line.numberOr("weight", 0);
         sheets_[sheetOpen_].push_back(std::move(row));
         --sheetRows_;
@@ -233,9 +233,9 @@
 void Host::fleet(Instance& in, const wire::Line& line) {
     std::string_view scope = line.text("scope");
     if (scope == "Error") return in.sender->listFailed(now_);
-    ListScope how = named<ListScope>(scope, {{"Partial", ListScope::changes},
-                                             {"Complete", ListScope::whole},
-                                             {"Persisted", ListScope::old}});
+    ListScope how = named<ListScope>(
+        scope,
+        {{"Partial", ListScope::changes}, {"Complete", ListScope::whole}, {"Persisted", ListScope::old}});
     int64_t sheet = line.integer("rosterId");
     if (sheet < 0 || sheet > 15) throw Malformed("rosterId lies outside 0 to 15");
     std::vector<ListEntry> entries;
@@ -270,7 +270,8 @@
         TextRow& row = rid(submit->text);
         ++row.submits;
         ++row.open;
-        out_ << "SEND who=" << who << " rid=" << row.id << " endpoint=" << in.endpoints.name(submit->endpoint);
+        out_ << "SEND who=" << who << " rid=" << row.id
+             << " endpoint=" << in.endpoints.name(submit->endpoint);
         if (submit->timeout > Span()) out_ << " cap=" << submit->timeout.inMicros();
     } else if (const auto* nack = std::get_if<Nack>(&decision)) {
         out_ << "REFUSE who=" << who << " rid=" << rid(nack->text).id;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -2,8 +2,6 @@
 // each sending process with makeSender(), report every input as it comes (inputs only update what is
 // known), then call next() until it returns nothing. docs/design.md says which parts are the source's and
 // which are ours; "ours" below marks a starting value that measurement may move.
-#include "petrelpond/sender.hpp"
-
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -11,6 +9,8 @@
 #include <random>
 #include <set>
 
+#include "petrelpond/sender.hpp"
+
 namespace petrelpond {
 namespace {
 
@@ -131,7 +131,7 @@
         }
         double patience = std::max(1.5, 3 / slice);
         bool shut = fullRounds_ >= 3 && (now - fullSince_).inSeconds() > patience;
-        bool out = end == End::full ? shut || wait >= cold.window
+        bool out = end == End::full                         ? shut || wait >= cold.window
                    : end == End::error || end == End::reset ? failing_ > 0.4
                    : end == End::timeout                    ? nothingSince && ++silent_ >= 2
                                                             : nothingSince;
@@ -208,7 +208,7 @@
     KindIx kind;
     uint32_t place = 0;
     bool usable = false;
-    double reach = 4;  // calls that it is thought to take at once (ours)
+    double reach = 4;    // calls that it is thought to take at once (ours)
     double trickle = 0;  // set aside: calls a second it gets; 0: in full use
     Instant trickleAt = Instant::longAgo(), deliveredAt = Instant::longAgo();
     AnswerTimes times;
@@ -240,6 +240,11 @@
     bool settled = false;
 };
 
+double median(std::vector<double>& of) {
+    std::nth_element(of.begin(), of.begin() + of.size() / 2, of.end());
+    return of[of.size() / 2];
+}
+
 // Further texts in a call add a little work each (ours; nothing tells how much).
 double loadOf(size_t texts) { return 1 + 0.2 * (static_cast<double>(texts) - 1); }
 
@@ -280,8 +285,8 @@
 class ListKeeper {
   public:
     ListKeeper(ListRule rule, Chance& chance) : rule_(rule) {
-        askAt_ = rule.onRequest ? Instant::longAgo() + Span::seconds(chance.between(0, 0.01))
-                                : Instant::never();
+        askAt_ =
+            rule.onRequest ? Instant::longAgo() + Span::seconds(chance.between(0, 0.01)) : Instant::never();
     }
     void answered() { failures_ = 0; }
     // Everyone's subscription may break at one moment, hence the jitter; asking again inside the time after
@@ -306,16 +311,8 @@
     Logic(uint32_t seed, std::vector<Product> products, std::vector<Kind> kinds,
           const std::vector<Tenant>& tenants, const Crew& crew, const Room& room, const ColdRule& cold,
           const ListRule& list, const Earnings& earnings, const Links& links)
-        : chance_(seed),
-          products_(std::move(products)),
-          kinds_(std::move(kinds)),
-          crew_(crew),
-          room_(room),
-          cold_(cold),
-          listRule_(list),
-          earnings_(earnings),
-          links_(links),
-          order_(links.orderRest),
+        : chance_(seed), products_(std::move(products)), kinds_(std::move(kinds)), crew_(crew), room_(room),
+          cold_(cold), listRule_(list), earnings_(earnings), links_(links), order_(links.orderRest),
           list_(list, chance_) {
         crew_.senders = std::max(1, crew_.senders);
         for (const Tenant& t : tenants) shares_.push_back({t.quotaPerSecond / crew_.senders, 0, Instant()});
@@ -338,8 +335,8 @@
         Text& text = found->second;
         text.out = false;
         noteCall(now, text, e);
-        bool mayRun = e.end == End::error || e.end == End::timeout || e.end == End::reset ||
-                      e.end == End::cancelled;
+        bool mayRun =
+            e.end == End::error || e.end == End::timeout || e.end == End::reset || e.end == End::cancelled;
         if (mayRun && !text.mayHaveRun) {
             text.mayHaveRun = true;
             text.firstMayHaveRun = text.started;
@@ -396,6 +393,7 @@
             if (found != texts_.end()) return answer(found->second);
         }
         if (now >= tickAt_) tick(now);
+        if (auto nack = makeRoom(now)) return nack;
         if (out_.empty()) startCall(now);
         if (!out_.empty()) {
             Decision d = std::move(out_.front());
@@ -423,7 +421,9 @@
         if (d.value >= destinations_.size()) destinations_.resize(d.value + 1);
         return destinations_[d.value];
     }
-    Kind kind(const Endpoint& e) const { return e.kind.value < kinds_.size() ? kinds_[e.kind.value] : Kind{}; }
+    Kind kind(const Endpoint& e) const {
+        return e.kind.value < kinds_.size() ? kinds_[e.kind.value] : Kind{};
+    }
     Span lastCall() const { return room_.tick * 2 + Span::millis(1); }
     bool inOrder(const Text& t) const { return t.arrival.key && t.product && t.product->inOrder; }
 
@@ -472,6 +472,11 @@
             p.bucket.toldToWait(now, now + e.wait, p.slice(now, crew_.senders), chance_);
         }
         if (!first || e.end == End::cancelled || e.end == End::notSent) return;
+        // A cut call took at least so long: left out, a place that slowed would be cut at its old pace for
+        // ever.
+        if (e.end == End::delivered || e.end == End::timeout) {
+            for (AnswerTimes* times : {&p.times, &at.times}) times->add((now - text.started) * (1 / load));
+        }
         if (e.end == End::delivered) {
             if (at.trickle > 0) at.trickle *= 2;
             if (at.trickle > 8) at.trickle = 0;
@@ -481,16 +486,9 @@
             p.bucket.succeeded(now, p.fleetRate() > 0 ? p.fleetRate() : 1e9);
             p.guard.delivered(now);
             at.deliveredAt = now;
-            p.times.add((now - text.started) * (1 / load));
-            at.times.add((now - text.started) * (1 / load));
             return;
         }
         if (e.end == End::full) p.bucket.refused(now, text.started, p.slice(now, crew_.senders));
-        // A cut call took at least that long: left out, a place that slowed would be cut at its old pace for ever.
-        if (e.end == End::timeout) {
-            p.times.add((now - text.started) * (1 / load));
-            at.times.add((now - text.started) * (1 / load));
-        }
         // An endpoint that misses while its fellows deliver is its own trouble, a full table of connections
         // among them; the place as a whole is out only when none of them delivers.
         if (e.end != End::full && text.started <= p.guard.lastDelivered() && at.deliveredAt < text.started) {
@@ -510,7 +508,8 @@
         if (room_.submits > 0 && t.submits >= room_.submits) return false;
         if (now + lastCall() >= t.arrival.validUntil) return false;
         if (!t.mayHaveRun || t.product->effect == Effect::resendable) return true;
-        return t.product->effect == Effect::referenced && now + lastCall() < t.firstMayHaveRun + t.product->memory;
+        return t.product->effect == Effect::referenced &&
+               now + lastCall() < t.firstMayHaveRun + t.product->memory;
     }
 
     // Rule 2's word on the final answer: a nack promises that nothing took effect that a repeat would double.
@@ -583,7 +582,8 @@
         }
         // Where calls carry many texts, what comes while a call is out travels with the next one: calls are
         // what the limit counts, and single texts would use it up.
-        if (kind(e).batch > 1 && out > 0) return 0;
+        size_t waiting = destinations_[e.destination.value].waiting.size();
+        if (out > 0 && waiting < static_cast<size_t>(kind(e).batch)) return 0;
         double room = e.reach - out;
         if (room < 1 && out > 0) return 0;
         if (e.zone != crew_.zone) room *= 0.5;
@@ -595,8 +595,7 @@
 
     bool paced(Instant now, const Endpoint& e) {
         Place& p = places_[e.place];
-        double capacity = p.fleetRate() > 0 ? p.fleetRate()
-                                            : std::max(1.0, p.peakServed) * crew_.senders;
+        double capacity = p.fleetRate() > 0 ? p.fleetRate() : std::max(1.0, p.peakServed) * crew_.senders;
         double cap = p.guard.budget(now, capacity, crew_.senders, cold_);
         if (p.bucket.ready(now, cap, chance_) || p.guard.phase() == ReturnGuard::Phase::down) return true;
         blockedUntil(p.bucket.askAt());
@@ -717,6 +716,38 @@
         return Span::seconds(cut);
     }
 
+    // A full store turns new texts away at the door whatever they are worth. Before that, the text that will
+    // earn least by the time its destination's backlog has gone makes room, and its program is told when to
+    // come back. Covers any overload or outage that fills the store; it harms where a backlog would have
+    // cleared sooner than it looked.
+    std::optional<Decision> makeRoom(Instant now) {
+        if (room_.held <= 0 || static_cast<int>(texts_.size()) <= room_.held - 2 - room_.held / 20) {
+            return std::nullopt;
+        }
+        const Text* least = nullptr;
+        double worth = 1e9, drain = 0;
+        for (Destination& d : destinations_) {
+            if (d.waiting.empty()) continue;
+            double rate = 0;
+            for (size_t i = 0; i < d.endpoints.size(); ++i) {
+                Endpoint& e = endpoints_[d.endpoints[i]];
+                if (i == 0 || kind(e).separateRoutes) rate += places_[e.place].servedRate(now);
+            }
+            double wait = static_cast<double>(d.waiting.size()) / std::max(rate, 0.5);
+            for (TextIx ix : d.waiting) {
+                const Text& t = texts_[ix];
+                if (t.mayHaveRun && t.product->effect != Effect::resendable) continue;
+                double w = earns(t, now + Span::seconds(wait)) + 0.01 * earns(t, now);
+                if (w < worth) worth = w, least = &t, drain = wait;
+            }
+        }
+        if (!least) return std::nullopt;
+        TextIx ix = least->arrival.text;
+        unqueue(*least);
+        forget(ix);
+        return Nack{ix, std::min(Span::seconds(drain), room_.longestPause)};
+    }
+
     // ---- periodic work, all on one timer
 
     void tick(Instant now) {
@@ -731,10 +762,7 @@
             p.peakServed *= 0.998;
             if (p.times.known()) means.push_back(p.times.mean(0, usualTime_));
         }
-        if (!means.empty()) {
-            std::nth_element(means.begin(), means.begin() + means.size() / 2, means.end());
-            usualTime_ = means[means.size() / 2];
-        }
+        if (!means.empty()) usualTime_ = median(means);
         for (const Destination& d : destinations_) judge(now, d);
         order_.forgetIdle(now);
     }
@@ -747,14 +775,13 @@
             std::vector<double> fellows;
             for (uint32_t j : d.endpoints) {
                 const Endpoint& f = endpoints_[j];
-                if (j != i && f.usable && f.times.known() && f.trickle <= 0) fellows.push_back(f.times.high());
+                if (j != i && f.usable && f.times.known() && f.trickle <= 0)
+                    fellows.push_back(f.times.high());
             }
             if (fellows.empty()) continue;
-            std::nth_element(fellows.begin(), fellows.begin() + fellows.size() / 2, fellows.end());
-            double usual = fellows[fellows.size() / 2];
             double own = e.times.high();
             if (!e.out.empty()) own = std::max(own, (now - *e.out.begin()).inSeconds());
-            if (own > 4 * usual) setAside(now, e);
+            if (own > 4 * median(fellows)) setAside(now, e);
         }
     }
 
@@ -790,8 +817,8 @@
                                    const std::vector<Tenant>& tenants, const Crew& crew, const Room& room,
                                    const ColdRule& cold, const ListRule& list, const Earnings& earnings,
                                    const Links& links) {
-    return std::make_unique<Logic>(seed, std::move(products), std::move(kinds), tenants, crew, room, cold, list,
-                                   earnings, links);
+    return std::make_unique<Logic>(seed, std::move(products), std::move(kinds), tenants, crew, room, cold,
+                                   list, earnings, links);
 }
 
 }  // namespace petrelpond
