--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -107,12 +107,13 @@
     int count_ = 0;
 };
 
+enum class Phase { clear, down, returning };
+
 // Rule 4. Down, silent, hung, shut and failing places look different but all show as calls that end badly
 // with nothing delivered meanwhile. While down, single trial calls; after the first success, a budget that
 // grows as the settings say a cold destination warms.
 class ReturnGuard {
   public:
-    enum class Phase { clear, down, returning };
     Phase phase() const { return phase_; }
     Instant trialAt() const { return trialAt_; }
     bool risky() const { return risky_; }
@@ -223,7 +224,7 @@
     uint32_t call = 0;
     int submits = 0;
     double worth = 1;
-    bool out = false, over = false, mayHaveRun = false;
+    bool out = false, over = false, mayHaveRun = false, givenUp = false;
 };
 
 struct Call {
@@ -319,22 +320,21 @@
 
 class Logic final : public Sender {
   public:
-    Logic(uint32_t seed, std::vector<Product> products, std::vector<Kind> kinds,
-          const std::vector<Tenant>& tenants, const Crew& crew, const Room& room, const ColdRule& cold,
-          const ListRule& list, const Earnings& earnings, const Links& links)
+    Logic(uint32_t seed, std::vector<Product> products, std::vector<Kind> kinds, const Crew& crew,
+          const Room& room, const ColdRule& cold, const ListRule& list, const Earnings& earnings,
+          const Links& links)
         : chance_(seed), products_(std::move(products)), kinds_(std::move(kinds)), crew_(crew), room_(room),
           cold_(cold), listRule_(list), earnings_(earnings), links_(links), order_(links.orderRest),
           list_(list, chance_) {
         crew_.senders = std::max(1, crew_.senders);
-        for (const Tenant& t : tenants) shares_.push_back({t.quotaPerSecond / crew_.senders, 0, Instant()});
     }
 
-    void arrived(Instant now, const Arrival& a) override {
+    void arrived(Instant, const Arrival& a) override {
         Text& text = texts_[a.text];
         text.arrival = a;
         text.product = a.product.value < products_.size() ? &products_[a.product.value] : nullptr;
         if (!text.product) return toAnswer_.push_back(a.text);
-        text.worth = text.product->revenue * shareWorth(now, a.tenant);
+        text.worth = text.product->revenue;
         if (a.key && text.product->inOrder) order_.taken(*a.key, a.text);
         destination(a.destination).waiting.push_back(a.text);
         dues_.insert({a.validUntil - lastCall(), a.text.value});
@@ -357,8 +357,7 @@
             order_.mayStillRun(*text.arrival.key, e.text, now);
             dues_.insert({now + links_.orderRest, kNoText});
         }
-        if (e.over) text.over = true;
-        if (text.over) return forget(e.text);
+        if (e.over || text.over) return forget(e.text);
         if (!maySubmitAgain(now, text)) return toAnswer_.push_back(e.text);
         destination(text.arrival.destination).waiting.push_back(e.text);
     }
@@ -373,9 +372,7 @@
 
     void listed(Instant, ListScope scope, const std::vector<ListEntry>& entries) override {
         if (scope != ListScope::old) list_.answered();
-        if (scope != ListScope::changes) {
-            for (Endpoint& e : endpoints_) e.usable = false;
-        }
+        for (Endpoint& e : endpoints_) e.usable = e.usable && scope == ListScope::changes;
         for (const ListEntry& entry : entries) {
             if (entry.endpoint.value >= endpoints_.size()) endpoints_.resize(entry.endpoint.value + 1);
             Endpoint& e = endpoints_[entry.endpoint.value];
@@ -386,7 +383,6 @@
     }
 
     void listFailed(Instant now) override { list_.failed(now, chance_); }
-    void woke(Instant) override {}
 
     std::optional<Decision> next(Instant now) override {
         if (armed_ <= now) armed_ = Instant::never();
@@ -419,11 +415,6 @@
 
   private:
     static constexpr uint32_t kNoText = TextIx::kNone;
-    struct Share {
-        double rate, tokens;
-        Instant at;
-    };
-
     // ---- what is known
 
     Destination& destination(DestinationIx d) {
@@ -437,9 +428,7 @@
     bool inOrder(const Text& t) const { return t.arrival.key && t.product && t.product->inOrder; }
 
     void place(const ListEntry& entry, Endpoint& e) {
-        e.destination = entry.destination;
-        e.zone = entry.zone;
-        e.kind = entry.kind;
+        e.destination = entry.destination, e.zone = entry.zone, e.kind = entry.kind;
         Destination& d = destination(entry.destination);
         if (d.endpoints.empty() || kind(e).separateRoutes) {
             e.place = static_cast<uint32_t>(places_.size());
@@ -450,16 +439,6 @@
         d.endpoints.push_back(entry.endpoint.value);
     }
 
-    double shareWorth(Instant now, TenantIx tenant) {
-        if (tenant.value >= shares_.size() || shares_[tenant.value].rate <= 0) return 1;
-        Share& s = shares_[tenant.value];
-        s.tokens = std::min(2 * s.rate + 1, s.tokens + (now - s.at).inSeconds() * s.rate);
-        s.at = now;
-        if (s.tokens < 1) return earnings_.overShareWorth;
-        s.tokens -= 1;
-        return 1;
-    }
-
     void noteCall(Instant now, const Text& text, const SubmitEnd& e) {
         Endpoint& at = endpoints_[text.at.value];
         Place& p = places_[at.place];
@@ -472,10 +451,8 @@
         at.usedAt = now;
         if (--call.texts == 0) {
             calls_.erase(text.call);
-            --callsOut_;
-            --destination(at.destination).out;
-            p.out.erase(p.out.find(text.started));
-            at.out.erase(at.out.find(text.started));
+            --callsOut_, --destination(at.destination).out;
+            p.out.erase(p.out.find(text.started)), at.out.erase(at.out.find(text.started));
         }
         if (e.end == End::full && e.wait > Span()) {
             p.toldUntil = std::max(p.toldUntil, now + e.wait);
@@ -484,8 +461,7 @@
         if (!first || e.end == End::cancelled || e.end == End::notSent) return;
         // A quick break of a connection that had lain idle is the connection's trouble, not the place's.
         if (e.end == End::reset && idle_.brokeAfter(text.started - at.idleAt)) return;
-        // A cut call took at least so long: left out, a place that slowed would be cut at its old pace for
-        // ever.
+        // A cut call took at least so long; left out, a place that slowed would go on being cut.
         if (e.end == End::delivered || e.end == End::timeout) {
             for (AnswerTimes* times : {&p.times, &at.times}) times->add((now - text.started) * (1 / load));
         }
@@ -508,12 +484,12 @@
         }
         if (e.end == End::unreachable) at.reach = std::max(1.0, 0.7 * static_cast<double>(at.out.size() + 1));
         p.guard.missed(now, text.started, e.end, e.wait, p.slice(now, crew_.senders), cold_, chance_);
-        if (p.guard.phase() == ReturnGuard::Phase::down) p.bucket.empty(now);
+        if (p.guard.phase() == Phase::down) p.bucket.empty(now);
     }
 
     void setAside(Instant now, Endpoint& e) {
-        e.trickle = 0.5;
-        e.trickleAt = now + Span::seconds(chance_.between(1, 2));
+        e.trickle = e.trickle > 0 ? std::max(e.trickle / 2, 0.1) : 0.5;
+        e.trickleAt = now + chance_.about(Span::seconds(0.75 / e.trickle));
     }
 
     bool maySubmitAgain(Instant now, const Text& t) const {
@@ -580,7 +556,7 @@
         Place& p = places_[e.place];
         if (now < p.toldUntil) return blockedUntil(p.toldUntil);
         double out = static_cast<double>(e.out.size());
-        bool down = p.guard.phase() == ReturnGuard::Phase::down;
+        bool down = p.guard.phase() == Phase::down;
         if (down || e.trickle > 0) {
             Instant at = down ? p.guard.trialAt() : e.trickleAt;
             if (now < at) return blockedUntil(at);
@@ -602,7 +578,7 @@
         Place& p = places_[e.place];
         double capacity = p.fleetRate() > 0 ? p.fleetRate() : std::max(1.0, p.peakServed) * crew_.senders;
         double cap = p.guard.budget(now, capacity, crew_.senders, cold_);
-        if (p.bucket.ready(now, cap, chance_) || p.guard.phase() == ReturnGuard::Phase::down) return true;
+        if (p.bucket.ready(now, cap, chance_) || p.guard.phase() == Phase::down) return true;
         blockedUntil(p.bucket.askAt());
         return false;
     }
@@ -618,7 +594,7 @@
         if (room_.calls <= 0) return true;
         int free = room_.calls - callsOut_;
         if (free <= 0) return false;
-        double alpha = std::clamp(2 * usualTime_ / std::max(takes, 0.001), 0.25, 2.0);
+        double alpha = std::clamp(2 * usualTime_ / std::max(takes, 0.001), 0.25, 4.0);
         return d.out == 0 || d.out < alpha * free;
     }
 
@@ -632,7 +608,7 @@
     }
 
     void startCall(Instant now) {
-        if (room_.calls > 0 && callsOut_ >= room_.calls) return;
+        bool full = room_.calls > 0 && callsOut_ >= room_.calls;
         Destination* best = nullptr;
         uint32_t bestAt = 0;
         double bestScore = -1;
@@ -640,7 +616,7 @@
         for (Destination& d : destinations_) {
             if (d.waiting.empty() || d.endpoints.empty()) continue;
             double takes = callTime(now, d);
-            if (!slotFor(d, takes)) continue;
+            if (!full && !slotFor(d, takes)) continue;
             // Which endpoint: drawn by room among those whose place may have a call now.
             uint32_t at = 0;
             double sum = 0;
@@ -652,7 +628,7 @@
             }
             if (sum <= 0) continue;
             const ReturnGuard& guard = places_[endpoints_[at].place].guard;
-            bool trial = guard.phase() == ReturnGuard::Phase::down, risky = trial && guard.risky();
+            bool trial = guard.phase() == Phase::down;
             Span horizon = Span::seconds(std::clamp(static_cast<double>(d.waiting.size()) * takes, 1.0, 8.0));
             for (size_t i = 0; i < d.waiting.size(); ++i) {
                 const Text& t = texts_[d.waiting[i]];
@@ -660,26 +636,47 @@
                 double score = urgency(t, now, Span::seconds(takes), horizon) / takes;
                 // Trials go round the texts: one text would use up its submits before the place is back.
                 if (trial) score *= std::pow(0.5, t.submits);
-                // A trial that may run and not answer would cost a once-only text its one chance.
-                if (risky && t.product->effect == Effect::onceOnly) score *= 0.01;
                 if (score > bestScore) bestScore = score, best = &d, bestAt = at, bestText = i;
             }
         }
+        if (best && full) return freeSlot(now);
         if (best) submitCall(now, *best, bestAt, bestText);
     }
 
+    // All slots are out and a text could go: the call that is most overdue, and past both its SLA time and
+    // several times a high answer time of its place, is given up. Against hung places whose once-only calls
+    // would keep their slots to the end; it harms a call that would still have answered.
+    void freeSlot(Instant now) {
+        if (!room_.cancel) return;
+        const Text* stuck = nullptr;
+        double most = 6;
+        for (const auto& [ix, t] : texts_) {
+            if (!t.out) continue;
+            if (t.givenUp) return;
+            double age = (now - t.started).inSeconds();
+            double overdue = age / (places_[endpoints_[t.at.value].place].times.high() + 0.001);
+            if (age > t.product->sla.inSeconds() && overdue > most) most = overdue, stuck = &t;
+        }
+        if (!stuck) return;
+        for (auto& [ix, t] : texts_) {
+            if (!t.out || t.call != stuck->call) continue;
+            t.givenUp = true;
+            out_.push_back(CancelSubmit{ix, t.submits - 1});
+        }
+    }
+
     void submitCall(Instant now, Destination& d, uint32_t at, size_t firstText) {
         Endpoint& e = endpoints_[at];
         Place& p = places_[e.place];
-        bool down = p.guard.phase() == ReturnGuard::Phase::down && p.guard.risky();
+        bool down = p.guard.phase() == Phase::down;
         uint32_t call = nextCall_++;
-        int room = down ? 1 : std::max(1, kind(e).batch);
+        int room = down && p.guard.risky() ? 1 : std::max(1, kind(e).batch);
         std::vector<TextIx> going = {d.waiting[firstText]};
         for (TextIx ix : d.waiting) {
             if (static_cast<int>(going.size()) >= room) break;
             const Text& t = texts_[ix];
             if (ix == going.front() || inOrder(t) || !mayGo(t, now, e)) continue;
-            if (p.guard.phase() == ReturnGuard::Phase::down && 2 * t.submits >= room_.submits) continue;
+            if (down && 2 * t.submits >= room_.submits) continue;
             going.push_back(ix);
         }
         double load = 1 + 0.2 * (static_cast<double>(going.size()) - 1);
@@ -688,19 +685,14 @@
         for (TextIx ix : going) {
             Text& t = texts_[ix];
             unqueue(t);
-            t.out = true;
-            t.at = EndpointIx(at);
-            t.started = now;
-            t.call = call;
-            ++t.submits;
+            t.at = EndpointIx(at), t.started = now, t.call = call;
+            t.out = true, t.givenUp = false, ++t.submits;
             out_.push_back(Submit{ix, t.at, timeout(now, t, p, load)});
         }
         calls_[call] = {static_cast<int>(going.size()), load, false};
-        ++callsOut_;
-        ++d.out;
-        p.out.insert(now);
-        e.out.insert(now);
-        p.bucket.take(p.guard.phase() == ReturnGuard::Phase::returning ? load : 1);
+        ++callsOut_, ++d.out;
+        p.out.insert(now), e.out.insert(now);
+        p.bucket.take(p.guard.phase() == Phase::returning ? load : 1);
         if (e.trickle > 0) e.trickleAt = now + chance_.about(Span::seconds(1 / e.trickle));
     }
 
@@ -717,9 +709,8 @@
     // come back. Covers any overload or outage that fills the store; it harms where a backlog would have
     // cleared sooner than it looked.
     std::optional<Decision> makeRoom(Instant now) {
-        if (room_.held <= 0 || static_cast<int>(texts_.size()) <= room_.held - 2 - room_.held / 20) {
-            return std::nullopt;
-        }
+        int spare = room_.held - static_cast<int>(texts_.size());
+        if (room_.held <= 0 || spare >= 2 + room_.held / 20) return std::nullopt;
         const Text* least = nullptr;
         double worth = 1e9, drain = 0;
         for (Destination& d : destinations_) {
@@ -768,7 +759,7 @@
     void judge(Instant now, const Destination& d) {
         for (uint32_t i : d.endpoints) {
             Endpoint& e = endpoints_[i];
-            if (!e.usable || e.trickle > 0 || e.times.count() < 4) continue;
+            if (!e.usable || e.trickle > 0) continue;
             std::vector<double> fellows;
             for (uint32_t j : d.endpoints) {
                 const Endpoint& f = endpoints_[j];
@@ -776,7 +767,7 @@
                     fellows.push_back(f.times.high());
             }
             if (fellows.empty()) continue;
-            double own = e.times.high();
+            double own = e.times.count() < 4 ? 0 : e.times.high();
             if (!e.out.empty()) own = std::max(own, (now - *e.out.begin()).inSeconds());
             if (own > 4 * median(fellows)) setAside(now, e);
         }
@@ -794,7 +785,6 @@
     KeyOrder order_;
     ListKeeper list_;
     IdleBound idle_;
-    std::vector<Share> shares_;
     std::vector<Destination> destinations_;
     std::vector<Place> places_;
     std::vector<Endpoint> endpoints_;
@@ -812,11 +802,11 @@
 }  // namespace
 
 std::unique_ptr<Sender> makeSender(uint32_t seed, std::vector<Product> products, std::vector<Kind> kinds,
-                                   const std::vector<Tenant>& tenants, const Crew& crew, const Room& room,
+                                   const std::vector<Tenant>&, const Crew& crew, const Room& room,
                                    const ColdRule& cold, const ListRule& list, const Earnings& earnings,
                                    const Links& links) {
-    return std::make_unique<Logic>(seed, std::move(products), std::move(kinds), tenants, crew, room, cold,
-                                   list, earnings, links);
+    return std::make_unique<Logic>(seed, std::move(products), std::move(kinds), crew, room, cold, list,
+                                   earnings, links);
 }
 
 }  // namespace petrelpond
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -253,3 +253,37 @@
     for (const auto& [ix, row] : rig.rules.rows)
         CHECK((row.answers == 0 || row.arrival.product == ProductIx(0u)));
 }
+
+TEST_CASE("with all slots out and a text that could go, the most overdue call is given up") {
+    Set set;
+    set.room.calls = 2;
+    Rig rig(set);
+    for (uint32_t d = 0; d < 3; ++d) rig.endpoints(d, d, 1);
+    for (uint32_t i = 0; i < 12; ++i) {  // every destination is known to answer in 100 ms
+        rig.text(i % 3, 0);
+        rig.pull();
+        rig.now = rig.now + Span::millis(100);
+        for (const Submit& s : std::vector<Submit>(rig.submits)) rig.end(s, End::delivered);
+    }
+    rig.text(0, 2), rig.text(1, 2);
+    REQUIRE(rig.pull() == 2);
+    rig.text(2, 2);
+    size_t cancels = 0;
+    for (int i = 0; i < 1000; ++i) rig.run(Span::millis(5)), cancels += rig.answers<CancelSubmit>();
+    CHECK(cancels == 1);  // and no second one before the first has ended
+}
+
+TEST_CASE("texts in trial calls take turns, so none uses up its submits during an outage") {
+    Set set = unlimited();
+    set.products[0].validity = Span::seconds(60);
+    Rig rig(set);
+    rig.endpoints(0, 0, 1, 0, 20);
+    for (int i = 0; i < 6; ++i) rig.text(0, 0);
+    for (int i = 0; i < 4000; ++i) {
+        rig.run(Span::millis(5));
+        for (const Submit& s : std::vector<Submit>(rig.submits)) rig.end(s, End::unreachable);
+    }
+    int most = 0, least = 99;
+    for (auto& [ix, n] : rig.count) most = std::max(most, n), least = std::min(least, n);
+    CHECK(most - least <= 1);
+}
