--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -468,7 +468,7 @@
         if (e.end == End::delivered) {
             if (at.trickle > 0) at.trickle *= 2;
             if (at.trickle > 8) at.trickle = 0;
-            if (static_cast<double>(at.out.size()) + 1 >= at.reach) at.reach += 0.5;
+            if (static_cast<double>(at.out.size()) + 2 > at.reach) at.reach += 1 / at.reach;
             p.served.push_back(now);
             p.peakServed = std::max(p.peakServed, p.servedRate(now));
             p.bucket.succeeded(now, p.fleetRate() > 0 ? p.fleetRate() : 1e9);
@@ -482,6 +482,7 @@
         if (e.end != End::full && text.started <= p.guard.lastDelivered() && at.deliveredAt < text.started) {
             setAside(now, at);
         }
+        if (e.end == End::full) at.reach = std::max(2.0, 0.8 * at.reach);
         if (e.end == End::unreachable) at.reach = std::max(1.0, 0.7 * static_cast<double>(at.out.size() + 1));
         p.guard.missed(now, text.started, e.end, e.wait, p.slice(now, crew_.senders), cold_, chance_);
         if (p.guard.phase() == Phase::down) p.bucket.empty(now);
