--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -30,10 +30,11 @@
     Instant askAt() const { return askAt_; }
     // A refusal of a call that left before the last cut says nothing of the cut rate, so it cuts no further:
     // without this a clump refused at one moment would send the rate straight to the floor.
-    void refused(Instant now, Instant started, double base) {
+    // Where the slice of a known limit is the rate, halving stops a little under it: that much is ours.
+    void refused(Instant now, Instant started, double base, bool known) {
         bind(now, base);
         if (started < cutAt_) return;
-        rate_ = std::max(rate_ / 2, std::min(1.0, 0.75 * base));
+        rate_ = std::max(rate_ / 2, known ? 0.95 * base : 1.0);
         cutAt_ = raisedAt_ = now;
     }
     void toldToWait(Instant now, Instant until, double base, Chance& chance) {
@@ -41,10 +42,11 @@
         askAt_ = std::max(askAt_, until + jitter(chance));
     }
     // The fleet's whole rate is the ceiling: traffic lands unevenly, and a busy sender may use what idle
-    // ones leave, which its successes show.
-    void succeeded(Instant now, double ceiling) {
+    // ones leave, which its successes show. Past its slice it goes by small steps, as a refusal there
+    // stalls it for a told wait and uses up the limit for all.
+    void succeeded(Instant now, double slice, double ceiling) {
         if (!bound_ || now - raisedAt_ < Span::seconds(1)) return;
-        rate_ = std::min(rate_ * 1.25, std::max(ceiling, 1.0));
+        rate_ = std::min(rate_ * (rate_ < slice ? 1.25 : 1.05), std::max(ceiling, 1.0));
         raisedAt_ = now;
     }
     // True if a call may start now; the caller then takes the token. A cap from outside (a cold
@@ -471,12 +473,14 @@
             if (static_cast<double>(at.out.size()) + 2 > at.reach) at.reach += 1 / at.reach;
             p.served.push_back(now);
             p.peakServed = std::max(p.peakServed, p.servedRate(now));
-            p.bucket.succeeded(now, p.fleetRate() > 0 ? p.fleetRate() : 1e9);
+            p.bucket.succeeded(now, p.fleetRate() > 0 ? p.slice(now, crew_.senders) : 1e9,
+                               p.fleetRate() > 0 ? p.fleetRate() : 1e9);
             p.guard.delivered(now);
             at.deliveredAt = now;
             return;
         }
-        if (e.end == End::full) p.bucket.refused(now, text.started, p.slice(now, crew_.senders));
+        if (e.end == End::full)
+            p.bucket.refused(now, text.started, p.slice(now, crew_.senders), p.fleetRate() > 0);
         // An endpoint that misses while its fellows deliver is its own trouble, a full table of connections
         // among them; the place as a whole is out only when none of them delivers.
         if (e.end != End::full && text.started <= p.guard.lastDelivered() && at.deliveredAt < text.started) {
