--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -34,7 +34,10 @@
     void refused(Instant now, Instant started, double base, bool known) {
         bind(now, base);
         if (started < cutAt_) return;
-        rate_ = std::max(rate_ / 2, known ? 0.95 * base : 1.0);
+        // Refused again at its slice with nothing delivered between: the limit is lower than listed.
+        if (!delivered_ && rate_ <= base * trust_) trust_ = std::max(0.7 * trust_, 0.1);
+        delivered_ = false;
+        rate_ = std::max(rate_ / 2, known ? 0.95 * base * trust_ : 1.0);
         cutAt_ = raisedAt_ = now;
     }
     void toldToWait(Instant now, Instant until, double base, Chance& chance) {
@@ -45,8 +48,10 @@
     // ones leave, which its successes show. Past its slice it goes by small steps, as a refusal there
     // stalls it for a told wait and uses up the limit for all.
     void succeeded(Instant now, double slice, double ceiling) {
+        delivered_ = true;
         if (!bound_ || now - raisedAt_ < Span::seconds(1)) return;
-        rate_ = std::min(rate_ * (rate_ < slice ? 1.25 : 1.05), std::max(ceiling, 1.0));
+        trust_ = std::min(1.0, trust_ + 0.03);
+        rate_ = std::min(rate_ * (rate_ < slice * trust_ ? 1.25 : 1.05), std::max(ceiling, 1.0));
         raisedAt_ = now;
     }
     // True if a call may start now; the caller then takes the token. A cap from outside (a cold
@@ -81,8 +86,8 @@
         return Span::seconds(chance.between(0.05, 0.25) * std::min(1.0, rate_ > 0 ? 1 / rate_ : 1.0));
     }
 
-    bool bound_ = false;
-    double rate_ = 0, tokens_ = 1;
+    bool bound_ = false, delivered_ = true;
+    double rate_ = 0, tokens_ = 1, trust_ = 1;
     Instant refilledAt_ = Instant::longAgo(), raisedAt_, cutAt_ = Instant::longAgo();
     Instant askAt_ = Instant::longAgo(), heldAt_ = Instant::longAgo();
 };
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -287,3 +287,28 @@
     for (auto& [ix, n] : rig.count) most = std::max(most, n), least = std::min(least, n);
     CHECK(most - least <= 1);
 }
+
+TEST_CASE("a limit lower than the listed one is learned from refusals with nothing delivered between") {
+    Rig rig(unlimited());
+    rig.endpoints(0, 0, 1, 0, 40);  // 20 a second for this sender by the list; the place takes 2
+    double allowance = 0;
+    size_t early = 0, late = 0, delivered = 0;
+    std::vector<std::pair<Submit, bool>> out;
+    for (int i = 0; i < 3000; ++i) {
+        if (i % 20 == 0) rig.text(0, 0);
+        rig.now = rig.now + Span::millis(5);
+        for (auto& [s, full] : out) rig.end(s, full ? End::full : End::delivered);
+        out.clear();
+        rig.pull();
+        allowance = std::min(1.0, allowance + 0.01);
+        for (const Submit& s : rig.submits) {
+            bool full = allowance < 1;
+            if (!full) allowance -= 1, ++delivered;
+            if (full) ++(i < 1000 ? early : late);
+            out.emplace_back(s, full);
+        }
+    }
+    CHECK(delivered >= 15);
+    CHECK(late < early * 2);  // late spans twice the time: refusals a second must not have grown
+    CHECK(late < 80);
+}
