--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -654,8 +654,8 @@
     }
 
     // All slots are out and a text could go: the call that is most overdue, and past both its SLA time and
-    // several times a high answer time of its place, is given up. Against hung places whose once-only calls
-    // would keep their slots to the end; it harms a call that would still have answered.
+    // several times a high answer time for each of its texts, is given up. Against hung places whose
+    // once-only calls would keep their slots to the end; it harms a call that would still have answered.
     void freeSlot(Instant now) {
         if (!room_.cancel) return;
         const Text* stuck = nullptr;
@@ -664,7 +664,8 @@
             if (!t.out) continue;
             if (t.givenUp) return;
             double age = (now - t.started).inSeconds();
-            double overdue = age / (places_[endpoints_[t.at.value].place].times.high() + 0.001);
+            double overdue =
+                age / (places_[endpoints_[t.at.value].place].times.high() * calls_[t.call].texts + 0.001);
             if (age > t.product->sla.inSeconds() && overdue > most) most = overdue, stuck = &t;
         }
         if (!stuck) return;
