--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -123,8 +123,6 @@
   public:
     Phase phase() const { return phase_; }
     Instant trialAt() const { return trialAt_; }
-    bool risky() const { return risky_; }
-    Instant lastDelivered() const { return deliveredAt_; }
 
     void missed(Instant now, Instant started, End end, Span wait, double slice, const ColdRule& cold,
                 Chance& chance) {
@@ -142,7 +140,6 @@
         if (phase_ != Phase::down && !out) return;
         if (phase_ != Phase::down) trials_ = 0;
         phase_ = Phase::down;
-        risky_ = end != End::full && end != End::unreachable;
         Span pause = chance.about(Span::seconds(std::min(2.0, 0.4 * std::pow(1.5, trials_++))));
         trialAt_ = now + std::max(pause, wait);
     }
@@ -167,7 +164,6 @@
             trialAt_;
     double failing_ = 0;
     int fullRounds_ = 0, silent_ = 0, trials_ = 0;
-    bool risky_ = false;
 };
 
 // What a limit, a pace and an outage belong to: a destination, or one route where routes are separate.
@@ -206,6 +202,7 @@
     ZoneIx zone;
     KindIx kind;
     uint32_t place = 0;
+    int misses = 0;  // since it last delivered
     bool usable = false;
     double reach = 4;    // calls that it is thought to take at once (ours)
     double trickle = 0;  // set aside: calls a second it gets; 0: in full use
@@ -316,8 +313,7 @@
         if (rule_.mustAskIn > Span()) pause = std::min(pause, rule_.mustAskIn.inSeconds() / 3);
         askAt_ = now + chance.about(Span::seconds(pause));
     }
-    Instant askAt() const { return askAt_; }
-    void asked() { askAt_ = Instant::never(); }
+    bool due(Instant now) { return now >= askAt_ && (askAt_ = Instant::never(), true); }
 
   private:
     ListRule rule_;
@@ -481,18 +477,25 @@
             p.bucket.succeeded(now, p.fleetRate() > 0 ? p.slice(now, crew_.senders) : 1e9,
                                p.fleetRate() > 0 ? p.fleetRate() : 1e9);
             p.guard.delivered(now);
-            at.deliveredAt = now;
+            at.deliveredAt = now, at.misses = 0;
             return;
         }
         if (e.end == End::full)
             p.bucket.refused(now, text.started, p.slice(now, crew_.senders), p.fleetRate() > 0);
-        // An endpoint that misses while its fellows deliver is its own trouble, a full table of connections
-        // among them; the place as a whole is out only when none of them delivers.
-        if (e.end != End::full && text.started <= p.guard.lastDelivered() && at.deliveredAt < text.started) {
-            setAside(now, at);
-        }
         if (e.end == End::full) at.reach = std::max(2.0, 0.8 * at.reach);
         if (e.end == End::unreachable) at.reach = std::max(1.0, 0.7 * static_cast<double>(at.out.size() + 1));
+        // An endpoint that misses while a fellow delivers is its own trouble; the place as a whole is out
+        // only when none of them delivers. Counted against the place, one dead endpoint in two starved the
+        // other.
+        bool lives = false;
+        for (uint32_t i : destination(at.destination).endpoints) {
+            const Endpoint& f = endpoints_[i];
+            lives = lives || (&f != &at && f.place == at.place && now - f.deliveredAt < Span::seconds(2));
+        }
+        ++at.misses;
+        bool sure = at.misses > 1 || e.end == End::unreachable || e.end == End::timeout;
+        if (e.end != End::full && lives && at.deliveredAt < text.started)
+            return sure ? setAside(now, at) : void();
         p.guard.missed(now, text.started, e.end, e.wait, p.slice(now, crew_.senders), cold_, chance_);
         if (p.guard.phase() == Phase::down) p.bucket.empty(now);
     }
@@ -681,7 +684,7 @@
         Place& p = places_[e.place];
         bool down = p.guard.phase() == Phase::down;
         uint32_t call = nextCall_++;
-        int room = down && p.guard.risky() ? 1 : std::max(1, kind(e).batch);
+        int room = std::max(1, kind(e).batch);
         std::vector<TextIx> going = {d.waiting[firstText]};
         for (TextIx ix : d.waiting) {
             if (static_cast<int>(going.size()) >= room) break;
@@ -750,10 +753,7 @@
 
     void tick(Instant now) {
         tickAt_ = now + Span::millis(250);
-        if (now >= list_.askAt()) {
-            list_.asked();
-            out_.push_back(WatchList{});
-        }
+        if (list_.due(now)) out_.push_back(WatchList{});
         std::vector<double> means;
         for (Place& p : places_) {
             p.bucket.dropIfQuiet(now);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -312,3 +312,21 @@
     CHECK(late < early * 2);  // late spans twice the time: refusals a second must not have grown
     CHECK(late < 80);
 }
+
+TEST_CASE("one dead endpoint of two does not slow the other down") {
+    Rig rig(unlimited());
+    rig.endpoints(0, 0, 2, 0, 200);
+    size_t delivered = 0;
+    for (int i = 0; i < 1200; ++i) {
+        if (i % 10 == 0) rig.text(0, 0);
+        rig.now = rig.now + Span::millis(5);
+        rig.pull();
+        for (const Submit& s : std::vector<Submit>(rig.submits)) {
+            rig.now = rig.now + Span::millis(1);
+            bool dead = i > 200 && s.endpoint == EndpointIx(0u);
+            delivered += !dead && i > 200;
+            rig.end(s, dead ? End::unreachable : End::delivered);
+        }
+    }
+    CHECK(delivered >= 95);  // of the hundred that came meanwhile
+}
