--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -225,8 +225,7 @@
     ZoneIx ranIn;
     EndpointIx at;
     Instant started;
-    uint32_t call = 0;
-    int submits = 0;
+    int call = 0, submits = 0;
     double worth = 1;
     bool out = false, over = false, mayHaveRun = false, givenUp = false;
 };
@@ -623,15 +622,14 @@
     void startCall(Instant now) {
         bool full = room_.calls > 0 && callsOut_ >= room_.calls;
         Destination* best = nullptr;
-        uint32_t bestAt = 0;
         double bestScore = -1;
-        size_t bestText = 0;
+        size_t bestAt = 0, bestText = 0;
         for (Destination& d : destinations_) {
             if (d.waiting.empty() || d.endpoints.empty()) continue;
             double takes = callTime(now, d);
             if (!full && !slotFor(d, takes)) continue;
             // Which endpoint: drawn by room among those whose place may have a call now.
-            uint32_t at = 0;
+            size_t at = 0;
             double sum = 0;
             for (uint32_t e : d.endpoints) {
                 double room = roomAt(now, endpoints_[e]);
@@ -679,12 +677,11 @@
         }
     }
 
-    void submitCall(Instant now, Destination& d, uint32_t at, size_t firstText) {
+    void submitCall(Instant now, Destination& d, size_t at, size_t firstText) {
         Endpoint& e = endpoints_[at];
         Place& p = places_[e.place];
         bool down = p.guard.phase() == Phase::down;
-        uint32_t call = nextCall_++;
-        int room = std::max(1, kind(e).batch);
+        int call = nextCall_++, room = std::max(1, kind(e).batch);
         std::vector<TextIx> going = {d.waiting[firstText]};
         for (TextIx ix : d.waiting) {
             if (static_cast<int>(going.size()) >= room) break;
@@ -711,9 +708,11 @@
     }
 
     // Cutting short a text that may be sent again buys a retry; cutting a once-only one loses it for good.
+    // Bounded above, as time-outs raise the answer times that they are set by.
     Span timeout(Instant now, const Text& t, const Place& p, double load) const {
         if (t.product->effect == Effect::onceOnly) return Span();
-        double cut = std::max(t.product->sla.inSeconds(), 4 * p.times.high()) * load;
+        double sla = t.product->sla.inSeconds();
+        double cut = std::clamp(4 * p.times.high() * load, sla, std::max(3 * sla, 8 * usualTime_));
         if ((t.arrival.validUntil - now).inSeconds() < 1.5 * cut) return Span();
         return Span::seconds(cut);
     }
@@ -800,14 +799,13 @@
     std::vector<Place> places_;
     std::vector<Endpoint> endpoints_;
     std::map<TextIx, Text> texts_;
-    std::map<uint32_t, Call> calls_;
+    std::map<int, Call> calls_;
     std::set<std::pair<Instant, uint32_t>> dues_;
     std::deque<Decision> out_;
     std::deque<TextIx> toAnswer_;
     Instant tickAt_ = Instant::longAgo(), armed_ = Instant::never();
     double usualTime_ = 0.3;
-    int callsOut_ = 0;
-    uint32_t nextCall_ = 0;
+    int callsOut_ = 0, nextCall_ = 0;
 };
 
 }  // namespace
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -330,3 +330,21 @@
     }
     CHECK(delivered >= 95);  // of the hundred that came meanwhile
 }
+
+TEST_CASE("time-outs do not grow without bound by the time-outs before them") {
+    Rig rig(unlimited());
+    rig.endpoints(0, 0, 1, 2, 100);  // batching: a long call holds many texts
+    Span longest;
+    for (int i = 0; i < 40; ++i) {
+        rig.text(0, 0);
+        rig.run(Span::millis(500));
+        for (auto& [ix, row] : rig.rules.rows) {
+            if (!row.out || rig.now - row.startedAt < Span::seconds(3)) continue;
+            rig.end(Submit{ix, *row.out, Span()}, End::timeout);
+        }
+        rig.pull();
+        for (const Submit& s : rig.submits) longest = std::max(longest, s.timeout);
+    }
+    CHECK(longest > Span());
+    CHECK(longest <= Span::seconds(9));
+}
