--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -337,14 +337,12 @@
     Span longest;
     for (int i = 0; i < 40; ++i) {
         rig.text(0, 0);
-        rig.run(Span::millis(500));
+        for (const Submit& s : rig.run(Span::millis(500))) longest = std::max(longest, s.timeout);
         for (auto& [ix, row] : rig.rules.rows) {
             if (!row.out || rig.now - row.startedAt < Span::seconds(3)) continue;
             rig.end(Submit{ix, *row.out, Span()}, End::timeout);
         }
-        rig.pull();
-        for (const Submit& s : rig.submits) longest = std::max(longest, s.timeout);
     }
-    CHECK(longest > Span());
+    CHECK(longest >= Span::seconds(3));
     CHECK(longest <= Span::seconds(9));
 }
