--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -96,8 +96,9 @@
 // place that stops answering looks slow before its first time-out.
 class AnswerTimes {
   public:
-    void add(Span took) {
+    void add(Span took, bool delivered) {
         double s = std::max(took.inSeconds(), 0.001);
+        if (delivered) slowest_ = std::max(0.98 * slowest_, s);
         high_ = count_ == 0 ? 2 * s : high_ * (s > high_ ? 1.36 : 0.96);
         sum_ = 0.85 * sum_ + s;
         weight_ = 0.85 * weight_ + 1;
@@ -105,12 +106,13 @@
     }
     int count() const { return count_; }
     double high() const { return high_; }
+    double slowest() const { return slowest_; }  // of those delivered lately
     double mean(double ageOfThoseOut, double unknown) const {
         return (sum_ + ageOfThoseOut + 0.5 * unknown) / (weight_ + 0.5);
     }
 
   private:
-    double high_ = 0, sum_ = 0, weight_ = 0;
+    double high_ = 0, slowest_ = 0, sum_ = 0, weight_ = 0;
     int count_ = 0;
 };
 
@@ -221,10 +223,9 @@
 struct Text {
     Arrival arrival;
     const Product* product = nullptr;
-    Instant firstMayHaveRun = Instant::never();
+    Instant firstMayHaveRun = Instant::never(), started;
     ZoneIx ranIn;
     EndpointIx at;
-    Instant started;
     int call = 0, submits = 0;
     double worth = 1;
     bool out = false, over = false, mayHaveRun = false, givenUp = false;
@@ -465,7 +466,8 @@
         if (e.end == End::reset && idle_.brokeAfter(text.started - at.idleAt)) return;
         // A cut call took at least so long; left out, a place that slowed would go on being cut.
         if (e.end == End::delivered || e.end == End::timeout) {
-            for (AnswerTimes* times : {&p.times, &at.times}) times->add((now - text.started) * (1 / load));
+            for (AnswerTimes* times : {&p.times, &at.times})
+                times->add((now - text.started) * (1 / load), e.end == End::delivered);
         }
         if (e.end == End::delivered) {
             if (at.trickle > 0) at.trickle *= 2;
@@ -712,7 +714,7 @@
     Span timeout(Instant now, const Text& t, const Place& p, double load) const {
         if (t.product->effect == Effect::onceOnly) return Span();
         double sla = t.product->sla.inSeconds();
-        double cut = std::clamp(4 * p.times.high() * load, sla, std::max(3 * sla, 8 * usualTime_));
+        double cut = std::clamp(4 * p.times.high() * load, sla, std::max(3 * sla, p.times.slowest() * load));
         if ((t.arrival.validUntil - now).inSeconds() < 1.5 * cut) return Span();
         return Span::seconds(cut);
     }
