Three failed connects in a row set an endpoint aside, not one

Cause: a full table of connections fails a connect now and then, and the endpoint then got only a trickle.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -494,7 +494,7 @@
             lives = lives || (&f != &at && f.place == at.place && now - f.deliveredAt < Span::seconds(2));
         }
         ++at.misses;
-        bool sure = at.misses > 1 || e.end == End::unreachable || e.end == End::timeout;
+        bool sure = e.end == End::timeout || at.misses > (e.end == End::unreachable ? 2 : 1);
         if (e.end != End::full && lives && at.deliveredAt < text.started)
             return sure ? setAside(now, at) : void();
         p.guard.missed(now, text.started, e.end, e.wait, p.slice(now, crew_.senders), cold_, chance_);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -350,3 +350,22 @@
     CHECK(longest >= Span::seconds(3));
     CHECK(longest <= Span::seconds(9));
 }
+
+TEST_CASE(
+    "an endpoint whose table of connections is full now and then is not set aside for one failed connect") {
+    Rig rig(unlimited());
+    rig.endpoints(0, 0, 2, 0, 200);
+    size_t there = 0;
+    for (int i = 0; i < 1200; ++i) {
+        if (i % 10 == 0) rig.text(0, 0);
+        rig.now = rig.now + Span::millis(5);
+        rig.pull();
+        for (const Submit& s : std::vector<Submit>(rig.submits)) {
+            rig.now = rig.now + Span::millis(1);
+            bool here = s.endpoint == EndpointIx(0u);
+            rig.end(s, here && i % 100 == 0 ? End::unreachable : End::delivered);
+            there += here;
+        }
+    }
+    CHECK(there >= 40);  // of about 60 that fall to it
+}
