--- a/simhost/host.cpp
+++ b/simhost/host.cpp
@@ -175,8 +175,8 @@
         }
     }
     uint64_t seed = set.text("entropy").empty() ? 0 : wire::toUnsigned("entropy", set.text("entropy"));
-    in.sender = makeSender(static_cast<uint32_t>(seed ^ (seed >> 32)), std::move(products), std::move(kinds),
-                           tenants, crew, room, cold, list, earnings, links);
+    in.sender = seat(makeSender(static_cast<uint32_t>(seed ^ (seed >> 32)), std::move(products),
+                                std::move(kinds), tenants, crew, room, cold, list, earnings, links));
 }
 
 void Host::arrival(Instance& in, const wire::Line& line) {
--- a/simhost/host.hpp
+++ b/simhost/host.hpp
@@ -38,9 +38,14 @@
 class Host {
   public:
     Host(std::ostream& out, std::ostream& complaints) : out_(out), complaints_(complaints) {}
+    virtual ~Host() = default;
     // Takes one line. True when a reply has been written. Throws wire::Malformed.
     bool take(std::string_view text);
 
+  protected:
+    // Where a test puts its own sender in the place of the real one.
+    virtual std::unique_ptr<Sender> seat(std::unique_ptr<Sender> sender) { return sender; }
+
   private:
     struct TextRow {
         std::string id;
--- a/tests/simhost_test.cpp
+++ b/tests/simhost_test.cpp
@@ -81,3 +81,29 @@
     CHECK(run.out.find("REFUSE who=3 rid=00000000000000bb") != std::string::npos);
     CHECK(run.out.find("SEND who=3 rid=00000000000000aa") != std::string::npos);
 }
+
+namespace {
+
+struct Broken : Sender {
+    void arrived(Instant, const Arrival&) override { throw std::runtime_error("index out of range"); }
+    void ended(Instant, const SubmitEnd&) override {}
+    void withdrawn(Instant, TextIx) override {}
+    void listed(Instant, ListScope, const std::vector<ListEntry>&) override {}
+    void listFailed(Instant) override {}
+    std::optional<Decision> next(Instant) override { return std::nullopt; }
+};
+
+struct BrokenHost : Host {
+    using Host::Host;
+    std::unique_ptr<Sender> seat(std::unique_ptr<Sender>) override { return std::make_unique<Broken>(); }
+};
+
+}  // namespace
+
+TEST_CASE("an exception in the decisions gives in with its text") {
+    std::ostringstream out, complaints;
+    BrokenHost host(out, complaints);
+    std::istringstream lines(batch(std::string(kOpen) + kArrival));
+    for (std::string line; std::getline(lines, line);) host.take(line);
+    CHECK(out.str() == "GIVE_IN who=3 what=index out of range\nOK\n");
+}
