SIGHUP moves discovery; spoilt answers may have run; bad clients are judged at the door

Withdrawals went by id, so that a second client using an open id could withdraw that text.

Checked and ruled out: the store (a restart after SIGHUP took up all texts), the list's reader.

Changed: SIGHUP is blocked first of all in main; the main thread reads the file again, and the list's and the notices' actors are cut off and go to the new address, the list by the whole list; the file's discovery goes over LB_DISCOVERY. Clients: first request within 1.2 s of the accept, which the kernel puts off while nothing comes; 408, 411 and 400; bodies too large are read off without a buffer; at the bound the mute go first. Withdrawals go by request.

--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -35,7 +35,8 @@
     Config config;
     config.name = variable("LB_NAME", value->textOf("name"));
     config.listen = variable("LB_LISTEN", value->textOf("listen"));
-    config.discovery = variable("LB_DISCOVERY", value->textOf("discovery"));
+    config.discovery = value->textOf("discovery");
+    if (config.discovery.empty()) config.discovery = variable("LB_DISCOVERY");
     config.state = variable("LB_STATE", value->textOf("state"));
     config.seed = readSeed(value->member("seed"));
     if (const json::Value* limits = value->member("limits")) {
--- a/src/program/config.hpp
+++ b/src/program/config.hpp
@@ -16,7 +16,9 @@
     Settings settings;
 };
 
-// Reads the file that LB_CONFIG names; the other variables go over what stands in it. Throws Malformed.
+// Reads the file that LB_CONFIG names; the other variables go over what stands in it, but for discovery: its
+// address may change in the file while the process runs, and a later start must find the new one. Throws
+// Malformed.
 Config readConfig();
 
 }  // namespace petrelpond
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -33,6 +33,21 @@
         std::chrono::steady_clock::time_point(std::chrono::microseconds(at.inMicros())));
 }
 
+// The configuration has been replaced: discovery may have moved. The rest of it holds from the next start on.
+// A file that can't be used changes nothing.
+void reread(Log& log, ListActor& list, NoticeActor& notices) {
+    try {
+        std::string discovery = readConfig().discovery;
+        if (!Address::parse(discovery)) throw Malformed("discovery is no address: '" + discovery + "'");
+        list.moveTo(discovery), notices.moveTo(discovery);
+        log.add(Count::configsReread, 1);
+        log.say(Level::info, "configuration read again, discovery is at " + discovery);
+    } catch (const std::exception& wrong) {
+        log.add(Count::configsOdd, 1);
+        log.say(Level::error, std::string("configuration not taken over: ").append(wrong.what()));
+    }
+}
+
 int serveUntilTold(const Config& config, Log& log, const sigset_t& signals) {
     auto listenAddress = Address::parse(config.listen);
     std::string problem = "no address";
@@ -47,11 +62,18 @@
         return 1;
     }
     // Descriptors: a few are the process's own, half of the rest the clients', half the endpoints'.
+    Room room = readRoom(config.settings);
     auto free = static_cast<int>(config.sockets - 32);
-    int clientsMost = std::max(free / 2, 8), linesMost = clientsMost;
-    // A quarter of the memory may lie in buffers.
-    Buffers buffers(static_cast<size_t>(
-        std::max<int64_t>(config.memoryMb * 1000000 / 4 / static_cast<int64_t>(Buffers::kSize), 16)));
+    int linesMost = std::max(free / 2, 8);
+    if (room.calls > 0) linesMost = std::max(std::min(linesMost, 3 * room.calls + 16), free / 3);
+    int clientsMost = std::max(free - linesMost, 8);
+    // A quarter of the memory may lie in buffers. Clients and calls have pools of their own, so that clients
+    // which never finish their requests keep no call from leaving.
+    auto pool = static_cast<int>(
+        std::max<int64_t>(config.memoryMb * 1000000 / 4 / static_cast<int64_t>(Buffers::kSize), 32));
+    int forCalls = pool / 2;
+    if (room.calls > 0) forCalls = std::min(forCalls, room.calls + 4);
+    Buffers buffers(static_cast<size_t>(forCalls)), clientBuffers(static_cast<size_t>(pool - forCalls));
     Lines lines{linesMost};
 
     auto store = std::make_unique<Store>(config.state, config.diskMb * 1000000);
@@ -60,7 +82,7 @@
     auto inbox = std::make_shared<ModuleBox>(4096);
     NoticeActor notices(config.discovery, buffers, inbox, log);
     ListActor list(config.discovery, config.known.revision, buffers, inbox, log);
-    Clients clients(std::move(listener), clientsMost, buffers, inbox, log);
+    Clients clients(std::move(listener), clientsMost, room.longestPause, clientBuffers, inbox, log);
 
     ModuleActor::Ways ways;
     ways.inbox = inbox;
@@ -94,8 +116,13 @@
     }
 
     int signal = 0;
-    while (sigwait(&signals, &signal) != 0 || signal == SIGUSR1)
-        log.say(Level::info, std::string("counters\n").append(log.counters()));
+    while (sigwait(&signals, &signal) != 0 || signal == SIGUSR1 || signal == SIGHUP) {
+        if (signal == SIGHUP) {
+            reread(log, list, notices);
+        } else {
+            log.say(Level::info, std::string("counters\n").append(log.counters()));
+        }
+    }
     Instant told = steadyNow();
     log.say(Level::info, config.name + " is leaving");
     clients.leave();
@@ -120,12 +147,13 @@
 }  // namespace
 
 int main() {
-    // Every thread would else have an arena of its own.
-    mallopt(M_ARENA_MAX, 2);
+    // First of all, as a SIGHUP would else end the process; threads take the mask over.
     sigset_t signals;
     sigemptyset(&signals);
-    for (int s : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&signals, s);
+    for (int s : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&signals, s);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // Every thread would else have an arena of its own.
+    mallopt(M_ARENA_MAX, 2);
     signal(SIGPIPE, SIG_IGN);
     Log log(std::cerr, levelFrom(std::getenv("PETRELPOND_LOG")));
     try {
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -66,6 +66,8 @@
         size_t colon = line.find(':');
         if (colon == std::string_view::npos || !token(line.substr(0, colon))) return Fault::malformed;
         std::string_view value = trim(line.substr(colon + 1));
+        // A load report that can't be read is as absent, and spoils no answer.
+        if (!printable(value) && !request && same(line.substr(0, colon), "Server-Load")) continue;
         if (!printable(value)) return Fault::malformed;
         if (out.fields.size() >= kMostFields) return Fault::headTooLong;
         out.fields.emplace_back(line.substr(0, colon), value);
@@ -89,6 +91,8 @@
             return "Method Not Allowed";
         case 408:
             return "Request Timeout";
+        case 411:
+            return "Length Required";
         case 413:
             return "Content Too Large";
         case 431:
@@ -184,6 +188,24 @@
     return parse(line, false, head) == Fault::none ? head.status() : 0;
 }
 
+bool mayBecomeResponse(std::string_view bytes) {
+    constexpr std::string_view start = "HTTP/1.";
+    size_t n = std::min(bytes.size(), start.size());
+    if (bytes.size() > kMostHead || bytes.substr(0, n) != start.substr(0, n)) return false;
+    size_t line = bytes.rfind('\n');
+    if (line == std::string_view::npos) return true;
+    Head head;
+    return parse(bytes.substr(0, line + 1), false, head) == Fault::none;
+}
+
+bool mayBecomeRequest(std::string_view bytes) {
+    for (std::string_view start : {"POST /", "GET /"}) {
+        size_t n = std::min(bytes.size(), start.size());
+        if (bytes.substr(0, n) == start.substr(0, n)) return true;
+    }
+    return false;
+}
+
 std::optional<uint64_t> wholeNumber(std::string_view text) {
     uint64_t value = 0;
     auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -278,4 +300,15 @@
     return std::nullopt;
 }
 
+bool numbers(std::string_view list) {
+    while (!list.empty()) {
+        size_t comma = list.find(',');
+        std::string_view pair = trim(list.substr(0, comma));
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+        size_t equals = pair.find('=');
+        if (equals == std::string_view::npos || !decimal(trim(pair.substr(equals + 1)))) return false;
+    }
+    return true;
+}
+
 }  // namespace petrelpond::http
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -38,6 +38,10 @@
 Chunks unchunk(std::string_view bytes, std::string& body, size_t& taken);
 // Whether a response's first line stands whole in bytes that broke off, and its status.
 int firstLineStatus(std::string_view bytes);
+// Whether bytes without a whole head can still become one, so that noise is not waited on.
+bool mayBecomeResponse(std::string_view bytes);
+// Whether these bytes, perhaps none, begin a request of a method that is served here.
+bool mayBecomeRequest(std::string_view bytes);
 
 std::optional<uint64_t> wholeNumber(std::string_view text);
 std::optional<double> decimal(std::string_view text);
@@ -57,5 +61,6 @@
 
 // name=value parts set apart by commas, as in `Server-Load` and `Envelope`.
 std::optional<std::string_view> part(std::string_view list, std::string_view name);
+bool numbers(std::string_view list);  // whether each part is a name and a decimal
 
 }  // namespace petrelpond::http
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -93,6 +93,8 @@
     if (auto wait = head.field("Wait-Ms")) out.wait = asMillis(*wait).value_or(Span());
     if (auto report = head.field("Server-Load"); report && !limitField.empty()) {
         if (auto value = http::part(*report, limitField)) out.limit = http::decimal(*value);
+        // No limit is below none, and a report with a part that is no number is as absent.
+        if (out.limit && (*out.limit < 0 || *out.limit > 1e9 || !http::numbers(*report))) out.limit.reset();
     }
     auto all = [&](Verdict verdict) { out.verdicts.assign(parcels.size(), verdict); };
     switch (head.status()) {
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -1,5 +1,6 @@
 #include "src/protocol/settings.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -109,6 +110,13 @@
     return kinds;
 }
 
+Span readLongestValidity(const Settings& set) {
+    Names unused;
+    Span longest;
+    for (const Product& p : readProducts(set, unused)) longest = std::max(longest, p.validity);
+    return longest;
+}
+
 Room readRoom(const Settings& set) {
     return {static_cast<int>(set.integer("domain.maxCalls")),
             static_cast<int>(set.integer("limits.mostHeld")),
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -59,6 +59,7 @@
 
 std::vector<Kind> readKinds(const Settings& set, Names& names);
 Room readRoom(const Settings& set);
+Span readLongestValidity(const Settings& set);  // of all products
 Links readLinks(const Settings& set);
 // The place in a load report of the limit in calls a second; -1 where answers carry none.
 int readLimitField(const Settings& set);
--- a/src/routing/client_actor.cpp
+++ b/src/routing/client_actor.cpp
@@ -10,16 +10,25 @@
 
 namespace {
 
-constexpr Span kIdle = Span::seconds(120);    // between requests
-constexpr Span kReading = Span::seconds(10);  // for a request, once it has begun
-constexpr Span kCrowded = Span::seconds(1);   // the same while others wait for its descriptor
+constexpr Span kIdle = Span::seconds(5);     // between requests
+constexpr Span kReading = Span::seconds(2);  // for a request, once it has begun
+// For a connection's first request, counted from the accept, which the kernel puts off for a second while
+// nothing comes. Against clients that connect and say nothing, or never come to an end.
+constexpr Span kFirst = Span::millis(1200);
+constexpr Span kCrowded = Span::millis(300);  // for a request, while others wait for its descriptor or buffer
+constexpr Span kMute = Span::millis(30);      // the same for the first byte
 constexpr Span kDeciding = Span::seconds(5);  // the module answers in its next round
+// What nobody wants is read off so long, and no faster than so many bytes in so long.
+constexpr Span kReadingOff = Span::seconds(4);
+constexpr size_t kAtOnce = 256 * 1024;
+constexpr int kBreathMs = 3;
 
 }  // namespace
 
 class Clients::Connection {
   public:
-    Connection(Clients& clients, Socket socket) : clients_(clients), socket_(std::move(socket)) {}
+    Connection(Clients& clients, Socket socket)
+        : clients_(clients), socket_(std::move(socket)), born_(steadyNow()), since_(born_) {}
 
     void run() {
         while (serve()) {
@@ -29,42 +38,61 @@
     // off with its answer, the client could not tell whether it had been taken on.
     void endIfIdle() {
         std::lock_guard lock(mutex_);
-        bool slow = reading_ && steadyNow() - since_ > kCrowded;
-        if (idle_ || slow) ending_ = true, endReceiving(socket_.descriptor());
+        if (doing_ == Doing::idle || dawdles()) end();
+    }
+    // The same for one that has never said anything, or does not come to an end; whether it is ending.
+    bool endIfMute() {
+        std::lock_guard lock(mutex_);
+        if (ending_ && doing_ != Doing::serving) return true;
+        bool mute = doing_ == Doing::idle && !asked_ && steadyNow() - since_ > kMute;
+        return (mute || dawdles()) && (end(), true);
+    }
+    std::optional<Instant> idleSince() {
+        std::lock_guard lock(mutex_);
+        return doing_ == Doing::idle && asked_ && !ending_ ? std::optional(since_) : std::nullopt;
     }
 
   private:
-    void state(bool idle, bool reading) {
+    enum class Doing { idle, reading, serving, readingOff };
+
+    void state(Doing doing) {
         std::lock_guard lock(mutex_);
-        idle_ = idle, reading_ = reading, since_ = steadyNow();
+        doing_ = doing, since_ = steadyNow();
     }
     bool ending() {
         std::lock_guard lock(mutex_);
         return ending_;
     }
+    bool dawdles() const {
+        return (doing_ == Doing::reading || doing_ == Doing::readingOff) && steadyNow() - since_ > kCrowded;
+    }
+    void end() { ending_ = true, endReceiving(socket_.descriptor()); }
 
     // One request; false where the connection has come to its end.
     bool serve() {
+        Instant first = born_ + kFirst;
         if (have_ == 0) {
             // No buffer is held while nothing comes.
-            state(true, false);
-            socket_.waitAtMost(kIdle);
+            state(Doing::idle);
+            socket_.waitAtMost(asked_ ? kIdle : std::max(first - steadyNow(), Span::millis(1)));
             bool came = socket_.waitForMore();
+            if (!came && !asked_) clients_.report_.add(Count::clientsMute);
             if (!came) return false;
         }
         // Answered unread, a request could be cut off with its answer; others give their buffers back soon.
-        for (int i = 0; i < 400 && !buffer_; ++i) {
+        for (int i = 0; i < 200 && !buffer_; ++i) {
             if (i > 0) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            if (i % 10 == 1) clients_.makeRoom();
             buffer_ = clients_.buffers_.lease();
         }
-        if (!buffer_) return false;
-        state(false, true);
-        socket_.waitAtMost(kReading);
-        Instant begun = steadyNow();
+        if (!buffer_) return refuse(503);
+        state(Doing::reading);
+        Instant due = steadyNow() + kReading;
+        if (!asked_) due = std::min(due, first);
         std::optional<size_t> end;
         while (!(end = http::headEnd({buffer_.data(), have_}))) {
             if (have_ > http::kMostHead) return refuse(431);
-            if (!more(begun)) return false;
+            if (!more(due)) return late(due);
         }
         if (*end > http::kMostHead) return refuse(431);
         http::Head head;
@@ -76,12 +104,21 @@
                           : fault == http::Fault::bodyTooLong ? 413
                                                               : 400);
         }
+        // Without a length, what follows could be a body or another request.
+        if (!length && head.first == "POST") return refuse(411);
         size_t whole = *end + length.value_or(0);
         if (have_ < whole && head.field("Expect")) socket_.sendAll("HTTP/1.1 100 Continue\r\n\r\n");
         while (have_ < whole) {
-            if (!more(begun)) return false;
+            if (!more(due)) return late(due);
+        }
+        // Bytes behind a body that begin no request: its length was wrong, and the body is not what was
+        // meant.
+        if (!http::mayBecomeRequest({buffer_.data() + whole, have_ - whole})) return refuse(400);
+        state(Doing::serving);
+        {
+            std::lock_guard lock(mutex_);
+            asked_ = true;
         }
-        state(false, false);
         bool last = head.closes() || clients_.leaving_ || ending();
         bool fine = respond(head, {buffer_.data() + *end, length.value_or(0)}, last);
         std::memmove(buffer_.data(), buffer_.data() + whole, have_ - whole);
@@ -90,13 +127,16 @@
         return fine && !last;
     }
 
-    bool more(Instant begun) {
-        long got = steadyNow() - begun < kReading
-                       ? socket_.receive(buffer_.data() + have_, Buffers::kSize - have_)
-                       : 0;
+    bool more(Instant due) {
+        Instant now = steadyNow();
+        if (now >= due) return false;
+        socket_.waitAtMost(due - now);
+        long got = socket_.receive(buffer_.data() + have_, Buffers::kSize - have_);
         if (got > 0) have_ += static_cast<size_t>(got);
         return got > 0;
     }
+    // One whose client has gone ends without a word.
+    bool late(Instant due) { return (steadyNow() >= due || ending()) && refuse(408); }
 
     bool respond(const http::Head& head, std::string_view body, bool& last) {
         std::string_view path = head.second.substr(0, head.second.find('?'));
@@ -122,10 +162,12 @@
     bool receive(Handed text, std::string_view body, bool& last) {
         auto box = std::make_shared<ReceptionBox>(2);
         std::string id = text.id;
-        ArrivedMail mail{std::move(text), steadyNow(), std::make_shared<const std::string>(body), box};
+        uint64_t ticket = ++clients_.tickets_;
+        ArrivedMail mail{std::move(text), steadyNow(), std::make_shared<const std::string>(body), box,
+                         ticket};
         if (!clients_.ready_ || !clients_.module_->post(std::move(mail))) {
             clients_.report_.add(Count::textsRefused);
-            return answer(503, {}, "", last);
+            return turnAway(clients_.busy_, last);
         }
         auto replies = box->drain(steadyNow() + kDeciding);
         last = last || clients_.leaving_;
@@ -139,11 +181,17 @@
         if (heard) std::this_thread::sleep_for(std::chrono::milliseconds(20));
         if (heard && !socket_.broken()) return false;
         // A client that went without its answer may hand the text in again, elsewhere and under a new id.
-        if (replies.empty() || taken) clients_.module_->postHeld(WithdrawnMail{std::move(id)});
+        if (replies.empty() || taken) clients_.module_->postHeld(WithdrawnMail{std::move(id), ticket});
         if (taken) return false;
+        if (r.what == Reception::What::unusable) clients_.report_.add(Count::requestsBad);
+        if (r.what == Reception::What::unusable) return answer(400, {}, "", last);
         if (r.what == Reception::What::undeliverable) return answer(500, {}, "", last);
+        return turnAway(r.pause, last);
+    }
+
+    bool turnAway(Span pause, bool last) {
         http::Fields fields;
-        if (r.pause > Span()) fields.emplace_back("Retry-After", retryAfter(r.pause));
+        if (pause > Span()) fields.emplace_back("Retry-After", retryAfter(pause));
         return answer(503, fields, "", last);
     }
 
@@ -151,15 +199,20 @@
         return socket_.sendAll(http::writeResponse(status, fields, body, last));
     }
 
-    // A bad request is answered, and what else comes is read off for a moment, as closing on unread bytes
-    // would take the answer away.
+    // A bad request is answered, and what else comes is read off for a while, as closing on unread bytes
+    // would take the answer away: a body of many megabytes holds no buffer, and little of the processor.
     bool refuse(int status) {
-        clients_.report_.add(Count::requestsBad);
+        clients_.report_.add(status == 408 ? Count::requestsLate : Count::requestsBad);
         answer(status, {}, "", true);
         socket_.endSending();
-        socket_.waitAtMost(Span::millis(200));
-        Instant until = steadyNow() + Span::seconds(1);
-        while (steadyNow() < until && socket_.receive(buffer_.data(), Buffers::kSize) > 0) {
+        buffer_ = Buffers::Lease();
+        state(Doing::readingOff);
+        Instant until = steadyNow() + kReadingOff;
+        for (Instant now; (now = steadyNow()) < until;) {
+            socket_.waitAtMost(until - now);
+            long got = socket_.discard(kAtOnce);
+            if (got <= 0) break;
+            if (got >= 64 * 1024) std::this_thread::sleep_for(std::chrono::milliseconds(kBreathMs));
         }
         return false;
     }
@@ -168,19 +221,21 @@
     Socket socket_;
     Buffers::Lease buffer_;
     size_t have_ = 0;
-    std::mutex mutex_;
-    bool idle_ = false, reading_ = false, ending_ = false;
+    const Instant born_;
+    std::mutex mutex_;  // of what follows
+    Doing doing_ = Doing::idle;
+    bool asked_ = false, ending_ = false;  // asked: a whole request has come
     Instant since_;
 };
 
 void Clients::accept() {
     while (!stopped_) {
-        // At the bound nobody is accepted, as one turned away might have its request cut off unread: idle
-        // connections make room, and others wait in the kernel's queue.
+        // At the bound nobody is accepted, as one turned away might have its request cut off unread: others
+        // make room, and new ones wait in the kernel's queue.
         if (open_ >= most_) {
             report_.add(Count::clientsHeldUp);
-            closeIdle();
-            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            makeRoom();
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
             continue;
         }
         bool lasting = false;
@@ -221,6 +276,22 @@
     shutDown(listener_.descriptor());
 }
 
+// Connections that never said anything go first, and those that do not come to an end; then those that have
+// waited longest for their next request. A good client loses at most one that it can make anew.
+void Clients::makeRoom() {
+    std::lock_guard lock(mutex_);
+    size_t ending = 0;
+    for (Connection* c : connections_) ending += c->endIfMute();
+    if (ending > 0) return;
+    std::vector<std::pair<Instant, Connection*>> idle;
+    for (Connection* c : connections_) {
+        if (auto since = c->idleSince()) idle.emplace_back(*since, c);
+    }
+    std::sort(idle.begin(), idle.end());
+    idle.resize(std::min<size_t>(idle.size(), 1 + idle.size() / 8));
+    for (auto& [since, c] : idle) c->endIfIdle();
+}
+
 void Clients::closeIdle() {
     std::lock_guard lock(mutex_);
     for (Connection* c : connections_) c->endIfIdle();
--- a/src/routing/client_actor.hpp
+++ b/src/routing/client_actor.hpp
@@ -14,9 +14,11 @@
 
 class Clients {
   public:
-    Clients(Socket listener, int most, Buffers& buffers, std::shared_ptr<ModuleBox> module, Report& report)
-        : listener_(std::move(listener)), most_(most), buffers_(buffers), module_(std::move(module)),
-          report_(report) {}
+    // `busy` is the pause told to whoever is turned away before the module hears of it.
+    Clients(Socket listener, int most, Span busy, Buffers& buffers, std::shared_ptr<ModuleBox> module,
+            Report& report)
+        : listener_(std::move(listener)), most_(most), busy_(busy), buffers_(buffers),
+          module_(std::move(module)), report_(report) {}
 
     void accept();                     // until stopListening(); the caller's thread
     void ready() { ready_ = true; }    // from now on, /up says so
@@ -28,14 +30,17 @@
   private:
     class Connection;
     void forget(Connection* connection);
+    void makeRoom();  // some connection ends that no good client would miss
 
     Socket listener_;
     const int most_;
+    const Span busy_;
     Buffers& buffers_;
     std::shared_ptr<ModuleBox> module_;
     Report& report_;
     std::atomic<bool> ready_ = false, leaving_ = false, stopped_ = false;
     std::atomic<int> open_ = 0;
+    std::atomic<uint64_t> tickets_ = 0;
     std::mutex mutex_;  // of the set; a connection takes itself out at its end
     std::set<Connection*> connections_;
 };
--- a/src/routing/endpoint_actor.cpp
+++ b/src/routing/endpoint_actor.cpp
@@ -137,9 +137,10 @@
         }
         std::string bytes = writeCall(address_, call.parcels, call.until - steadyNow());
         // False only where the kernel did not take the last byte, which then cannot have left.
-        socket_.waitAtMost(call.until - steadyNow() + Span::seconds(1));
+        Instant until = call.until + Span::seconds(1);  // the actor ends it sooner
+        socket_.waitAtMost(until - steadyNow());
         if (!mayWrite() || !socket_.sendAll(bytes)) return unsent(Ending::brokeBeforeSent);
-        Reply reply = readReply(socket_, buffer, call.parcels.size() > 1);
+        Reply reply = readReply(socket_, buffer, call.parcels.size() > 1, until);
         Ending ending = reply.state == Reply::State::whole  ? Ending::answered
                         : reply.state == Reply::State::half ? Ending::halfAnswered
                         : reply.state == Reply::State::odd  ? Ending::oddAnswer
--- a/src/routing/exchange.hpp
+++ b/src/routing/exchange.hpp
@@ -10,15 +10,16 @@
 namespace petrelpond {
 
 struct Reply {
-    enum class State { whole, half, ended, odd };  // half: a first line came whole, and then it broke
+    // half: a first line came whole, and what follows it broke off or can't be read; odd: not even that
+    enum class State { whole, half, ended, odd };
     State state = State::ended;
     http::Head head;  // views into the buffer
     std::string_view body;
     bool keep = false;  // the connection can carry another
 };
 
-// Reads one answer into the buffer; passes over the interim ones. Where the body means nothing, one whose
-// length is not told is not waited for.
-Reply readReply(const Socket& socket, const Buffers::Lease& buffer, bool bodyMatters);
+// Reads one answer into the buffer, waiting for its first byte until then; passes over the interim ones.
+// Where the body means nothing, an answer that says 200 is not waited for to its end.
+Reply readReply(const Socket& socket, const Buffers::Lease& buffer, bool bodyMatters, Instant until);
 
 }  // namespace petrelpond
--- a/src/routing/module_actor.cpp
+++ b/src/routing/module_actor.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr int kMostStrangers = 4096;
+// A client's clock and ours need not agree to the last millisecond on how long a product's texts are valid.
+constexpr Span kLeeway = Span::seconds(1);
 
 }  // namespace
 
@@ -18,6 +19,8 @@
     : sender_(readSender(settings, seed, names_)), store_(std::move(store)), ways_(std::move(ways)) {
     Names unused;
     kinds_ = readKinds(settings, unused);
+    busy_ = readRoom(settings).longestPause;
+    longestValidity_ = readLongestValidity(settings) + kLeeway;
 }
 
 void ModuleActor::run() {
@@ -86,7 +89,8 @@
         ended(now, *end);
     } else if (auto* w = std::get_if<WithdrawnMail>(&mail)) {
         auto found = texts_.find(w->id);
-        if (found == texts_.end()) return;
+        // Another request with the same id is no leave to withdraw a text that somebody was told is taken on.
+        if (found == texts_.end() || rows_.at(found->second.value).ticket != w->ticket) return;
         ways_.report->add(Count::textsWithdrawn);
         TextIx text = found->second;
         sender_->withdrawn(now, text);
@@ -111,26 +115,32 @@
     auto known = texts_.find(mail.text.id);
     if (known != texts_.end() || store_->texts().count(mail.text.id) > 0) {
         bool over = known != texts_.end() && rows_.at(known->second.value).over;
+        if (known != texts_.end()) rows_.at(known->second.value).ticket = 0;
+        ways_.report->add(Count::textsAgain);
         return mail.reply->postHeld({over ? Reception::What::nacked : Reception::What::taken, Span()});
     }
-    // Names of destinations are kept for good, so that made-up ones must not pile up.
-    bool strange = !names_.destinations.find(mail.text.destination).known() && ++strangers_ > kMostStrangers;
+    // What names nothing that there is can never be delivered, and made-up names must not pile up.
+    ProductIx product = names_.products.find(mail.text.product);
+    DestinationIx destination = names_.destinations.find(mail.text.destination);
+    if (!product.known() || !destination.known() || mail.text.validity > longestValidity_) {
+        ways_.report->add(Count::textsUnusable);
+        return mail.reply->postHeld({Reception::What::unusable, Span()});
+    }
     // A text whose record has no room must not reach the module, which could send it at once.
-    if (strange || !store_->roomFor(mail.text.id.size(), mail.body->size())) {
+    if (!store_->roomFor(mail.text.id.size(), mail.body->size())) {
         ways_.report->add(Count::storeRefused);
-        return mail.reply->postHeld({Reception::What::nacked, Span()});
+        return mail.reply->postHeld({Reception::What::nacked, busy_});
     }
     TextIx index(nextText_++);
     texts_[mail.text.id] = index;
     Row& row = rows_[index.value];
     row.id = mail.text.id, row.parcel = {mail.text.id, mail.text.mark, mail.body};
-    row.key = mail.text.key;
+    row.key = mail.text.key, row.ticket = mail.ticket;
     row.validUntil = mail.at + mail.text.validity, row.reply = std::move(mail.reply);
-    row.destination = names_.destinations.admit(mail.text.destination), row.product = mail.text.product;
+    row.destination = destination, row.product = mail.text.product;
     fresh_.push_back(index);
     Arrival a;
-    a.text = index, a.destination = row.destination, a.product = names_.products.find(row.product);
-    a.validUntil = row.validUntil;
+    a.text = index, a.destination = destination, a.product = product, a.validUntil = row.validUntil;
     if (!mail.text.key.empty()) a.key = std::hash<std::string>()(mail.text.key);
     sender_->arrived(now, a);
 }
--- a/src/routing/module_actor.hpp
+++ b/src/routing/module_actor.hpp
@@ -24,7 +24,7 @@
 
 // What a client is told of its text.
 struct Reception {
-    enum class What { taken, nacked, undeliverable } what = What::nacked;
+    enum class What { taken, nacked, undeliverable, unusable } what = What::nacked;
     Span pause;
 };
 using ReceptionBox = Mailbox<Reception>;
@@ -34,9 +34,11 @@
     Instant at;
     std::shared_ptr<const std::string> body;
     std::shared_ptr<ReceptionBox> reply;
+    uint64_t ticket = 0;  // of this request; ids are the clients' own, and two may use one
 };
 struct WithdrawnMail {
     std::string id;
+    uint64_t ticket = 0;
 };
 struct ListMail {
     MemberList list;
@@ -76,6 +78,7 @@
         EndpointIx at;
         int submits = 0;
         bool out = false, over = false;
+        uint64_t ticket = 0;                     // of the one request that may withdraw it; 0: none may
         std::shared_ptr<ReceptionBox> reply;     // until the client has been told
         std::shared_ptr<EndpointActor> carrier;  // of that submit
         DestinationIx destination;
@@ -108,6 +111,7 @@
 
     Names names_;
     std::vector<Kind> kinds_;
+    Span busy_, longestValidity_;
     std::unique_ptr<Sender> sender_;
     std::unique_ptr<Store> store_;
     Ways ways_;
@@ -119,7 +123,7 @@
     std::set<Instant> timers_;
     std::function<void()> left_;
     uint32_t nextText_ = 0;
-    int callsOut_ = 0, strangers_ = 0;
+    int callsOut_ = 0;
     long compactions_ = 0;
 };
 
--- a/src/routing/outcome.hpp
+++ b/src/routing/outcome.hpp
@@ -11,11 +11,13 @@
     bool over = false;
 };
 
-// Once the last byte may have left, the call may have run; before that it never has. A half answer is kept
-// from ends that never ran: what it says of several texts is not known.
+// Once the last byte may have left, the call may have run; before that it never has. Of an answer that broke
+// off or can't be read only a first line that says delivered is believed: whatever else stands there, the
+// call may have run, so that a spoilt refusal frees no text for another submit.
 inline Outcome outcomeOf(Ending ending, Verdict verdict) {
     switch (ending) {
         case Ending::halfAnswered:
+            return verdict == Verdict::delivered ? Outcome{End::delivered, true} : Outcome{End::error};
         case Ending::answered:
             switch (verdict) {
                 case Verdict::delivered:
@@ -39,8 +41,9 @@
         case Ending::timedOutUnsent:
             return {End::unreachable};
         case Ending::brokeAfterSent:
-        case Ending::oddAnswer:
             return {End::reset};
+        case Ending::oddAnswer:  // something answered, so that no connection died unseen
+            return {End::error};
         case Ending::timedOut:
             return {End::timeout};
         case Ending::cancelled:
--- a/src/routing/platform_actors.cpp
+++ b/src/routing/platform_actors.cpp
@@ -19,27 +19,52 @@
 constexpr Span kFirstPause = Span::millis(50), kLongestPause = Span::seconds(1);
 constexpr size_t kMostNotices = 256;  // each is at most 200 bytes or so, and a body has 64 KiB
 
-bool connect(Socket& socket, const std::string& agent) {
-    if (socket.open() && !socket.peerGone()) return true;
-    auto to = Address::parse(agent);
-    socket = Socket();
-    if (!to || makeSocket(socket) != Connect::up || connectSocket(*to, kConnect, socket) != Connect::up) {
-        socket = Socket();
-    }
-    return socket.open();
+}  // namespace
+
+void Agent::moveTo(std::string address) {
+    std::lock_guard lock(mutex_);
+    address_ = std::move(address), ++moves_;
+    if (socket_.open()) shutDown(socket_.descriptor());
 }
 
-}  // namespace
+int Agent::moves() {
+    std::lock_guard lock(mutex_);
+    return moves_;
+}
+
+std::string Agent::address() {
+    std::lock_guard lock(mutex_);
+    return address_;
+}
+
+void Agent::drop() {
+    std::lock_guard lock(mutex_);
+    socket_.close();
+}
+
+bool Agent::connect() {
+    std::optional<Address> to;
+    {
+        std::lock_guard lock(mutex_);
+        if (socket_.open() && madeAt_ == moves_ && !socket_.peerGone()) return true;
+        socket_.close();
+        to = Address::parse(address_), madeAt_ = moves_;
+        if (!to || makeSocket(socket_) != Connect::up) return false;
+    }
+    if (connectSocket(*to, kConnect, socket_) == Connect::up) return true;
+    drop();
+    return false;
+}
 
 void ListActor::run() {
-    Socket socket;
     Span pause = kFirstPause;
     while (true) {
-        if (ask(socket)) {
+        if (ask()) {
             pause = kFirstPause;
             continue;
         }
-        socket = Socket();
+        agent_.drop();
+        if (agent_.moves() != moves_) continue;  // cut off by a new address, which is asked at once
         report_.add(Count::listCallsFailed);
         if (!module_->post(ListFailedMail{})) report_.say(Level::warning, "the module's mailbox is full");
         askNow_.drain(steadyNow() + pause);
@@ -47,19 +72,22 @@
     }
 }
 
-bool ListActor::ask(Socket& socket) {
+bool ListActor::ask() {
+    if (int moves = agent_.moves(); moves != moves_) moves_ = moves, revision_.reset();
     auto buffer = buffers_.lease();
-    if (!buffer || !connect(socket, agent_)) return false;
+    if (!buffer || !agent_.connect() || agent_.moves() != moves_) return false;
+    const Socket& socket = agent_.socket();
+    Instant until = steadyNow() + kWatch + kGrace;
     socket.waitAtMost(kWatch + kGrace);
-    if (!socket.sendAll(writeWatch(agent_, revision_, kWatch))) return false;
-    Reply reply = readReply(socket, buffer, true);
+    if (!socket.sendAll(writeWatch(agent_.address(), revision_, kWatch))) return false;
+    Reply reply = readReply(socket, buffer, true, until);
     if (reply.state != Reply::State::whole || reply.head.status() != 200) return false;
     auto list = readMembers(reply.body);
     if (!list) {
         report_.add(Count::listsOdd);
         return false;
     }
-    if (!reply.keep) socket = Socket();
+    if (!reply.keep) agent_.drop();
     report_.add(Count::listsRead);
     bool news = list->whole || !list->members.empty();
     int64_t revision = list->revision;
@@ -70,7 +98,6 @@
 }
 
 void NoticeActor::run() {
-    Socket socket;
     std::deque<Notice> pending;
     Span pause = kFirstPause;
     size_t most = kMostNotices;
@@ -81,16 +108,20 @@
         if (pending.empty()) continue;
         size_t n = std::min(pending.size(), most);
         std::vector<Notice> batch(pending.begin(), pending.begin() + static_cast<long>(n));
-        int status = tell(socket, batch, std::clamp(pause * 2, kNotice, kGrace));
+        int moves = agent_.moves();
+        int status = tell(batch, std::clamp(pause * 2, kNotice, kGrace));
         // One that can't be read must not hold up the rest: alone it is let go.
         if (status == 400 && n > 1) {
             most = 1;
             continue;
         }
         if (status != 204 && status != 400) {
-            socket = Socket();
-            std::this_thread::sleep_for(std::chrono::microseconds(pause.inMicros()));
-            pause = std::min(pause * 2, kLongestPause);
+            agent_.drop();
+            Instant again = steadyNow() + pause;
+            while (steadyNow() < again && agent_.moves() == moves) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            }
+            pause = agent_.moves() == moves ? std::min(pause * 2, kLongestPause) : kFirstPause;
             continue;
         }
         report_.add(status == 204 ? Count::noticesTold : Count::noticesOdd, static_cast<long>(n));
@@ -103,15 +134,17 @@
     }
 }
 
-int NoticeActor::tell(Socket& socket, const std::vector<Notice>& notices, Span within) {
+int NoticeActor::tell(const std::vector<Notice>& notices, Span within) {
     auto buffer = buffers_.lease();
-    if (!buffer || !connect(socket, agent_)) return 0;
+    if (!buffer || !agent_.connect()) return 0;
+    const Socket& socket = agent_.socket();
+    Instant until = steadyNow() + within;
     socket.waitAtMost(within);
-    if (!socket.sendAll(writeNotices(agent_, notices))) return 0;
-    Reply reply = readReply(socket, buffer, true);
+    if (!socket.sendAll(writeNotices(agent_.address(), notices))) return 0;
+    Reply reply = readReply(socket, buffer, true, until);
     if (reply.state != Reply::State::whole) return 0;
     int status = reply.head.status();
-    if (!reply.keep) socket = Socket();
+    if (!reply.keep) agent_.drop();
     return status;
 }
 
--- a/src/routing/report.hpp
+++ b/src/routing/report.hpp
@@ -10,14 +10,15 @@
 
 // clang-format off
 #define PETRELPOND_COUNTS(X) \
-    X(clientsAccepted) X(clientsHeldUp) X(requestsBad) X(textsIn) X(textsTaken) X(textsRefused) \
+    X(clientsAccepted) X(clientsHeldUp) X(clientsMute) X(requestsBad) X(requestsLate) X(textsIn) \
+    X(textsUnusable) X(textsAgain) X(textsTaken) X(textsRefused) \
     X(textsFailedAtOnce) X(textsWithdrawn) X(textsResumed) X(callsStarted) X(callsAnswered) \
     X(callsHalfAnswered) X(callsNoMeans) X(callsRefused) X(callsNeverUp) X(callsBrokeBeforeSent) \
     X(callsBrokeAfterSent) X(callsOddAnswer) X(callsTimedOutUnsent) X(callsTimedOut) \
     X(callsCancelledUnsent) X(callsCancelled) X(connectionsOpened) X(submits) X(delivered) X(errors) \
     X(turnedAway) X(notSent) X(overElsewhere) X(nacked) X(undeliverable) X(noticesTold) \
     X(noticesOdd) X(listsRead) X(listsOdd) X(listCallsFailed) X(storeCompacted) X(storeRefused) \
-    X(storeFailed)
+    X(storeFailed) X(endpointsFreed) X(configsReread) X(configsOdd)
 // clang-format on
 
 // The calls' ends stand in the order of Ending, transport/ending.hpp.
--- a/src/transport/ending.hpp
+++ b/src/transport/ending.hpp
@@ -6,7 +6,7 @@
 
 enum class Ending {
     answered,         // a whole answer came
-    halfAnswered,     // the answer's first line came whole, and then the connection broke
+    halfAnswered,     // the answer's first line came whole, and the rest broke off or can't be read
     noMeans,          // no descriptor, thread or buffer of our own could be had
     refused,          // the connection was refused, or an address could not be reached
     neverUp,          // the connection did not come up in its time
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -48,7 +48,7 @@
     return fd;
 }
 
-void Socket::waitAtMost(Span span) {
+void Socket::waitAtMost(Span span) const {
     timeval t = span > Span() ? asTimeval(span) : timeval{0, 0};
     setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &t, sizeof t);
     setsockopt(fd_, SOL_SOCKET, SO_SNDTIMEO, &t, sizeof t);
@@ -72,6 +72,14 @@
     }
 }
 
+long Socket::discard(size_t most) const {
+    while (true) {
+        ssize_t got = ::recv(fd_, nullptr, most, MSG_TRUNC);
+        if (got < 0 && errno == EINTR) continue;
+        return got;
+    }
+}
+
 bool Socket::waitForMore() const {
     while (true) {
         char byte;
@@ -148,6 +156,7 @@
     if (socket.open() && asSockaddr(at, address) &&
         setsockopt(socket.descriptor(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0 &&
         ::bind(socket.descriptor(), reinterpret_cast<sockaddr*>(&address), sizeof address) == 0 &&
+        setsockopt(socket.descriptor(), IPPROTO_TCP, TCP_DEFER_ACCEPT, &on, sizeof on) == 0 &&
         ::listen(socket.descriptor(), 1024) == 0) {
         return socket;
     }
--- a/src/transport/socket.hpp
+++ b/src/transport/socket.hpp
@@ -24,15 +24,16 @@
     void close();
     int release();
 
-    void waitAtMost(Span span);  // for each receive and send from now on; zero: without bound
+    void waitAtMost(Span span) const;  // for each receive and send from now on; zero: without bound
     bool sendAll(std::string_view bytes) const;
     // Bytes received; 0 at the peer's end; -1 on a break, and on a wait that ran out.
     long receive(char* into, size_t room) const;
     bool waitForMore()
-        const;              // until bytes lie unread; false at the peer's end, a break or a wait that ran out
-    bool peerGone() const;  // whether the peer has ended or broken the connection, without waiting
-    bool broken() const;    // whether it was reset; not merely ended by the peer
-    bool somethingCame() const;  // whether bytes lie unread, without waiting
+        const;  // until bytes lie unread; false at the peer's end, a break or a wait that ran out
+    long discard(size_t most) const;  // receives bytes that nobody wants, without a copy
+    bool peerGone() const;            // whether the peer has ended or broken the connection, without waiting
+    bool broken() const;              // whether it was reset; not merely ended by the peer
+    bool somethingCame() const;       // whether bytes lie unread, without waiting
     void endSending() const;
     void sendNagless() const;
 
@@ -55,6 +56,8 @@
 Connect makeSocket(Socket& socket);
 Connect connectSocket(const Address& to, Span within, const Socket& socket);
 
+// A connection that says nothing is handed over only after about a second, by the kernel: until then it holds
+// none of our descriptors and threads.
 Socket listenAt(const Address& at, std::string& problem);
 // Not open where nothing could be accepted; `lasting` tells that it will not get better.
 Socket acceptFrom(const Socket& listener, bool& lasting);
