What is gone is freed and its index reused; who asks for what can't be is read later

A count of requests and of each thread's time showed why: some clients send the same unusable request again as soon as it is turned away, 500 a second on a sender that has 100 texts a second, and each woke the module's actor.

Ruled out: reading off bodies of 60 MB (10 ms of 2.7 s), the module's decisions (0.2 s), the store.

Changed: an unusable request is answered at once, and the connection's next one is read 50 to 400 ms later. The module forgets an endpoint that is gone once no call is out there, the host reuses its index; the destination's own limit, wait and outage stay.

--- a/include/petrelpond/ids.hpp
+++ b/include/petrelpond/ids.hpp
@@ -33,9 +33,18 @@
 class Door {
   public:
     Ix admit(std::string_view name) {
-        auto [at, fresh] = indices_.try_emplace(std::string(name), names_.size());
-        if (fresh) names_.push_back(at->first);
-        return at->second;
+        auto [at, fresh] =
+            indices_.try_emplace(std::string(name), free_.empty() ? Ix(names_.size()) : free_.back());
+        if (!fresh) return at->second;
+        if (free_.empty()) names_.emplace_back();
+        if (!free_.empty()) free_.pop_back();
+        return names_[at->second.value] = at->first, at->second;
+    }
+    // The name is forgotten, and the next one that comes gets its index.
+    void release(Ix index) {
+        indices_.erase(names_.at(index.value));
+        names_[index.value].clear();
+        free_.push_back(index);
     }
     Ix find(std::string_view name) const {
         auto at = indices_.find(std::string(name));
@@ -46,6 +55,7 @@
   private:
     std::unordered_map<std::string, Ix> indices_;
     std::vector<std::string> names_;
+    std::vector<Ix> free_;
 };
 
 }  // namespace petrelpond
--- a/include/petrelpond/sender.hpp
+++ b/include/petrelpond/sender.hpp
@@ -94,6 +94,8 @@
     std::optional<double> reportedLimit;  // calls a second, 0 where there is none
 };
 
+// What is known of an endpoint that is gone (or missing from a whole list) is forgotten once no call of it is
+// out; from then on the host may give its index to another.
 enum class Listed { active, leaving, gone };
 enum class ListScope { changes, whole, old };
 
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,7 +1,6 @@
-// petrelpond's decisions, all of them. The interface is include/petrelpond/sender.hpp: make one Sender for
-// each sending process with makeSender(), report every input as it comes (inputs only update what is
-// known), then call next() until it returns nothing. docs/design.md says which parts are the source's and
-// which are ours; "ours" below marks a starting value that measurement may move.
+// petrelpond's decisions, all of them, behind include/petrelpond/sender.hpp: make one Sender for each sending
+// process with makeSender(), report every input as it comes (inputs only update what is known), then call
+// next() until it returns nothing. "Ours" marks what is not the source's, see docs/design.md.
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -116,8 +115,7 @@
                 const ColdRule& cold, Chance& chance) {
         bool nothingSince = deliveredAt < started;
         failing = 0.75 * failing + (end == End::full ? 0 : 0.25);
-        // Refusals that follow each other with nothing delivered for longer than this sender's slice of the
-        // limit explains are no longer a limit's: the place is shut.
+        // Refused for longer than this sender's slice explains, with nothing delivered: the place is shut.
         if (end == End::full && started >= missAt && nothingSince && fullRounds++ == 0) fullSince = now;
         bool shut = fullRounds >= 3 && (now - fullSince).inSeconds() > std::max(1.5, 3 / slice);
         bool out = end == End::full                         ? shut || wait >= cold.window
@@ -192,7 +190,7 @@
     KindIx kind;
     uint32_t place = 0;
     int misses = 0;  // since it last delivered
-    bool usable = false;
+    bool usable = false, gone = false;
     double reach = 4;    // calls that it is thought to take at once (ours)
     double trickle = 0;  // set aside: calls a second it gets; 0: in full use
     Instant trickleAt = Instant::longAgo(), deliveredAt = Instant::longAgo();
@@ -205,7 +203,8 @@
 struct Destination {
     std::vector<uint32_t> endpoints;
     std::vector<TextIx> waiting;
-    int out = 0;  // calls
+    uint32_t place = DestinationIx::kNone;  // shared by its endpoints
+    int out = 0;                            // calls
 };
 
 // What falls due: a look round, a text's last chance of an answer, an idle connection's end.
@@ -218,21 +217,16 @@
     Instant firstMayHaveRun = Instant::never(), started;
     ZoneIx ranIn;
     EndpointIx at;
-    int call = 0, submits = 0;
+    int64_t call = 0;
+    int submits = 0;
     bool out = false, over = false, mayHaveRun = false, givenUp = false;
 };
 
 struct Call {
-    int texts = 0;
-    double load = 1;  // beside a call with one text; each further one adds a little (ours)
-    int ended = 0;    // of its texts
+    int texts = 0, ended = 0;  // ended: of its texts
+    double load = 1;           // beside a call with one text; each further one adds a little (ours)
 };
 
-double median(std::vector<double>& of) {
-    std::nth_element(of.begin(), of.begin() + of.size() / 2, of.end());
-    return of[of.size() / 2];
-}
-
 // Texts of one key go in the order taken; after a submit that may still run the key rests.
 struct KeyOrder {
     struct Line {
@@ -256,10 +250,9 @@
     }
 };
 
-// How long connections to a kind of endpoint are let lie idle. Two troubles shorten it: connections that die
-// unseen while idle (a middlebox forgets them) break the next call at once; and endpoints take only so many,
-// idle ones counted, so that with hundreds of senders those that each keeps fill the tables and nobody gets
-// in. It creeps up again, as either may pass. Harm: a handshake more for calls that would have been in time.
+// How long connections to a kind of endpoint are let lie idle. Shortened where they die unseen (a middlebox
+// forgets them), which breaks the next call at once, and where the idle ones of hundreds of senders fill the
+// endpoints' tables. It creeps up again, as either may pass. Harm: handshakes for calls that had time.
 struct IdleBound {
     // In sum the many start by keeping no more than two would (ours).
     IdleBound(Span idle, int senders)
@@ -329,8 +322,8 @@
             text.firstMayHaveRun = text.started, text.ranIn = endpoints_[text.at.value].zone;
         text.mayHaveRun = text.mayHaveRun || mayRun;
         if (inOrder(text) && mayRun && e.end != End::error) restKey(now, text);
-        if (e.over || text.over) return forget(e.text);
-        queue(now, text);
+        e.over || text.over ? forget(e.text) : queue(now, text);
+        freeIfGone(e.endpoint.value);
     }
 
     void withdrawn(Instant, TextIx text) override {
@@ -343,18 +336,19 @@
 
     void listed(Instant, ListScope scope, const std::vector<ListEntry>& entries) override {
         if (scope != ListScope::old) listFailures_ = 0;
-        for (Endpoint& e : endpoints_) e.usable = e.usable && scope == ListScope::changes;
+        for (Endpoint& e : endpoints_)
+            if (scope != ListScope::changes) e.usable = false, e.gone = e.gone || scope == ListScope::whole;
         for (const ListEntry& entry : entries) {
             if (entry.endpoint.value >= endpoints_.size()) endpoints_.resize(entry.endpoint.value + 1);
             Endpoint& e = endpoints_[entry.endpoint.value];
             if (!e.destination.known()) place(entry, e);
-            e.usable = entry.state == Listed::active;
+            e.usable = entry.state == Listed::active, e.gone = entry.state == Listed::gone;
             if (listRule_.ratesListed && entry.rate > 0) places_[e.place].listedRate = entry.rate;
         }
+        for (uint32_t i = 0; i < endpoints_.size(); ++i) freeIfGone(i);
     }
 
-    // Everyone's subscription may break at one moment, hence the jitter; asking again inside the time after
-    // which we are deemed told keeps the drain rule ours to keep.
+    // All may break at one moment, hence the jitter; sooner than we are deemed told, so that drains are kept.
     void listFailed(Instant now) override {
         if (!listRule_.onRequest) return;
         double pause = std::min(0.4 * std::pow(2, listFailures_++), 4.0);
@@ -373,7 +367,6 @@
             if (what != Falls::text) continue;
             auto found = texts_.find(TextIx(which));
             if (found == texts_.end() || found->second.over || found->second.out) continue;
-            if (now + lastCall() < found->second.arrival.validUntil) continue;
             unqueue(found->second);
             toAnswer_.push_back(found->first);
         }
@@ -395,9 +388,10 @@
             EndpointIx ix = toClose_.back();
             toClose_.pop_back();
             const Endpoint& e = endpoints_[ix.value];
+            if (!e.out.empty()) continue;
             Instant end = e.usedAt + sort(e).idle.span;  // which may have moved on since
-            if (e.out.empty() && now >= end) return CloseIdle{ix};
-            if (e.out.empty()) dues_.insert({end, Falls::idle, ix.value});
+            if (now >= end) return CloseIdle{ix};
+            dues_.insert({end, Falls::idle, ix.value});
         }
         Instant wake = dues_.empty() ? tickAt_ : std::min(tickAt_, std::get<Instant>(*dues_.begin()));
         if (wake >= armed_) return std::nullopt;
@@ -417,11 +411,24 @@
     void place(const ListEntry& entry, Endpoint& e) {
         e.destination = entry.destination, e.zone = entry.zone, e.kind = entry.kind;
         Destination& d = destination(entry.destination);
-        bool own = d.endpoints.empty() || sort(e).kind.separateRoutes;
-        e.place = own ? static_cast<uint32_t>(places_.size()) : endpoints_[d.endpoints.front()].place;
-        if (own) places_.emplace_back();
+        bool first = d.place == DestinationIx::kNone, own = sort(e).kind.separateRoutes;
+        e.place = own || first ? freshPlace() : d.place;
+        if (!own) d.place = e.place;
         d.endpoints.push_back(entry.endpoint.value);
     }
+    uint32_t freshPlace() {
+        if (freePlaces_.empty()) places_.emplace_back(), freePlaces_.push_back(places_.size() - 1);
+        uint32_t ix = freePlaces_.back();
+        return freePlaces_.pop_back(), ix;
+    }
+    // The host gives the index to another, which inherits no belief. What is known of the destination stays.
+    void freeIfGone(uint32_t ix) {
+        Endpoint& e = endpoints_[ix];
+        if (!e.gone || !e.out.empty() || !e.destination.known()) return;
+        std::erase(destination(e.destination).endpoints, ix);
+        if (sort(e).kind.separateRoutes) places_[e.place] = Place(), freePlaces_.push_back(e.place);
+        e = Endpoint();
+    }
 
     void noteCall(Instant now, const Text& text, const SubmitEnd& e) {
         Endpoint& at = endpoints_[text.at.value];
@@ -460,8 +467,7 @@
         }
         if (e.end == End::delivered) {
             usualTime_ += 0.02 * ((now - text.started).inSeconds() / load - usualTime_);
-            if (at.trickle > 0) at.trickle *= 2;
-            if (at.trickle > 8) at.trickle = 0;
+            at.trickle = at.trickle > 4 ? 0 : at.trickle * 2;
             if (static_cast<double>(at.out.size()) + 2 > at.reach) at.reach += 1 / at.reach;
             p.served.push_back(now);
             if (p.bucket.pacedSince(text.started)) sort(at).pace = std::min(sort(at).pace * 1.25, 0.5);
@@ -569,21 +575,17 @@
             if (now < at) return blockedUntil(at);
             return (down ? p.out : e.out).empty() ? 1 : 0;
         }
-        // Where calls carry many texts, what comes while a call is out travels with the next one: calls are
-        // what the limit counts, and single texts would use it up.
+        // Where calls carry many texts, what comes meanwhile travels with the next: limits count calls.
         size_t waiting = destinations_[e.destination.value].waiting.size();
         if (out > 0 && waiting < static_cast<size_t>(sort(e).kind.batch)) return 0;
         double room = e.reach - out;
         if (room < 1 && out > 0) return 0;
         if (e.zone != crew_.zone) room *= 0.5;
-        if (sort(e).kind.separateRoutes && p.fleetRate() > 0)
-            return p.fleetRate();  // routes differ in limits
+        if (sort(e).kind.separateRoutes && p.fleetRate() > 0) return p.fleetRate();  // their limits differ
         room = std::max(room, 1.0);
         // A connection that lies idle is room at hand: it saves a handshake, and a place in a full table.
-        if (crew_.senders > kFew && e.out.empty() &&
-            now - e.usedAt < std::min(sort(e).idle.span, links_.idle))
-            room *= 3;
-        return room;
+        bool idle = e.out.empty() && now - e.usedAt < std::min(sort(e).idle.span, links_.idle);
+        return crew_.senders > kFew && idle ? room * 3 : room;
     }
 
     bool paced(Instant now, const Endpoint& e) {
@@ -605,7 +607,6 @@
     bool slotFor(const Destination& d, double takes) const {
         if (room_.calls <= 0) return true;
         int free = room_.calls - callsOut_;
-        if (free <= 0) return false;
         double alpha = std::clamp(2 * usualTime_ / std::max(takes, 0.001), 0.25, 4.0);
         return d.out == 0 || d.out < alpha * free;
     }
@@ -628,7 +629,6 @@
         size_t bestAt = 0, bestText = 0;
         for (uint32_t ix : waiting_) {
             Destination& d = destinations_[ix];
-            if (d.endpoints.empty()) continue;
             judge(now, d);
             double takes = callTime(now, d);
             if (!full && !slotFor(d, takes)) continue;
@@ -650,8 +650,7 @@
             for (size_t i = 0; i < d.waiting.size(); ++i) {
                 const Text& t = texts_[d.waiting[i]];
                 if (!mayGo(t, now, endpoints_[at])) continue;
-                // What is lost by passing it over until the backlog has gone, plus a little for what it earns
-                // at all, so that the better paid goes first among those that can wait.
+                // What passing it over until the backlog has gone loses; a little for what it earns at all.
                 double score = (1.05 * earns(t, soon) - earns(t, soon + backlog)) / takes;
                 if (trial) score *= std::pow(0.5, t.submits);  // else one text uses up its submits
                 if (score > bestScore) bestScore = score, best = &d, bestAt = at, bestText = i;
@@ -665,11 +664,10 @@
         return std::max(1.2 * p.times.slowest * load, 3 * usualTime_);
     }
 
-    // All slots are out and a text could go: the call that is most overdue, and past both its SLA time and
-    // several times a high answer time for each of its texts, is given up. Against hung places whose
-    // once-only calls would keep their slots to the end. Where overdue calls at places not known to be out
-    // were mostly never answered (lost answers, a product left unanswered), it goes before its SLA time,
-    // those that may be sent again first. Harms a call that would still have answered.
+    // All slots are out and a text could go: the call most overdue, past its SLA time and several times a
+    // high answer time for each of its texts, is given up. Against hung places whose once-only calls keep
+    // slots to the end. Where overdue calls at places not known to be out were mostly never answered, it goes
+    // before its SLA time, those that may be sent again first. Harms a call that would still have answered.
     void freeSlot(Instant now) {
         if (!room_.cancel) return;
         const Text* stuck = nullptr;
@@ -696,14 +694,13 @@
     void submitCall(Instant now, Destination& d, size_t at, size_t firstText) {
         Endpoint& e = endpoints_[at];
         Place& p = places_[e.place];
-        bool down = p.guard.phase == Phase::down;
-        int call = nextCall_++, room = std::max(1, sort(e).kind.batch);
+        int64_t call = nextCall_++;
         std::vector<TextIx> going = {d.waiting[firstText]};
         for (TextIx ix : d.waiting) {
-            if (static_cast<int>(going.size()) >= room) break;
+            if (static_cast<int>(going.size()) >= std::max(1, sort(e).kind.batch)) break;
             const Text& t = texts_[ix];
             if (ix == going.front() || inOrder(t) || !mayGo(t, now, e)) continue;
-            if (down && 2 * t.submits >= room_.submits) continue;
+            if (p.guard.phase == Phase::down && 2 * t.submits >= room_.submits) continue;
             going.push_back(ix);
         }
         double load = 1 + 0.2 * (static_cast<double>(going.size()) - 1);
@@ -715,15 +712,14 @@
             t.out = true, t.givenUp = false, ++t.submits;
             out_.push_back(Submit{ix, t.at, timeout(now, t, p, load)});
         }
-        calls_[call] = {static_cast<int>(going.size()), load, 0};
+        calls_[call] = {static_cast<int>(going.size()), 0, load};
         ++callsOut_, ++d.out;
         p.out.insert(now), e.out.insert(now);
         p.bucket.tokens -= p.guard.phase == Phase::returning ? load : 1;
         if (e.trickle > 0) e.trickleAt = now + chance_.about(Span::seconds(1 / e.trickle));
     }
 
-    // Cutting short a text that may be sent again buys a retry; cutting a once-only one loses it for good.
-    // Bounded above, as time-outs raise the answer times that they are set by.
+    // Cutting a text that may be sent again buys a retry. Bounded, as time-outs raise what they are set by.
     Span timeout(Instant now, const Text& t, const Place& p, double load) const {
         if (t.product->effect == Effect::onceOnly) return Span();
         double sla = t.product->sla.inSeconds();
@@ -759,9 +755,7 @@
         return nack;
     }
 
-    // ---- periodic work, all on one timer
-
-    void tick(Instant now) {
+    void tick(Instant now) {  // all periodic work
         tickAt_ = now + Span::millis(250);
         if (now >= askListAt_) askListAt_ = Instant::never(), out_.push_back(WatchList{});
         order_.forgetIdle(now);
@@ -775,13 +769,15 @@
             std::vector<double> fellows;
             for (uint32_t j : d.endpoints) {
                 const Endpoint& f = endpoints_[j];
-                bool fit = j != i && f.usable && f.times.count > 0 && f.trickle <= 0;
-                if (fit) fellows.push_back(f.times.high);
+                if (j != i && f.usable && f.times.count > 0 && f.trickle <= 0)
+                    fellows.push_back(f.times.high);
             }
             if (!e.usable || e.trickle > 0 || fellows.empty()) continue;
             double own = e.times.count < 4 ? 0 : e.times.high;
             if (!e.out.empty()) own = std::max(own, (now - *e.out.begin()).inSeconds());
-            if (own > 4 * median(fellows)) setAside(now, e);
+            auto median = fellows.begin() + fellows.size() / 2;
+            std::nth_element(fellows.begin(), median, fellows.end());
+            if (own > 4 * *median) setAside(now, e);
         }
     }
 
@@ -798,9 +794,10 @@
     std::vector<Destination> destinations_;
     std::set<uint32_t> waiting_;  // destinations with texts to go
     std::vector<Place> places_;
+    std::vector<uint32_t> freePlaces_;
     std::vector<Endpoint> endpoints_;
     std::map<TextIx, Text> texts_;
-    std::map<int, Call> calls_;
+    std::map<int64_t, Call> calls_;
     std::set<Due> dues_;
     std::deque<Decision> out_;
     std::deque<TextIx> toAnswer_;
@@ -808,7 +805,8 @@
     Instant tickAt_ = Instant::longAgo(), armed_ = Instant::never(), askListAt_ = Instant::never();
     Instant leavesAt_ = Instant::never();
     double usualTime_ = 0.3, hope_ = 1;
-    int callsOut_ = 0, nextCall_ = 0, listFailures_ = 0;
+    int callsOut_ = 0, listFailures_ = 0;
+    int64_t nextCall_ = 0;
 };
 
 }  // namespace
--- a/src/routing/client_actor.cpp
+++ b/src/routing/client_actor.cpp
@@ -17,6 +17,9 @@
 constexpr Span kFirst = Span::millis(1200);
 constexpr Span kCrowded = Span::millis(300);  // for a request, while others wait for its descriptor or buffer
 constexpr Span kMute = Span::millis(30);      // the same for the first byte
+// Whoever asks for what can't be is answered at once each time, and its next request is read a little later.
+// Against clients that ask the same again and again at full speed, which takes the processor from the others.
+constexpr Span kFirstRest = Span::millis(50), kLongestRest = Span::millis(400);
 constexpr Span kDeciding = Span::seconds(5);  // the module answers in its next round
 // What nobody wants is read off so long, and no faster than so many bytes in so long.
 constexpr Span kReadingOff = Span::seconds(4);
@@ -174,6 +177,7 @@
         Reception r;  // nacked, where the module has not come to it
         if (!replies.empty()) r = replies.front();
         bool taken = r.what == Reception::What::taken;
+        if (taken) rest_ = Span();
         bool ended = !ending() && socket_.peerGone();
         bool heard = taken && answer(202, {}, "", last);
         if (heard && !ended) return true;
@@ -183,12 +187,19 @@
         // A client that went without its answer may hand the text in again, elsewhere and under a new id.
         if (replies.empty() || taken) clients_.module_->postHeld(WithdrawnMail{std::move(id), ticket});
         if (taken) return false;
-        if (r.what == Reception::What::unusable) clients_.report_.add(Count::requestsBad);
-        if (r.what == Reception::What::unusable) return answer(400, {}, "", last);
+        if (r.what == Reception::What::unusable) return unusable(last);
         if (r.what == Reception::What::undeliverable) return answer(500, {}, "", last);
         return turnAway(r.pause, last);
     }
 
+    bool unusable(bool last) {
+        clients_.report_.add(Count::requestsBad);
+        if (!answer(400, {}, "", last) || last) return false;
+        rest_ = rest_ > Span() ? std::min(rest_ * 2, kLongestRest) : kFirstRest;
+        std::this_thread::sleep_for(std::chrono::microseconds(rest_.inMicros()));
+        return true;
+    }
+
     bool turnAway(Span pause, bool last) {
         http::Fields fields;
         if (pause > Span()) fields.emplace_back("Retry-After", retryAfter(pause));
@@ -221,6 +232,7 @@
     Socket socket_;
     Buffers::Lease buffer_;
     size_t have_ = 0;
+    Span rest_;  // after the last unusable request
     const Instant born_;
     std::mutex mutex_;  // of what follows
     Doing doing_ = Doing::idle;
--- a/src/routing/module_actor.cpp
+++ b/src/routing/module_actor.cpp
@@ -146,9 +146,15 @@
 }
 
 void ModuleActor::ended(Instant now, CallEnd& call) {
-    --callsOut_;
+    --callsOut_, --places_.at(call.endpoint.value).out;
     ways_.report->add(
         static_cast<Count>(static_cast<int>(Count::callsAnswered) + static_cast<int>(call.ending)));
+    // Ours ran out: what lies idle at other endpoints makes room for the next try.
+    if (call.ending == Ending::noMeans) {
+        for (Place& place : places_) {
+            if (place.actor) place.actor->closeIdle();
+        }
+    }
     bool answered = call.ending == Ending::answered || call.ending == Ending::halfAnswered;
     if (answered && call.answer.wait > Span()) holdBack(call.endpoint);
     for (size_t i = 0; i < call.texts.size(); ++i) {
@@ -181,12 +187,24 @@
         sender_->ended(now, e);
         if (row.over) drop(call.texts[i]);
     }
+    freeIfGone(call.endpoint);
+}
+
+// An endpoint's name, index and threads go with it once no call names it, so that what is held follows what
+// is live however long endpoints come and go; its successor inherits nothing, even at the same address.
+void ModuleActor::freeIfGone(EndpointIx endpoint) {
+    Place& place = places_.at(endpoint.value);
+    if (!place.gone || place.out > 0) return;
+    place = Place();
+    names_.endpoints.release(endpoint);
+    ways_.report->add(Count::endpointsFreed);
 }
 
 void ModuleActor::listed(Instant now, const ListMail& mail) {
     std::vector<ListEntry> entries;
     std::set<uint32_t> named;
     for (const Member& m : mail.list.members) {
+        if (m.state == Listed::gone && !names_.endpoints.find(m.id).known()) continue;
         EndpointIx ix = names_.endpoints.admit(m.id);
         if (ix.value >= places_.size()) places_.resize(ix.value + 1);
         Place& place = places_[ix.value];
@@ -198,14 +216,18 @@
         place.destination = names_.destinations.admit(m.destination);
         if (m.state == Listed::leaving && place.actor) place.actor->holdBack(), place.actor->closeIdle();
         named.insert(ix.value);
+        place.gone = m.state == Listed::gone;
         if (m.state == Listed::gone && place.actor) place.actor->retire(), place.actor = nullptr;
         entries.push_back({ix, place.destination, names_.zones.admit(m.zone), place.kind, m.state, m.rate});
     }
     for (uint32_t i = 0; mail.list.whole && i < places_.size(); ++i) {
-        if (named.count(i) == 0 && places_[i].actor) places_[i].actor->retire(), places_[i].actor = nullptr;
+        if (named.count(i) > 0 || places_[i].address.empty()) continue;
+        if (places_[i].actor) places_[i].actor->retire(), places_[i].actor = nullptr;
+        places_[i].gone = !mail.old;
     }
     ListScope scope = mail.old ? ListScope::old : mail.list.whole ? ListScope::whole : ListScope::changes;
     sender_->listed(now, scope, entries);
+    for (uint32_t i = 0; i < places_.size(); ++i) freeIfGone(EndpointIx(i));
 }
 
 void ModuleActor::pull(Instant now) {
@@ -330,7 +352,7 @@
     }
     auto notSent = [&](std::vector<TextIx> which) {
         if (which.empty()) return;
-        ++callsOut_;
+        ++callsOut_, ++places_.at(endpoint.value).out;
         ways_.inbox->postHeld(CallEnd{endpoint, std::move(which), Ending::noMeans, {}});
     };
     notSent(std::move(unsent));
@@ -340,7 +362,7 @@
     auto went = call.texts;
     for (TextIx ix : went) rows_.at(ix.value).carrier = actor;
     if (!actor || !actor->call(std::move(call))) return notSent(std::move(went));
-    ++callsOut_;
+    ++callsOut_, ++places_.at(endpoint.value).out;
 }
 
 // Told to wait: what was submitted before and has not left must not leave now. A wait holds for a
--- a/src/routing/module_actor.hpp
+++ b/src/routing/module_actor.hpp
@@ -107,7 +107,10 @@
         KindIx kind;
         DestinationIx destination;
         std::shared_ptr<EndpointActor> actor;
+        int out = 0;  // calls
+        bool gone = false;
     };
+    void freeIfGone(EndpointIx endpoint);
 
     Names names_;
     std::vector<Kind> kinds_;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -489,3 +489,33 @@
     }
     CHECK(early >= 100);
 }
+
+TEST_CASE("what is known of an endpoint goes with it; its index serves another, which inherits nothing") {
+    Rig rig;
+    rig.endpoints(0, 0, 1, 1);  // a route of its own
+    rig.text(0, 0);
+    REQUIRE(rig.pull() == 1);
+    rig.end(rig.submits[0], End::full, Span::seconds(9));
+    REQUIRE(rig.pull() == 0);
+    rig.list({{EndpointIx(0u), DestinationIx(0u), ZoneIx(0u), KindIx(1u), Listed::gone, 0}});
+    rig.list({{EndpointIx(0u), DestinationIx(0u), ZoneIx(0u), KindIx(1u), Listed::active, 0}});
+    auto again = rig.run(Span::millis(300));
+    REQUIRE(again.size() == 1);
+    rig.end(again[0], End::delivered);
+    // One that goes with a call out is forgotten as that ends, and its index can serve another destination.
+    rig.text(0, 0);
+    REQUIRE(rig.pull() == 1);
+    rig.list({{EndpointIx(0u), DestinationIx(0u), ZoneIx(0u), KindIx(1u), Listed::gone, 0}});
+    rig.end(rig.submits[0], End::delivered);
+    rig.list({{EndpointIx(0u), DestinationIx(5u), ZoneIx(0u), KindIx(0u), Listed::active, 0}});
+    rig.text(0, 0);
+    rig.text(5, 0);
+    REQUIRE(rig.pull() == 1);
+    CHECK(rig.submits[0].endpoint == EndpointIx(0u));
+    // A wait that a whole destination was told binds the new endpoint as well.
+    rig.end(rig.submits[0], End::full, Span::millis(900));
+    rig.list({{EndpointIx(0u), DestinationIx(5u), ZoneIx(0u), KindIx(0u), Listed::gone, 0}});
+    rig.list({{EndpointIx(1u), DestinationIx(5u), ZoneIx(0u), KindIx(0u), Listed::active, 0}});
+    CHECK(rig.run(Span::millis(880)).empty());
+    CHECK(rig.run(Span::seconds(3)).size() == 1);
+}
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -391,3 +391,36 @@
     CHECK(eventually([&] { return second.peer.count("GET /discovery/hosts") > before; }));
     CHECK(healthy(program));
 }
+
+TEST_CASE("endpoints that come and go leave nothing behind") {
+    Platform platform;
+    Peer endpoint(answer200);
+    auto id = [](int i) { return "e" + std::to_string(i); };
+    Program program(platform.peer.address, member(id(0), endpoint.address, 7));
+    size_t threads = 0, descriptors = 0;
+    for (int i = 0; i < 24; ++i) {
+        REQUIRE(program.hand("t" + std::to_string(i)) == 202);
+        REQUIRE(eventually([&] { return program.counter("delivered") == i + 1; }));
+        if (i == 3) threads = program.held("task"), descriptors = program.held("fd");
+        platform.change(member(id(i), endpoint.address, 7, "gone") + "," +
+                        member(id(i + 1), endpoint.address, 7));
+        REQUIRE(eventually([&] { return program.counter("endpointsFreed") == i + 1; }));
+    }
+    CHECK(program.counter("connectionsOpened") == 24);  // none is inherited
+    CHECK(eventually([&] { return program.held("task") <= threads + 2; }));
+    CHECK(eventually([&] { return program.held("fd") <= descriptors + 2; }));
+}
+
+TEST_CASE("who asks for what can't be is answered at once, and read later and later") {
+    Platform platform;
+    Program program(platform.peer.address, noneAt(7));
+    Socket hasty = program.connect();
+    std::string rest, request = Program::request("h", "nothing", 7, 8000, "x");
+    auto begun = std::chrono::steady_clock::now();
+    for (int i = 0; i < 5; ++i) {
+        hasty.sendAll(request);
+        REQUIRE(readMessage(hasty, rest).find("HTTP/1.1 400") == 0);
+    }
+    CHECK(std::chrono::steady_clock::now() - begun > std::chrono::milliseconds(700));
+    CHECK(program.hand("fine") == 202);
+}
