A spell of broken calls is no outage; a hang shows at all endpoints; returns keep their slice

(1) Two calls that broke in a row put a place down for 15 ms; the budget of its return, 10 s long, was reckoned from what was served on that same budget, and 650 texts piled up at a healthy destination. (2) A hang was never seen: each endpoint that timed out was set aside because its fellow, silent as well, had not missed yet; its calls kept 4 of 14 slots, and after the return the bucket was bound at what had been served in the hang's last two seconds, 5 a second for 60. Lines: ReturnGuard::delivered and budget, Place::slice, noteCall's look at the fellows.

Changed: a place that delivered within the last second, and where few calls fail in the long run, comes back without a budget; the budget is reckoned from the slice as it went down; a fellow whose calls are overdue does not live; a limit unknown starts from the better of 2 s and 20 s of service.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -115,6 +115,7 @@
                 const ColdRule& cold, Chance& chance) {
         bool nothingSince = deliveredAt < started;
         failing = 0.75 * failing + (end == End::full ? 0 : 0.25);
+        failingLong = 0.95 * failingLong + (end == End::full ? 0 : 0.05);
         // Refused for longer than this sender's slice explains, with nothing delivered: the place is shut.
         if (end == End::full && started >= missAt && nothingSince && fullRounds++ == 0) fullSince = now;
         bool shut = fullRounds >= 3 && (now - fullSince).inSeconds() > std::max(1.5, 3 / slice);
@@ -124,7 +125,7 @@
                                                             : nothingSince;
         missAt = now;
         if (phase != Phase::down && !out) return;
-        if (phase != Phase::down) downAt = now;
+        if (phase != Phase::down) downAt = now, before = std::max(slice, phase == Phase::clear ? 0 : before);
         phase = Phase::down;
         // In step with the outage's age, so that the trials of all that hold a text stay under what the place
         // can take as it comes back, up to this sender's part of that.
@@ -139,8 +140,10 @@
                                  wait + Span::seconds(chance.between(0, apart)));
     }
     void delivered(Instant now) {
-        deliveredAt = now, fullRounds = silent = 0, failing *= 0.75;
-        if (phase == Phase::down) phase = Phase::returning, returnedAt = now;
+        // Spoilt answers or resets in a row, while others are delivered and few fail in the long run.
+        bool brief = now - deliveredAt < Span::seconds(1) && failingLong < 0.2;
+        deliveredAt = now, fullRounds = silent = 0, failing *= 0.75, failingLong *= 0.95;
+        if (phase == Phase::down) phase = brief ? Phase::clear : Phase::returning, returnedAt = now;
     }
     // This sender's part of what a returning place may be sent, calls a second; 0 where nothing binds.
     double budget(Instant now, double slice, bool many, const ColdRule& cold) {
@@ -155,7 +158,7 @@
     }
 
     Instant deliveredAt = Instant::longAgo(), missAt = Instant::longAgo(), fullSince, returnedAt, downAt;
-    double failing = 0;
+    double failing = 0, failingLong = 0, before = 0;  // before: the slice as it went down
     int fullRounds = 0, silent = 0;
 };
 
@@ -179,8 +182,9 @@
     // is a flood from hundreds, so many senders look at a longer span instead.
     double slice(Instant now, int senders) {
         if (fleetRate() > 0) return fleetRate() / senders;
-        if (senders <= kFew) return std::max(1.0, servedRate(now, Span::seconds(2)));
-        return std::max({servedRate(now, Span::seconds(2)) / 2, servedRate(now, Span::seconds(20)), 0.01});
+        double lately = servedRate(now, Span::seconds(2)), longer = servedRate(now, Span::seconds(20));
+        if (senders <= kFew) return std::max({1.0, lately, longer});
+        return std::max({lately / 2, longer, 0.01});
     }
 };
 
@@ -252,9 +256,8 @@
 
 // How long connections to a kind of endpoint are let lie idle. Shortened where they die unseen (a middlebox
 // forgets them), which breaks the next call at once, and where the idle ones of hundreds of senders fill the
-// endpoints' tables. It creeps up again, as either may pass. Harm: handshakes for calls that had time.
+// endpoints' tables (the many start with what two would keep). It creeps up again. Harm: more handshakes.
 struct IdleBound {
-    // In sum the many start by keeping no more than two would (ours).
     IdleBound(Span idle, int senders)
         : span(senders > kFew ? idle * (2.0 / senders) : Span::seconds(300)), start(span) {}
     bool brokeAfter(Span idle) {
@@ -381,8 +384,7 @@
         if (!toAnswer_.empty()) return next(now);
         if (!out_.empty()) {
             Decision d = std::move(out_.front());
-            out_.pop_front();
-            return d;
+            return out_.pop_front(), d;
         }
         while (!toClose_.empty()) {
             EndpointIx ix = toClose_.back();
@@ -461,10 +463,9 @@
         // A quick break of a connection that had lain idle is the connection's trouble, not the place's.
         if (e.end == End::reset && sort(at).idle.brokeAfter(text.started - at.idleAt)) return;
         // A cut call took at least so long; left out, a place that slowed would go on being cut.
-        if (e.end == End::delivered || e.end == End::timeout) {
-            for (AnswerTimes* times : {&p.times, &at.times})
+        for (AnswerTimes* times : {&p.times, &at.times})
+            if (e.end == End::delivered || e.end == End::timeout)
                 times->add((now - text.started) * (1 / load), e.end == End::delivered);
-        }
         if (e.end == End::delivered) {
             usualTime_ += 0.02 * ((now - text.started).inSeconds() / load - usualTime_);
             at.trickle = at.trickle > 4 ? 0 : at.trickle * 2;
@@ -479,8 +480,8 @@
         }
         if (e.end == End::full) {
             if (p.bucket.pacedSince(text.started)) sort(at).pace = std::max(sort(at).pace * 0.5, 0.01);
-            bool known = p.fleetRate() > 0 || crew_.senders > kFew;
-            p.bucket.refused(now, text.started, base, slice, known, chance_);
+            p.bucket.refused(now, text.started, base, slice, p.fleetRate() > 0 || crew_.senders > kFew,
+                             chance_);
             at.reach = std::max(2.0, 0.8 * at.reach);
         } else if (e.end == End::unreachable) {
             at.noneHadAt = now, sort(at).idle.noneHad(links_.idle, false);
@@ -491,7 +492,10 @@
         bool lives = false;
         for (uint32_t i : destination(at.destination).endpoints) {
             const Endpoint& f = endpoints_[i];
-            lives = lives || (&f != &at && f.place == at.place && f.usable && f.misses == 0);
+            // One whose calls are overdue as well does not live: it has not missed yet, but both hang.
+            double age = f.out.empty() ? 0 : (now - std::max(*f.out.begin(), f.deliveredAt)).inSeconds();
+            lives |=
+                &f != &at && f.place == at.place && f.usable && f.misses == 0 && age < overdueAfter(p, load);
         }
         bool sure = ++at.misses > (e.end == End::unreachable ? 2 : 1) || e.end == End::timeout;
         if (e.end != End::full && lives && at.deliveredAt < text.started)
@@ -519,8 +523,7 @@
         Decision d = Undeliverable{t.arrival.text};
         bool over = now + lastCall() >= t.arrival.validUntil;
         if (mayNack(t)) d = Nack{t.arrival.text, over ? Span() : room_.longestPause};
-        unqueue(t), forget(t.arrival.text);
-        return d;
+        return unqueue(t), forget(t.arrival.text), d;
     }
 
     void restKey(Instant now, const Text& t) {
@@ -590,7 +593,8 @@
 
     bool paced(Instant now, const Endpoint& e) {
         Place& p = places_[e.place];
-        double cap = p.guard.budget(now, p.slice(now, crew_.senders), crew_.senders > kFew, cold_);
+        double slice = std::max(p.slice(now, crew_.senders), p.fleetRate() > 0 ? 0 : p.guard.before);
+        double cap = p.guard.budget(now, slice, crew_.senders > kFew, cold_);
         if (p.bucket.ready(now, cap, chance_) || p.guard.phase == Phase::down) return true;
         blockedUntil(p.bucket.askAt);
         // A text whose turn comes after its time is answered now; its program may find a freer sender.
@@ -656,8 +660,7 @@
                 if (score > bestScore) bestScore = score, best = &d, bestAt = at, bestText = i;
             }
         }
-        if (best && full) return freeSlot(now);
-        if (best) submitCall(now, *best, bestAt, bestText);
+        if (best) full ? freeSlot(now) : submitCall(now, *best, bestAt, bestText);
     }
 
     double overdueAfter(const Place& p, double load) const {
@@ -684,11 +687,9 @@
             if (overdue > most && (hopeless || age > t.product->sla.inSeconds())) most = overdue, stuck = &t;
         }
         if (!stuck) return;
-        for (auto& [ix, t] : texts_) {
-            if (!t.out || t.call != stuck->call) continue;
-            t.givenUp = true;
-            out_.push_back(CancelSubmit{ix, t.submits - 1});
-        }
+        for (auto& [ix, t] : texts_)
+            if (t.out && t.call == stuck->call)
+                t.givenUp = true, out_.push_back(CancelSubmit{ix, t.submits - 1});
     }
 
     void submitCall(Instant now, Destination& d, size_t at, size_t firstText) {
@@ -708,13 +709,12 @@
         for (TextIx ix : going) {
             Text& t = texts_[ix];
             unqueue(t);
-            t.at = EndpointIx(at), t.started = now, t.call = call;
-            t.out = true, t.givenUp = false, ++t.submits;
+            t.at = EndpointIx(at), t.started = now, t.call = call, t.out = true, t.givenUp = false,
+            ++t.submits;
             out_.push_back(Submit{ix, t.at, timeout(now, t, p, load)});
         }
         calls_[call] = {static_cast<int>(going.size()), 0, load};
-        ++callsOut_, ++d.out;
-        p.out.insert(now), e.out.insert(now);
+        ++callsOut_, ++d.out, p.out.insert(now), e.out.insert(now);
         p.bucket.tokens -= p.guard.phase == Phase::returning ? load : 1;
         if (e.trickle > 0) e.trickleAt = now + chance_.about(Span::seconds(1 / e.trickle));
     }
