Connections that wait share one thread; waits run out though the process is stopped meanwhile

A profile put most of its time into signals: the limit is kept by stopping and continuing the process, which wakes every thread, and 270 of 280 threads held a connection on which nothing was under way. Each such wake also ended a blocking receive with EINTR, after which the wait began anew in full, so that under a stop every 10 ms no bound ever ran out (mute clients, answers that never end, notices); and a connect that was interrupted counted as never up, which put healthy places down. Lines: Connection::serve's wait for a first byte, Socket::receive and its fellows, connectSocket.

Ruled out: reading off large bodies (10 ms), the module (0.3 s of 3).

Changed: connections wait for their next request in one room (epoll) with one thread, and have a thread of their own while a request is under way. This departs from a thread for each connection; inside a request all is as before. Idle ones end after 3 s, silent ones 0.7 s after the accept. Interrupted waits go on for what is left of them.

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -109,19 +109,18 @@
     inbox->postHeld(ListMail{config.known, true});
 
     bool started = startThread([&] { module.run(); }) && startThread([&] { notices.run(); }) &&
-                   startThread([&] { list.run(); }) && startThread([&] { clients.accept(); });
+                   startThread([&] { list.run(); }) && startThread([&] { clients.accept(); }) &&
+                   startThread([&] { clients.attend(); });
     if (!started) {
         log.say(Level::error, "the machine gives no threads");
         return 1;
     }
 
-    int signal = 0;
-    while (sigwait(&signals, &signal) != 0 || signal == SIGUSR1 || signal == SIGHUP) {
-        if (signal == SIGHUP) {
-            reread(log, list, notices);
-        } else {
-            log.say(Level::info, std::string("counters\n").append(log.counters()));
-        }
+    for (int signal = 0; signal != SIGTERM && signal != SIGINT;) {
+        signal = 0;
+        if (sigwait(&signals, &signal) != 0) continue;
+        if (signal == SIGHUP) reread(log, list, notices);
+        if (signal == SIGUSR1) log.say(Level::info, std::string("counters\n").append(log.counters()));
     }
     Instant told = steadyNow();
     log.say(Level::info, config.name + " is leaving");
--- a/src/routing/client_actor.cpp
+++ b/src/routing/client_actor.cpp
@@ -10,11 +10,12 @@
 
 namespace {
 
-constexpr Span kIdle = Span::seconds(5);     // between requests
+constexpr Span kIdle = Span::seconds(3);     // between requests
 constexpr Span kReading = Span::seconds(2);  // for a request, once it has begun
-// For a connection's first request, counted from the accept, which the kernel puts off for a second while
-// nothing comes. Against clients that connect and say nothing, or never come to an end.
-constexpr Span kFirst = Span::millis(1200);
+// For a connection's first request and its first byte, counted from the accept, which the kernel puts off for
+// a second while nothing comes. Against clients that connect and say nothing, or never come to an end.
+constexpr Span kFirst = Span::millis(1200), kSilent = Span::millis(700);
+constexpr Span kSweep = Span::millis(50);     // those that wait are looked at so often
 constexpr Span kCrowded = Span::millis(300);  // for a request, while others wait for its descriptor or buffer
 constexpr Span kMute = Span::millis(30);      // the same for the first byte
 // Whoever asks for what can't be is answered at once each time, and its next request is read a little later.
@@ -33,26 +34,57 @@
     Connection(Clients& clients, Socket socket)
         : clients_(clients), socket_(std::move(socket)), born_(steadyNow()), since_(born_) {}
 
-    void run() {
+    int descriptor() const { return socket_.descriptor(); }
+    // Serves what has come; false where the connection has come to its end, true where it waits for more.
+    bool run() {
         while (serve()) {
+            if (have_ > 0 && resting())
+                std::this_thread::sleep_for(std::chrono::microseconds(rest_.inMicros()));
+            if (have_ == 0 && (resting() || !socket_.somethingCame())) return !ending();
         }
+        return false;
+    }
+    void begin() { state(Doing::reading); }
+    void wait() { state(Doing::idle); }
+    // Whether it has waited too long for a first request, or for a further one; a request that has come
+    // meanwhile is served.
+    bool overdue(Instant now) {
+        std::lock_guard lock(mutex_);
+        return doing_ == Doing::idle && now - since_ > (asked_ ? kIdle : kSilent) && !socket_.somethingCame();
     }
-    // Ends the wait for a request. One that has come meanwhile is still read, and answered as the last: cut
-    // off with its answer, the client could not tell whether it had been taken on.
-    void endIfIdle() {
+    bool idle() {
         std::lock_guard lock(mutex_);
-        if (doing_ == Doing::idle || dawdles()) end();
+        return doing_ == Doing::idle && !socket_.somethingCame();
     }
-    // The same for one that has never said anything, or does not come to an end; whether it is ending.
-    bool endIfMute() {
+    bool mute() {
         std::lock_guard lock(mutex_);
-        if (ending_ && doing_ != Doing::serving) return true;
-        bool mute = doing_ == Doing::idle && !asked_ && steadyNow() - since_ > kMute;
-        return (mute || dawdles()) && (end(), true);
+        return doing_ == Doing::idle && !asked_ && steadyNow() - since_ > kMute && !socket_.somethingCame();
+    }
+    bool asked() {
+        std::lock_guard lock(mutex_);
+        return asked_;
     }
     std::optional<Instant> idleSince() {
         std::lock_guard lock(mutex_);
-        return doing_ == Doing::idle && asked_ && !ending_ ? std::optional(since_) : std::nullopt;
+        return doing_ == Doing::idle ? std::optional(since_) : std::nullopt;
+    }
+    // Ends one that does not come to an end, and tells whether it is ending. What has come is still read, and
+    // answered as the last: cut off with its answer, the client could not tell whether it had been taken on.
+    bool endIfDawdling() {
+        std::lock_guard lock(mutex_);
+        bool dawdles = doing_ == Doing::reading || doing_ == Doing::readingOff;
+        if (!ending_ && dawdles && steadyNow() - since_ > kCrowded) end();
+        return ending_ && dawdles;
+    }
+    // Once its rest after an unusable request is over.
+    bool rested(Instant now) {
+        std::lock_guard lock(mutex_);
+        return doing_ == Doing::idle && restUntil_ > Instant::longAgo() && now >= restUntil_ &&
+               (restUntil_ = Instant::longAgo(), true);
+    }
+    bool resting() {
+        std::lock_guard lock(mutex_);
+        return restUntil_ > steadyNow();
     }
 
   private:
@@ -66,22 +98,11 @@
         std::lock_guard lock(mutex_);
         return ending_;
     }
-    bool dawdles() const {
-        return (doing_ == Doing::reading || doing_ == Doing::readingOff) && steadyNow() - since_ > kCrowded;
-    }
     void end() { ending_ = true, endReceiving(socket_.descriptor()); }
 
     // One request; false where the connection has come to its end.
     bool serve() {
         Instant first = born_ + kFirst;
-        if (have_ == 0) {
-            // No buffer is held while nothing comes.
-            state(Doing::idle);
-            socket_.waitAtMost(asked_ ? kIdle : std::max(first - steadyNow(), Span::millis(1)));
-            bool came = socket_.waitForMore();
-            if (!came && !asked_) clients_.report_.add(Count::clientsMute);
-            if (!came) return false;
-        }
         // Answered unread, a request could be cut off with its answer; others give their buffers back soon.
         for (int i = 0; i < 200 && !buffer_; ++i) {
             if (i > 0) std::this_thread::sleep_for(std::chrono::milliseconds(5));
@@ -196,7 +217,8 @@
         clients_.report_.add(Count::requestsBad);
         if (!answer(400, {}, "", last) || last) return false;
         rest_ = rest_ > Span() ? std::min(rest_ * 2, kLongestRest) : kFirstRest;
-        std::this_thread::sleep_for(std::chrono::microseconds(rest_.inMicros()));
+        std::lock_guard lock(mutex_);
+        restUntil_ = steadyNow() + rest_;
         return true;
     }
 
@@ -237,7 +259,7 @@
     std::mutex mutex_;  // of what follows
     Doing doing_ = Doing::idle;
     bool asked_ = false, ending_ = false;  // asked: a whole request has come
-    Instant since_;
+    Instant since_, restUntil_ = Instant::longAgo();
 };
 
 void Clients::accept() {
@@ -260,27 +282,74 @@
         }
         report_.add(Count::clientsAccepted);
         ++open_;
-        auto connection = std::make_shared<Connection>(*this, std::move(socket));
-        {
-            std::lock_guard lock(mutex_);
-            connections_.insert(connection.get());
-        }
-        bool started = startThread([this, connection] {
-            try {
-                connection->run();
-            } catch (const std::exception& wrong) {  // out of memory: this connection ends, the others go on
-                report_.say(Level::error, wrong.what());
-            }
-            forget(connection.get());
-        });
-        if (!started) forget(connection.get());
+        std::lock_guard lock(mutex_);
+        uint64_t key = ++lastKey_;
+        auto at = connections_.emplace(key, std::make_shared<Connection>(*this, std::move(socket))).first;
+        if (!waiting_.add(at->second->descriptor(), key)) close(at);
     }
 }
 
-void Clients::forget(Connection* connection) {
-    std::lock_guard lock(mutex_);
-    connections_.erase(connection);
+// One thread attends to all connections on which nothing is under way. Against clients that ask once and
+// stay, and those that say nothing: with a thread for each, hundreds of them wake whenever the process is
+// stopped and goes on, which takes the processor's time from the texts.
+void Clients::attend() {
+    Instant swept = steadyNow();
+    while (true) {
+        for (uint64_t key : waiting_.ready(kSweep)) serve(key);
+        if (steadyNow() - swept < kSweep) continue;
+        swept = steadyNow();
+        sweep();
+    }
+}
+
+void Clients::serve(uint64_t key) {
+    std::shared_ptr<Connection> connection;
+    {
+        std::lock_guard lock(mutex_);
+        auto at = connections_.find(key);
+        if (at == connections_.end()) return;
+        connection = at->second;
+        connection->begin();
+    }
+    bool started = startThread([this, key, connection] {
+        bool stays = false;
+        try {
+            stays = connection->run();
+        } catch (const std::exception& wrong) {  // out of memory: this connection ends, the others go on
+            report_.say(Level::error, wrong.what());
+        }
+        if (!stays) return forget(key);
+        std::lock_guard lock(mutex_);
+        connection->wait();
+        if (!connection->resting()) waiting_.again(connection->descriptor(), key);
+    });
+    if (!started) forget(key);
+}
+
+Clients::Held::iterator Clients::close(Held::iterator at) {
     --open_;
+    return connections_.erase(at);
+}
+
+void Clients::forget(uint64_t key) {
+    std::lock_guard lock(mutex_);
+    auto at = connections_.find(key);
+    if (at != connections_.end()) close(at);
+}
+
+void Clients::sweep() {
+    std::lock_guard lock(mutex_);
+    Instant now = steadyNow();
+    for (auto at = connections_.begin(); at != connections_.end();) {
+        Connection& c = *at->second;
+        if (c.rested(now)) waiting_.again(c.descriptor(), at->first);
+        if (!c.overdue(now)) {
+            ++at;
+            continue;
+        }
+        if (!c.asked()) report_.add(Count::clientsMute);
+        at = close(at);
+    }
 }
 
 void Clients::stopListening() {
@@ -293,20 +362,33 @@
 void Clients::makeRoom() {
     std::lock_guard lock(mutex_);
     size_t ending = 0;
-    for (Connection* c : connections_) ending += c->endIfMute();
-    if (ending > 0) return;
-    std::vector<std::pair<Instant, Connection*>> idle;
-    for (Connection* c : connections_) {
-        if (auto since = c->idleSince()) idle.emplace_back(*since, c);
+    std::vector<std::pair<Instant, uint64_t>> idle;
+    for (auto at = connections_.begin(); at != connections_.end();) {
+        Connection& c = *at->second;
+        if (c.mute()) {
+            ++ending, at = close(at);
+            report_.add(Count::clientsMute);
+            continue;
+        }
+        ending += c.endIfDawdling();
+        if (auto since = c.idleSince()) idle.emplace_back(*since, at->first);
+        ++at;
     }
+    if (ending > 0) return;
     std::sort(idle.begin(), idle.end());
     idle.resize(std::min<size_t>(idle.size(), 1 + idle.size() / 8));
-    for (auto& [since, c] : idle) c->endIfIdle();
+    for (auto& [since, key] : idle) {
+        auto at = connections_.find(key);
+        if (at->second->idle()) close(at);
+    }
 }
 
 void Clients::closeIdle() {
     std::lock_guard lock(mutex_);
-    for (Connection* c : connections_) c->endIfIdle();
+    for (auto at = connections_.begin(); at != connections_.end();) {
+        at->second->endIfDawdling();
+        at = at->second->idle() ? close(at) : std::next(at);
+    }
 }
 
 }  // namespace petrelpond
--- a/src/routing/client_actor.hpp
+++ b/src/routing/client_actor.hpp
@@ -1,14 +1,15 @@
-// Clients: who listens for them, and the actor of each connection, which has a thread of its own, reads one
-// request at a time and answers it.
+// Clients: who listens for them, the room in which connections wait for their next request, and the actor of
+// each connection, which has a thread of its own while a request is under way, and reads and answers it.
 #pragma once
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
-#include <set>
 
 #include "src/routing/module_actor.hpp"
 #include "src/transport/socket.hpp"
+#include "src/transport/waiting.hpp"
 
 namespace petrelpond {
 
@@ -21,15 +22,20 @@
           module_(std::move(module)), report_(report) {}
 
     void accept();                     // until stopListening(); the caller's thread
+    void attend();                     // to those that wait, for ever; the caller's thread
     void ready() { ready_ = true; }    // from now on, /up says so
     void leave() { leaving_ = true; }  // /up fails, and each answer is its connection's last
     void stopListening();
-    void closeIdle();  // those that wait for a request
+    void closeIdle();  // those that wait for a request, and those that dawdle over one
     int open() const { return open_; }
 
   private:
     class Connection;
-    void forget(Connection* connection);
+    using Held = std::map<uint64_t, std::shared_ptr<Connection>>;
+    void serve(uint64_t key);
+    void forget(uint64_t key);
+    Held::iterator close(Held::iterator at);
+    void sweep();
     void makeRoom();  // some connection ends that no good client would miss
 
     Socket listener_;
@@ -41,8 +47,10 @@
     std::atomic<bool> ready_ = false, leaving_ = false, stopped_ = false;
     std::atomic<int> open_ = 0;
     std::atomic<uint64_t> tickets_ = 0;
-    std::mutex mutex_;  // of the set; a connection takes itself out at its end
-    std::set<Connection*> connections_;
+    Waiting waiting_;
+    std::mutex mutex_;  // of what follows
+    Held connections_;
+    uint64_t lastKey_ = 0;
 };
 
 }  // namespace petrelpond
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -4,8 +4,10 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -30,6 +32,12 @@
     return inet_pton(AF_INET, address.host.c_str(), &out.sin_addr) == 1;
 }
 
+int64_t clockMicros() {
+    timespec t;
+    clock_gettime(CLOCK_MONOTONIC, &t);
+    return int64_t{t.tv_sec} * 1000000 + t.tv_nsec / 1000;
+}
+
 }  // namespace
 
 Socket& Socket::operator=(Socket&& other) noexcept {
@@ -50,14 +58,26 @@
 
 void Socket::waitAtMost(Span span) const {
     timeval t = span > Span() ? asTimeval(span) : timeval{0, 0};
+    until_ = span > Span() ? clockMicros() + span.inMicros() : 0;
     setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &t, sizeof t);
     setsockopt(fd_, SOL_SOCKET, SO_SNDTIMEO, &t, sizeof t);
 }
 
+// A process that is stopped and goes on finds its waits interrupted, again and again where its part of the
+// processor is kept to that way. Begun anew in full, a wait would then never run out.
+bool Socket::mayGoOn() const {
+    if (errno != EINTR) return false;
+    if (until_ == 0) return true;
+    int64_t left = until_ - clockMicros(), until = until_;
+    if (left <= 0) return errno = EAGAIN, false;
+    waitAtMost(Span::micros(left));
+    return until_ = until, true;
+}
+
 bool Socket::sendAll(std::string_view bytes) const {
     while (!bytes.empty()) {
         ssize_t sent = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        if (sent < 0 && errno == EINTR) continue;
+        if (sent < 0 && mayGoOn()) continue;
         if (sent <= 0) return false;
         bytes.remove_prefix(static_cast<size_t>(sent));
     }
@@ -67,7 +87,7 @@
 long Socket::receive(char* into, size_t room) const {
     while (true) {
         ssize_t got = ::recv(fd_, into, room, 0);
-        if (got < 0 && errno == EINTR) continue;
+        if (got < 0 && mayGoOn()) continue;
         return got;
     }
 }
@@ -75,20 +95,11 @@
 long Socket::discard(size_t most) const {
     while (true) {
         ssize_t got = ::recv(fd_, nullptr, most, MSG_TRUNC);
-        if (got < 0 && errno == EINTR) continue;
+        if (got < 0 && mayGoOn()) continue;
         return got;
     }
 }
 
-bool Socket::waitForMore() const {
-    while (true) {
-        char byte;
-        ssize_t got = ::recv(fd_, &byte, 1, MSG_PEEK);
-        if (got < 0 && errno == EINTR) continue;
-        return got > 0;
-    }
-}
-
 bool Socket::peerGone() const {
     char byte;
     ssize_t got = ::recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -144,7 +155,22 @@
         socket.sendNagless();
         return Connect::up;
     }
-    if (errno == EINPROGRESS || errno == EAGAIN || errno == ETIMEDOUT || errno == EINTR) return Connect::late;
+    // Interrupted as the process was stopped for a while, it still comes up or not.
+    if (errno == EINTR) {
+        int64_t until = clockMicros() + within.inMicros(), left;
+        pollfd up{socket.descriptor(), POLLOUT, 0};
+        int got = 0;
+        while ((left = until - clockMicros()) > 0 && got <= 0) {
+            got = ::poll(&up, 1, static_cast<int>(left / 1000 + 1));
+            if (got < 0 && errno != EINTR) break;
+        }
+        int error = 0;
+        socklen_t size = sizeof error;
+        getsockopt(socket.descriptor(), SOL_SOCKET, SO_ERROR, &error, &size);
+        if (got > 0 && error == 0) return socket.sendNagless(), Connect::up;
+        errno = error != 0 ? error : ETIMEDOUT;
+    }
+    if (errno == EINPROGRESS || errno == EAGAIN || errno == ETIMEDOUT) return Connect::late;
     if (errno == EADDRNOTAVAIL || errno == ENOBUFS || errno == ENOMEM) return Connect::noMeans;
     return Connect::refused;
 }
--- a/src/transport/socket.hpp
+++ b/src/transport/socket.hpp
@@ -24,12 +24,10 @@
     void close();
     int release();
 
-    void waitAtMost(Span span) const;  // for each receive and send from now on; zero: without bound
+    void waitAtMost(Span span) const;  // for what is received and sent from now on; zero: without bound
     bool sendAll(std::string_view bytes) const;
     // Bytes received; 0 at the peer's end; -1 on a break, and on a wait that ran out.
     long receive(char* into, size_t room) const;
-    bool waitForMore()
-        const;  // until bytes lie unread; false at the peer's end, a break or a wait that ran out
     long discard(size_t most) const;  // receives bytes that nobody wants, without a copy
     bool peerGone() const;            // whether the peer has ended or broken the connection, without waiting
     bool broken() const;              // whether it was reset; not merely ended by the peer
@@ -38,7 +36,10 @@
     void sendNagless() const;
 
   private:
+    bool mayGoOn() const;
+
     int fd_ = -1;
+    mutable int64_t until_ = 0;  // of the clock that does not jump, in microseconds
 };
 
 // Ends every wait on it, from whichever thread; what has been received can still be read.
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -424,3 +424,35 @@
     CHECK(std::chrono::steady_clock::now() - begun > std::chrono::milliseconds(700));
     CHECK(program.hand("fine") == 202);
 }
+
+TEST_CASE(
+    "connections that wait hold no threads, and waits run out though the process is stopped again and "
+    "again") {
+    Platform platform;
+    Peer endpoint([](const std::string& call) {
+        // Its head never ends; nothing else tells that the answer is over but the bound on its rest.
+        return call.find("Request-Id: odd") != std::string::npos ? "HTTP/1.1 503 Full\r\nX: y\r\n" : ok();
+    });
+    Program program(platform.peer.address, member("e", endpoint.address, 7));
+    REQUIRE(program.hand("first") == 202);
+    size_t threads = program.held("task");
+    std::vector<Socket> stay;
+    for (int i = 0; i < 40; ++i) {
+        stay.push_back(program.connect());
+        stay.back().sendAll(Program::request("s" + std::to_string(i), "status", 7, 8000, "x"));
+        std::string rest;
+        REQUIRE(readMessage(stay.back(), rest).find(" 202 ") != std::string::npos);
+    }
+    CHECK(eventually([&] { return program.held("task") < threads + 30; }, 1000));
+    REQUIRE(program.hand("odd", "order") == 202);
+    Socket half = program.connect();
+    half.sendAll("POST /status HTTP/1.1\r\n");
+    for (int i = 0; i < 60; ++i) {
+        program.tell(SIGSTOP), pause(20);
+        program.tell(SIGCONT), pause(30);
+    }
+    CHECK(platform.peer.count("\"odd\",\"result\":\"dead\"") == 1);
+    half.waitAtMost(Span::millis(50));
+    char byte;
+    CHECK(half.receive(&byte, 1) == 1);  // 408
+}
