Overtaken calls are lost, scarce slots go to quick endpoints, trickles fit the place

Lines: Place::out and Endpoint::out taken at face value; setAside's fixed trickle; roomAt blind to how long a slot is held.

Changed: a call that calls begun long after it have overtaken counts as lost; it keeps its slot until it ends. A trickle starts at a twentieth of what the place is served. The fewer slots are left, the more the odds of an endpoint fall with its mean time (ours, beside the design's odds by room). A request that was refused gives up its buffer for good: with bytes behind it the next step would have touched no buffer at all (client_actor.cpp, Connection::serve).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,6 +1,5 @@
-// petrelpond's decisions, all of them, behind include/petrelpond/sender.hpp: make one Sender for each sending
-// process with makeSender(), report every input as it comes (inputs only update what is known), then call
-// next() until it returns nothing. "Ours" marks what is not the source's, see docs/design.md.
+// petrelpond's decisions, all of them, behind include/petrelpond/sender.hpp: makeSender(), report each input
+// (they only update what is known), then call next() until it is empty. "Ours": not the source's (docs).
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -23,8 +22,7 @@
 // The design's bucket: one token, bound only by a refusal as full or a told wait.
 struct Bucket {
     bool pacedSince(Instant started) const { return bound && started >= boundAt; }
-    // A refusal of a call that left before the last cut says nothing of the cut rate: a clump refused at one
-    // moment would send it to the floor, which is ours, a little under the slice.
+    // A call that left before the last cut says nothing of the cut rate; the floor under the slice is ours.
     void refused(Instant now, Instant started, double base, double slice, bool known, Chance& chance) {
         bind(now, base, chance);
         if (started < cutAt) return;
@@ -40,8 +38,7 @@
         Span apart = thin ? (until - now) * chance.between(0, 1) : Span();
         askAt = std::max(askAt, until + jitter(chance) + apart);
     }
-    // Traffic lands unevenly: a busy sender may use what idle ones leave, which its successes show. Past its
-    // slice it goes by small steps, as a refusal there stalls it and uses up the limit for all.
+    // A busy sender may use what idle ones leave, as its successes show; past its slice by small steps.
     void succeeded(Instant now, double slice, double ceiling) {
         delivered = true;
         if (!bound || now - raisedAt < Span::seconds(1)) return;
@@ -64,16 +61,14 @@
         return false;
     }
 
-    // A refusal does not say where in its turn a sender was; with a slice slower than a text can wait, all
-    // that were refused would else wait out the whole turn.
+    // A refusal does not say where in its turn a sender was: with a thin slice it may be anywhere.
     void bind(Instant now, double base, Chance& chance) {
         heldAt = now;
         if (bound) return;
         bound = true, rate = base, tokens = base < 0.5 ? chance.between(0, 1) : 0;
         refilledAt = raisedAt = boundAt = now;
     }
-    // The source's 0.05 to 0.25 s is longer than the whole interval at a fast destination and would halve
-    // its rate there, so it shrinks with the interval.
+    // Shrinks with the interval: the source's span would halve the rate at a fast destination.
     Span jitter(Chance& chance) const {
         return Span::seconds(chance.between(0.05, 0.25) * std::min(1.0, rate > 0 ? 1 / rate : 1.0));
     }
@@ -84,8 +79,7 @@
     Instant askAt = Instant::longAgo(), heldAt = Instant::longAgo();
 };
 
-// How long calls take: a high quantile, and a mean that counts calls still out by their age, so that a
-// place that stops answering looks slow before its first time-out.
+// A high quantile, and a mean that counts calls still out by their age, so that silence shows early.
 struct AnswerTimes {
     double high = 0, slowest = 0, sum = 0, weight = 0;  // slowest: of those delivered lately
     int count = 0;
@@ -127,8 +121,7 @@
         if (phase != Phase::down && !out) return;
         if (phase != Phase::down) downAt = now, before = std::max(slice, phase == Phase::clear ? 0 : before);
         phase = Phase::down;
-        // In step with the outage's age, so that the trials of all that hold a text stay under what the place
-        // can take as it comes back, up to this sender's part of that.
+        // In step with the outage's age: all trials together stay under what a returning place can take.
         double part = std::max(std::max(cold.multiple, 1.0) * cold.share * slice, 0.001);
         double least = std::clamp(0.04 / part, 0.4, 6.0);
         double most = many ? std::max(least, 0.9 / part) : std::max(2.0, 0.4 / part);
@@ -151,8 +144,7 @@
         double warmed = cold.warmUp > Span() ? (now - returnedAt).inSeconds() / cold.warmUp.inSeconds() : 1;
         if (warmed >= 1) phase = Phase::clear;
         double share = cold.share + (1 - cold.share) * std::min(warmed, 1.0);
-        // Where a turn is longer than the outage was, those that hold a text are so many as came meanwhile,
-        // and one call each in the time that it lasted is in sum the place's rate.
+        // Where a turn is longer than the outage was, one call each in that time is in sum the place's rate.
         double turn = many ? 1 / std::max(0.5, (returnedAt - downAt).inSeconds()) : 0;
         return 0.9 * std::max(cold.multiple, 1.0) * share * std::max(slice, turn);
     }
@@ -162,15 +154,25 @@
     int fullRounds = 0, silent = 0;
 };
 
+// Starts of the calls that are out. One that calls begun long after it have overtaken is lost (its connection
+// fell silent, its answer went astray): it keeps its slot, but says nothing of how busy or slow the place is.
+struct InFlight {
+    std::multiset<Instant> starts;
+    Instant answered = Instant::longAgo();  // the latest start of one that was delivered
+    Span late;                              // overtaken by so much it is lost
+    auto live() const { return starts.lower_bound(answered - late); }
+    double count() const { return static_cast<double>(std::distance(live(), starts.end())); }
+};
+
 // What a limit, a pace and an outage belong to: a destination, or one route where routes are separate.
 struct Place {
     Bucket bucket;
+    InFlight out;
     ReturnGuard guard;
     AnswerTimes times;
     Instant toldUntil = Instant::longAgo();
     double listedRate = 0, reportedRate = 0;
     std::deque<Instant> served;  // of the last 20 seconds
-    std::multiset<Instant> out;  // starts of the calls that are out
 
     double servedRate(Instant now, Span over) {
         while (!served.empty() && now - served.front() > Span::seconds(20)) served.pop_front();
@@ -178,8 +180,7 @@
         return static_cast<double>(served.end() - from) / over.inSeconds();
     }
     double fleetRate() const { return listedRate > 0 ? listedRate : reportedRate; }
-    // This sender's part. Where no rate is known, what it is served; the design's least of one call a second
-    // is a flood from hundreds, so many senders look at a longer span instead.
+    // This sender's part; unknown, what it is served. The design's one call a second floods from hundreds.
     double slice(Instant now, int senders) {
         if (fleetRate() > 0) return fleetRate() / senders;
         double lately = servedRate(now, Span::seconds(2)), longer = servedRate(now, Span::seconds(20));
@@ -199,7 +200,7 @@
     double trickle = 0;  // set aside: calls a second it gets; 0: in full use
     Instant trickleAt = Instant::longAgo(), deliveredAt = Instant::longAgo();
     AnswerTimes times;
-    std::multiset<Instant> out;
+    InFlight out;
     Instant noneHadAt = Instant::longAgo();  // no connection could be had, and nothing delivered since
     Instant usedAt = Instant::longAgo(), idleAt = Instant::longAgo();  // idleAt: usedAt as the last call left
 };
@@ -208,7 +209,6 @@
     std::vector<uint32_t> endpoints;
     std::vector<TextIx> waiting;
     uint32_t place = DestinationIx::kNone;  // shared by its endpoints
-    int out = 0;                            // calls
 };
 
 // What falls due: a look round, a text's last chance of an answer, an idle connection's end.
@@ -245,18 +245,14 @@
         const Line& line = keys.at(key);
         return line.texts.front() == text && (now >= line.restsUntil || line.restsFor == text);
     }
-    void mayStillRun(uint64_t key, TextIx text, Instant until) {
-        keys[key].restsUntil = until, keys[key].restsFor = text;
-    }
     void done(uint64_t key, TextIx text) { std::erase(keys[key].texts, text); }
     void forgetIdle(Instant now) {
         std::erase_if(keys, [&](auto& k) { return k.second.texts.empty() && now >= k.second.restsUntil; });
     }
 };
 
-// How long connections to a kind of endpoint are let lie idle. Shortened where they die unseen (a middlebox
-// forgets them), which breaks the next call at once, and where the idle ones of hundreds of senders fill the
-// endpoints' tables (the many start with what two would keep). It creeps up again. Harm: more handshakes.
+// How long connections to a kind of endpoint lie idle: less where they die unseen, which breaks a call, and
+// where those of hundreds fill its table (the many start with two's). Creeps up. Harm: more handshakes.
 struct IdleBound {
     IdleBound(Span idle, int senders)
         : span(senders > kFew ? idle * (2.0 / senders) : Span::seconds(300)), start(span) {}
@@ -390,7 +386,7 @@
             EndpointIx ix = toClose_.back();
             toClose_.pop_back();
             const Endpoint& e = endpoints_[ix.value];
-            if (!e.out.empty()) continue;
+            if (!e.out.starts.empty()) continue;
             Instant end = e.usedAt + sort(e).idle.span;  // which may have moved on since
             if (now >= end) return CloseIdle{ix};
             dues_.insert({end, Falls::idle, ix.value});
@@ -426,7 +422,7 @@
     // The host gives the index to another, which inherits no belief. What is known of the destination stays.
     void freeIfGone(uint32_t ix) {
         Endpoint& e = endpoints_[ix];
-        if (!e.gone || !e.out.empty() || !e.destination.known()) return;
+        if (!e.gone || !e.out.starts.empty() || !e.destination.known()) return;
         std::erase(destination(e.destination).endpoints, ix);
         if (sort(e).kind.separateRoutes) places_[e.place] = Place(), freePlaces_.push_back(e.place);
         e = Endpoint();
@@ -442,8 +438,8 @@
         at.usedAt = now;
         if (--call.texts == 0) {
             calls_.erase(text.call);
-            --callsOut_, --destination(at.destination).out;
-            p.out.erase(p.out.find(text.started)), at.out.erase(at.out.find(text.started));
+            --callsOut_;
+            for (auto* out : {&p.out, &at.out}) out->starts.erase(out->starts.find(text.started));
             Span idle = sort(at).idle.span;
             if (idle < links_.idle) dues_.insert({now + idle, Falls::idle, text.at.value});
         }
@@ -464,12 +460,14 @@
         if (e.end == End::reset && sort(at).idle.brokeAfter(text.started - at.idleAt)) return;
         // A cut call took at least so long; left out, a place that slowed would go on being cut.
         for (AnswerTimes* times : {&p.times, &at.times})
-            if (e.end == End::delivered || e.end == End::timeout)
+            if (e.end == End::delivered || (e.end == End::timeout && at.out.answered < text.started))
                 times->add((now - text.started) * (1 / load), e.end == End::delivered);
         if (e.end == End::delivered) {
             usualTime_ += 0.02 * ((now - text.started).inSeconds() / load - usualTime_);
             at.trickle = at.trickle > 4 ? 0 : at.trickle * 2;
-            if (static_cast<double>(at.out.size()) + 2 > at.reach) at.reach += 1 / at.reach;
+            if (at.out.count() + 2 > at.reach) at.reach += 1 / at.reach;
+            p.out.late = at.out.late = Span::seconds(overdueAfter(p, 1));
+            for (auto* out : {&p.out, &at.out}) out->answered = std::max(out->answered, text.started);
             p.served.push_back(now);
             if (p.bucket.pacedSince(text.started)) sort(at).pace = std::min(sort(at).pace * 1.25, 0.5);
             p.bucket.succeeded(now, p.fleetRate() > 0 ? slice : 1e9, p.fleetRate() > 0 ? p.fleetRate() : 1e9);
@@ -485,15 +483,13 @@
             at.reach = std::max(2.0, 0.8 * at.reach);
         } else if (e.end == End::unreachable) {
             at.noneHadAt = now, sort(at).idle.noneHad(links_.idle, false);
-            at.reach = std::max(1.0, 0.7 * static_cast<double>(at.out.size() + 1));
+            at.reach = std::max(1.0, 0.7 * (at.out.count() + 1));
         }
-        // An endpoint that misses while a fellow has not is its own trouble: counted against the place, one
-        // dead one in two starved the other. How long ago the fellow delivered says little in a big crew.
+        // An endpoint that misses while a fellow lives (its calls are not overdue) is its own trouble.
         bool lives = false;
         for (uint32_t i : destination(at.destination).endpoints) {
             const Endpoint& f = endpoints_[i];
-            // One whose calls are overdue as well does not live: it has not missed yet, but both hang.
-            double age = f.out.empty() ? 0 : (now - std::max(*f.out.begin(), f.deliveredAt)).inSeconds();
+            double age = f.out.count() <= 0 ? 0 : (now - std::max(*f.out.live(), f.deliveredAt)).inSeconds();
             lives |=
                 &f != &at && f.place == at.place && f.usable && f.misses == 0 && age < overdueAfter(p, load);
         }
@@ -505,7 +501,9 @@
     }
 
     void setAside(Instant now, Endpoint& e) {
-        e.trickle = e.trickle > 0 ? std::max(e.trickle / 2, 0.1) : 0.5;
+        // A busy place misses an endpoint more, and learns sooner that it is well.
+        double first = std::max(0.5, 0.05 * places_[e.place].servedRate(now, Span::seconds(2)));
+        e.trickle = e.trickle > 0 ? std::max(e.trickle / 2, 0.2 * first) : first;
         e.trickleAt = now + chance_.about(Span::seconds(0.75 / e.trickle));
     }
 
@@ -527,8 +525,9 @@
     }
 
     void restKey(Instant now, const Text& t) {
-        order_.mayStillRun(*t.arrival.key, t.arrival.text, now + links_.orderRest);
-        dues_.insert({now + links_.orderRest, Falls::look, 0});
+        KeyOrder::Line& line = order_.keys[*t.arrival.key];
+        line.restsUntil = now + links_.orderRest, line.restsFor = t.arrival.text;
+        dues_.insert({line.restsUntil, Falls::look, 0});
     }
 
     void forget(TextIx ix) {
@@ -571,12 +570,12 @@
         if (!e.usable) return 0;
         Place& p = places_[e.place];
         if (now < p.toldUntil) return blockedUntil(p.toldUntil);
-        double out = static_cast<double>(e.out.size());
+        double out = e.out.count();
         bool down = p.guard.phase == Phase::down;
         if (down || e.trickle > 0) {
             Instant at = down ? p.guard.trialAt : e.trickleAt;
             if (now < at) return blockedUntil(at);
-            return (down ? p.out : e.out).empty() ? 1 : 0;
+            return (down ? p.out : e.out).count() > 0 ? 0 : 1;
         }
         // Where calls carry many texts, what comes meanwhile travels with the next: limits count calls.
         size_t waiting = destinations_[e.destination.value].waiting.size();
@@ -587,7 +586,10 @@
         if (sort(e).kind.separateRoutes && p.fleetRate() > 0) return p.fleetRate();  // their limits differ
         room = std::max(room, 1.0);
         // A connection that lies idle is room at hand: it saves a handshake, and a place in a full table.
-        bool idle = e.out.empty() && now - e.usedAt < std::min(sort(e).idle.span, links_.idle);
+        bool idle = e.out.starts.empty() && now - e.usedAt < std::min(sort(e).idle.span, links_.idle);
+        // The fewer slots are left, the more counts how long a call holds one: ours, beside the odds by room.
+        double tight = room_.calls > 0 ? static_cast<double>(callsOut_) / room_.calls : 0;
+        room *= std::pow(usualTime_ / std::max(e.times.mean(0, usualTime_), 0.001), 6 * tight);
         return crew_.senders > kFew && idle ? room * 3 : room;
     }
 
@@ -606,13 +608,14 @@
 
     double blockedUntil(Instant at) { return dues_.insert({at, Falls::look, 0}), 0; }
 
-    // Slots are scarce: a destination may hold calls out up to a multiple of the slots still free, less the
-    // longer its calls take beside the others', so that a hung or slow one never gets them all.
+    // The longer a destination's calls take, the fewer of the free slots it gets: none hung or slow gets all.
     bool slotFor(const Destination& d, double takes) const {
         if (room_.calls <= 0) return true;
         int free = room_.calls - callsOut_;
         double alpha = std::clamp(2 * usualTime_ / std::max(takes, 0.001), 0.25, 4.0);
-        return d.out == 0 || d.out < alpha * free;
+        double out = 0;
+        for (uint32_t e : d.endpoints) out += endpoints_[e].out.count();
+        return out < std::max(1.0, alpha * free);
     }
 
     double callTime(Instant now, const Destination& d) const {
@@ -620,7 +623,7 @@
         for (uint32_t e : d.endpoints) {
             const Place& p = places_[endpoints_[e].place];
             double ages = 0;
-            for (Instant start : p.out) ages += (now - start).inSeconds();
+            for (auto at = p.out.live(); at != p.out.starts.end(); ++at) ages += (now - *at).inSeconds();
             best = std::min(best, p.times.mean(ages, usualTime_));
         }
         return best;
@@ -667,10 +670,9 @@
         return std::max(1.2 * p.times.slowest * load, 3 * usualTime_);
     }
 
-    // All slots are out and a text could go: the call most overdue, past its SLA time and several times a
-    // high answer time for each of its texts, is given up. Against hung places whose once-only calls keep
-    // slots to the end. Where overdue calls at places not known to be out were mostly never answered, it goes
-    // before its SLA time, those that may be sent again first. Harms a call that would still have answered.
+    // All slots are out and a text could go: the call most overdue, past its SLA time and several high answer
+    // times, is given up, against hung places whose once-only calls keep slots to the end; before its SLA
+    // time where overdue calls were mostly never answered. Harms a call that would still have answered.
     void freeSlot(Instant now) {
         if (!room_.cancel) return;
         const Text* stuck = nullptr;
@@ -705,7 +707,7 @@
             going.push_back(ix);
         }
         double load = 1 + 0.2 * (static_cast<double>(going.size()) - 1);
-        if (e.out.empty()) e.idleAt = e.usedAt;
+        if (e.out.starts.empty()) e.idleAt = e.usedAt;
         for (TextIx ix : going) {
             Text& t = texts_[ix];
             unqueue(t);
@@ -714,7 +716,7 @@
             out_.push_back(Submit{ix, t.at, timeout(now, t, p, load)});
         }
         calls_[call] = {static_cast<int>(going.size()), 0, load};
-        ++callsOut_, ++d.out, p.out.insert(now), e.out.insert(now);
+        ++callsOut_, p.out.starts.insert(now), e.out.starts.insert(now);
         p.bucket.tokens -= p.guard.phase == Phase::returning ? load : 1;
         if (e.trickle > 0) e.trickleAt = now + chance_.about(Span::seconds(1 / e.trickle));
     }
@@ -728,9 +730,8 @@
         return Span::seconds(cut);
     }
 
-    // A full store turns new texts away whatever they earn. Before that, the text that will earn least
-    // once its destination's backlog has gone makes room, and its program is told when to come back. Covers
-    // all that fills the store; harms where a backlog would have cleared sooner than it looked.
+    // A full store turns new texts away whatever they earn: before that, the one that will earn least once
+    // the backlog has gone makes room, told when to come back. Harms where that would have cleared sooner.
     std::optional<Decision> makeRoom(Instant now) {
         int spare = room_.held - static_cast<int>(texts_.size());
         if (room_.held <= 0 || spare >= 2 + room_.held / 20) return std::nullopt;
@@ -774,7 +775,7 @@
             }
             if (!e.usable || e.trickle > 0 || fellows.empty()) continue;
             double own = e.times.count < 4 ? 0 : e.times.high;
-            if (!e.out.empty()) own = std::max(own, (now - *e.out.begin()).inSeconds());
+            if (e.out.count() > 0) own = std::max(own, (now - *e.out.live()).inSeconds());
             auto median = fellows.begin() + fellows.size() / 2;
             std::nth_element(fellows.begin(), median, fellows.end());
             if (own > 4 * *median) setAside(now, e);
--- a/src/routing/client_actor.cpp
+++ b/src/routing/client_actor.cpp
@@ -144,11 +144,12 @@
             asked_ = true;
         }
         bool last = head.closes() || clients_.leaving_ || ending();
-        bool fine = respond(head, {buffer_.data() + *end, length.value_or(0)}, last);
+        // One that was refused has given its buffer back, whatever lies behind it.
+        if (!respond(head, {buffer_.data() + *end, length.value_or(0)}, last) || !buffer_) return false;
         std::memmove(buffer_.data(), buffer_.data() + whole, have_ - whole);
         have_ -= whole;
         if (have_ == 0) buffer_ = Buffers::Lease();
-        return fine && !last;
+        return !last;
     }
 
     bool more(Instant due) {
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -519,3 +519,41 @@
     CHECK(rig.run(Span::millis(880)).empty());
     CHECK(rig.run(Span::seconds(3)).size() == 1);
 }
+
+TEST_CASE("calls that later ones have overtaken are lost, and no longer count as the endpoint's load") {
+    Rig rig;
+    rig.endpoints(0, 0, 1);
+    for (int i = 0; i < 4; ++i) rig.text(0, 2);
+    REQUIRE(rig.pull() == 4);  // three of these stay unanswered, as their connections fell silent
+    Submit next = rig.submits[3];
+    for (int i = 0; i < 20; ++i) {
+        rig.now = rig.now + Span::millis(100);
+        rig.end(next, End::delivered);
+        rig.text(0, 2);
+        REQUIRE(rig.pull() == 1);
+        next = rig.submits[0];
+    }
+    for (int i = 0; i < 3; ++i) rig.text(0, 2);
+    CHECK(rig.pull() == 3);
+}
+
+TEST_CASE("a few calls that break in a row are no outage where others are delivered all along") {
+    Rig rig;
+    rig.endpoints(0, 0, 1);
+    auto deliver = [&](End how) {
+        rig.text(0, 0);
+        auto went = rig.run(Span::millis(20));
+        for (int i = 0; went.empty() && i < 20; ++i) went = rig.run(Span::millis(50));
+        REQUIRE(went.size() == 1);
+        rig.now = rig.now + Span::millis(30);
+        rig.end(went[0], how);
+    };
+    for (int i = 0; i < 30; ++i) deliver(End::delivered);
+    rig.text(0, 2), rig.text(0, 2);
+    REQUIRE(rig.pull() == 2);
+    auto broke = rig.submits;
+    for (const Submit& s : broke) rig.end(s, End::reset);
+    deliver(End::delivered);  // the trial
+    for (int i = 0; i < 3; ++i) rig.text(0, 2);
+    CHECK(rig.run(Span::millis(50)).size() == 3);
+}
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -288,6 +288,10 @@
     std::string shorter = Program::request("u5", "status", 7, 8000, "0123456789");
     shorter.replace(shorter.find("Length: 10") + 8, 2, "4");
     CHECK(program.ask(shorter).find("HTTP/1.1 400") == 0);
+    // What follows a request that is refused is not read, and does no harm.
+    std::string nameless = "POST /status HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+    CHECK(program.ask(nameless + Program::request("u8", "status", 7, 8000, "x")).find("HTTP/1.1 400") == 0);
+    CHECK(healthy(program));
     // A request hidden in the body of one with two lengths is never read as one.
     std::string both =
         Program::request("u6", "status", 7, 8000, Program::request("u7", "status", 7, 8000, "x"));
