--- /dev/null
+++ b/fleet/parts.hpp
@@ -0,0 +1,22 @@
+// The parts that a sender is made from, as a scenario says them: the one place for real senders and for the
+// model.
+#pragma once
+
+#include "fleet/scenario.hpp"
+
+namespace petrelpond::fleet {
+
+struct SenderParts {
+    std::vector<Product> products;
+    std::vector<Kind> kinds;  // one for each group
+    Crew crew;
+    Room room;
+    ColdRule cold;
+    ListRule list;
+    Links links;
+};
+SenderParts partsOf(const Scenario& scenario);
+// What an endpoint's entry in the list says of its destination's rate; 0: nothing.
+double listedRate(const Group& group);
+
+}  // namespace petrelpond::fleet
--- /dev/null
+++ b/fleet/scenario.hpp
@@ -0,0 +1,140 @@
+// What a scenario file says: the fleet, the traffic, what breaks when. Read from TOML with every mistake
+// named by line and key; it does no more than read.
+#pragma once
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "petrelpond/sender.hpp"
+#include "petrelpond/time.hpp"
+
+namespace petrelpond::fleet {
+
+struct ProductPlan {
+    std::string name;
+    Product rules;
+};
+
+// A number of alike destinations, each with its own endpoints, limit and outages.
+struct Group {
+    std::string name;
+    int count = 1, endpoints = 1;  // endpoints of each destination
+    int batch = 1;                 // texts a call may carry
+    bool separateRoutes = false;
+    int workers = 8, queue = 16;  // of an endpoint: calls worked on at once, and waiting
+    double rate = 0, burst = 0;   // of a destination: calls a second, 0 for no limit; bucket's depth
+    int countMost = 0;            // or: so many calls in each span
+    Span countSpan;
+    bool rateListed = false, tellsWaits = false;
+    Span answerMedian = Span::millis(40), answerP99 = Span::millis(200);
+    double coldShare = 1;  // of its capacity that a returning destination has
+    Span warmUp;
+    double tipMultiple = 0;  // 0: never tips
+    Span tipWindow = Span::seconds(1);
+    int connections = 256;          // that an endpoint holds
+    Span idle = Span::seconds(20);  // it closes connections idle for longer
+    double idleCloses = 0;          // share of connections closed as idle at a random part of that span
+};
+
+// Open-loop arrivals: when a text comes hangs on nothing that the sender does.
+struct Flow {
+    uint32_t product = 0, group = 0;
+    double rate = 1;  // texts a second, over all destinations of the group
+    Span from, until;
+    double clump = 1;  // mean number of texts that come at one moment
+    double swing = 0;  // share by which the rate moves up and down
+    Span swingSpan = Span::seconds(60);
+    int body = 200;  // bytes
+    int keys = 0;    // distinct keys of texts in order; 0: none
+    double surge = 1;
+    Span surgeFrom, surgeUntil;
+    double skew = 0;  // Zipf exponent over the destinations; 0: all alike
+};
+
+enum class Trouble {
+    hang,
+    stall,
+    refuse,
+    full,
+    error,
+    resetBefore,
+    resetDuring,
+    resetAfter,
+    half,
+    spoilt,
+    lostAnswer,
+    drip,
+    down,
+    vanish,
+    stale,
+    drain,
+    go,
+    replace,
+    directorySilent,
+    directoryOld,
+    directoryMove,
+    senderKill,
+    senderStop,
+    senderRestart
+};
+std::string_view wordOf(Trouble what);
+bool atSenders(Trouble what);
+bool atDirectory(Trouble what);
+
+struct Fault {
+    Trouble what = Trouble::hang;
+    Span at, lasts;
+    int group = -1;
+    double part = 1;    // of the group's destinations, the first ones
+    int endpoint = -1;  // of each destination; -1: all
+    double share = 1;   // of the calls that it strikes
+    Span value;         // stall: added to each answer; full: the told wait
+    int sender = -1;    // -1: the share `part` of them
+};
+
+struct Model {
+    Span hop = Span::micros(150);        // one way between two processes of this machine, reading included
+    Span handshake = Span::micros(200);  // a connection more than that
+    Span store = Span::micros(60);       // from reading a text to its 202
+};
+
+struct Scenario {
+    std::string name;
+    Span lasts = Span::seconds(10), settle;  // settle: until all that was taken has its end
+    uint64_t seed = 1;
+    int senders = 2, callsOut = 64, held = 1000, submits = 6;
+    int memoryMb = 192, sockets = 1024, diskMb = 16;
+    bool cancel = true;
+    Span longestPause = Span::seconds(2), tick = Span::millis(5);
+    int clientTries = 2;  // times a text is handed in again after a refusal
+    std::vector<ProductPlan> products;
+    std::vector<Group> groups;
+    std::vector<Flow> flows;
+    std::vector<Fault> faults;
+    std::string recording;  // a sender's recording of arrivals, taken instead of flows
+    Model model;
+
+    int destinations() const;
+    int endpoints() const;
+    uint32_t firstDestination(uint32_t group) const;
+    uint32_t firstEndpoint(uint32_t group) const;
+};
+
+struct Mistake {
+    int line = 0;
+    std::string key, words;
+};
+
+// Thrown with every mistake of a file, a line each: FILE:LINE: KEY: what is wrong.
+struct WrongScenario : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+Scenario readScenario(std::string_view text, const std::string& file);
+Scenario readScenarioFile(const std::string& path);
+std::string_view demoScenario();  // the built-in small fleet, as TOML
+
+}  // namespace petrelpond::fleet
