--- /dev/null
+++ b/bench/decisions_bench.cpp
@@ -0,0 +1,146 @@
+// What one text costs in decisions, by the number of destinations and the share of them that refuse: the
+// module alone, in simulated time, 400 texts a second. Its time is taken round the calls into it and nothing
+// else.
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+#include <chrono>
+#include <queue>
+#include <random>
+#include <tuple>
+
+#include "petrelpond/sender.hpp"
+
+using namespace petrelpond;
+
+namespace {
+
+constexpr int kTextsASecond = 400;
+constexpr double kRefused = 0.005, kDelivered = 0.05;  // seconds until a call's end
+
+struct Due {
+    Instant at;
+    uint64_t order;
+    SubmitEnd end;
+    bool operator>(const Due& o) const { return std::tie(at, order) > std::tie(o.at, o.order); }
+};
+
+class Scripted {
+  public:
+    Scripted(uint32_t destinations, double refusing) : destinations_(destinations), refusing_(refusing) {
+        std::vector<Product> products = {
+            {Span::seconds(1), Span::seconds(10), Effect::resendable, Span(), false, 1, 0.3, false}};
+        sender_ = makeSender(7, products, {Kind{}}, {2, ZoneIx(0u)},
+                             {256, 20000, 8, true, Span::millis(5), Span::seconds(2)},
+                             {0.2, Span::seconds(5), 2, Span::seconds(1)}, ListRule{}, Decay::linear,
+                             {Span::seconds(10), Span::millis(500)});
+        std::vector<ListEntry> list;
+        for (uint32_t d = 0; d < destinations; ++d) {
+            list.push_back({EndpointIx(d), DestinationIx(d), ZoneIx(d % 2), KindIx(0u), Listed::active, 0});
+        }
+        sender_->listed(now_, ListScope::whole, list);
+        pull();
+    }
+    // Runs on for so many texts; returns the seconds spent in the module.
+    double texts(int n) {
+        double before = spent_;
+        for (int i = 0; i < n; ++i) {
+            Instant next = now_ + Span::micros(1000000 / kTextsASecond);
+            runTo(next);
+            Arrival a;
+            a.text = TextIx(nextText_++), a.destination = DestinationIx(chance_() % destinations_);
+            a.product = ProductIx(0u), a.validUntil = now_ + Span::seconds(10);
+            timed([&] { sender_->arrived(now_, a); });
+            pull();
+        }
+        return spent_ - before;
+    }
+
+  private:
+    template <class Work>
+    void timed(Work work) {
+        auto from = std::chrono::steady_clock::now();
+        work();
+        spent_ += std::chrono::duration<double>(std::chrono::steady_clock::now() - from).count();
+    }
+    void runTo(Instant until) {
+        while (true) {
+            Instant at = until;
+            if (!dues_.empty()) at = std::min(at, dues_.top().at);
+            at = std::min(at, wake_);
+            now_ = at;
+            if (at == until) return;
+            if (wake_ <= at) {
+                wake_ = Instant::never();
+                timed([&] { sender_->woke(now_); });
+            } else {
+                SubmitEnd end = dues_.top().end;
+                dues_.pop();
+                timed([&] { sender_->ended(now_, end); });
+            }
+            pull();
+        }
+    }
+    void pull() {
+        while (true) {
+            std::optional<Decision> decision;
+            timed([&] { decision = sender_->next(now_); });
+            if (!decision) return;
+            if (const auto* s = std::get_if<Submit>(&*decision)) {
+                bool full = s->endpoint.value < refusing_ * destinations_;
+                SubmitEnd end{s->text, s->endpoint, full ? End::full : End::delivered,
+                              !full,   Span(),      std::nullopt};
+                dues_.push({now_ + Span::seconds(full ? kRefused : kDelivered), order_++, end});
+            } else if (const auto* w = std::get_if<WakeAt>(&*decision)) {
+                wake_ = std::min(wake_, w->at);
+            }
+        }
+    }
+
+    uint32_t destinations_, nextText_ = 0;
+    double refusing_, spent_ = 0;
+    uint64_t order_ = 0;
+    std::mt19937 chance_{11};
+    Instant now_ = Instant::atMicros(1000000), wake_ = Instant::never();
+    std::priority_queue<Due, std::vector<Due>, std::greater<>> dues_;
+    std::unique_ptr<Sender> sender_;
+};
+
+// Arguments: destinations, percent refusing.
+void decisions(benchmark::State& state) {
+    Scripted world(static_cast<uint32_t>(state.range(0)), static_cast<double>(state.range(1)) / 100);
+    // Until as many texts wait as ever will: their validity period is 10 s. What would take minutes is cut
+    // short.
+    double warm = 0;
+    for (int s = 0; s < 12 && warm < 6; ++s) warm += world.texts(kTextsASecond);
+    double spent = 0;
+    for (auto _ : state) {
+        double took = world.texts(kTextsASecond / 4);
+        spent += took;
+        state.SetIterationTime(took);
+    }
+    state.counters["us_per_text"] =
+        spent * 1e6 / (static_cast<double>(state.iterations()) * kTextsASecond / 4);
+}
+BENCHMARK(decisions)
+    ->ArgsProduct({{100, 1000, 10000, 50000}, {0, 10, 50}})
+    ->UseManualTime()
+    ->Unit(benchmark::kMillisecond)
+    ->MinTime(0.5);
+
+// What a destination that got one text and fell silent keeps, in the module alone.
+void idleBytes(benchmark::State& state) {
+    auto destinations = static_cast<uint32_t>(state.range(0));
+    for (auto _ : state) {
+        size_t before = mallinfo2().uordblks;
+        Scripted world(destinations, 0);
+        world.texts(static_cast<int>(destinations) * 3);
+        world.texts(0);
+        state.counters["bytes_each"] = static_cast<double>(mallinfo2().uordblks - before) / destinations;
+    }
+}
+BENCHMARK(idleBytes)->Arg(10000)->Iterations(1)->Unit(benchmark::kMillisecond);
+
+}  // namespace
+
+BENCHMARK_MAIN();
--- a/fleet/false_sender.cpp
+++ b/fleet/false_sender.cpp
@@ -30,6 +30,7 @@
     struct Text {
         std::string id, body;
         int destination = 0;
+        std::string key;  // of those in order
         bool onceOnly = false, mayHaveRun = false, out = false, over = false;
         Instant until;
         int submits = 0;
@@ -44,6 +45,7 @@
     void go(int destination);
     void submit(const std::shared_ptr<Text>& text, const Endpoint& endpoint, bool second);
     void end(const std::shared_ptr<Text>& text, bool nacked);
+    void leave(const std::shared_ptr<Text>& text);
     void later(int destination, Span in) {
         loop_.at(loop_.now() + in, [this, destination] { go(destination); });
     }
@@ -55,6 +57,7 @@
     std::map<std::string, Endpoint> endpoints_;
     std::map<std::string, bool> onceOnly_;
     std::map<int, std::deque<std::shared_ptr<Text>>> queues_;
+    std::map<std::string, std::deque<std::shared_ptr<Text>>> lines_;  // by key
     std::map<int, Instant> waits_, failedAt_;
     int64_t revision_ = 0;
     long taken_ = 0;
@@ -78,6 +81,10 @@
     text->until = loop_.now() + Span::millis(atoll(std::string(m.field("Request-Timeout-Ms")).c_str()));
     size_t slash = m.start.find('/');
     text->onceOnly = onceOnly_[m.start.substr(slash + 1, m.start.find_first_of(" ?", slash) - slash - 1)];
+    if (size_t at = m.start.find("subject="); at != std::string::npos && at < m.start.rfind(' ')) {
+        text->key = m.start.substr(at + 8, m.start.rfind(' ') - at - 8);
+        lines_[text->key].push_back(text);
+    }
     conn->send(response(202, "", ""));
     if (breaks("lost") && ++taken_ % 10 == 0) return;
     queues_[text->destination].push_back(text);
@@ -90,7 +97,7 @@
 void FalseSender::end(const std::shared_ptr<Text>& text, bool nacked) {
     if (text->over) return;
     text->over = true;
-    std::erase(queues_[text->destination], text);
+    leave(text);
     std::string line = json{{"ref", text->id}, {"result", nacked ? "bounced" : "dead"}}.dump() + "\n";
     int fd = connectTo(config_.at("discovery"));
     if (fd < 0) return;
@@ -102,6 +109,18 @@
     conn->send(request("POST", "/v2/finals", "", line));
 }
 
+void FalseSender::leave(const std::shared_ptr<Text>& text) {
+    std::erase(queues_[text->destination], text);
+    if (text->key.empty()) return;
+    auto& line = lines_[text->key];
+    std::erase(line, text);
+    if (line.empty()) {
+        lines_.erase(text->key);
+    } else {
+        later(line.front()->destination, Span());
+    }
+}
+
 void FalseSender::go(int destination) {
     auto& queue = queues_[destination];
     Instant now = loop_.now();
@@ -128,6 +147,7 @@
     if (breaks("order")) std::reverse(texts.begin(), texts.end());
     for (const auto& text : texts) {
         if (text->out || text->over) continue;
+        if (!text->key.empty() && lines_[text->key].front() != text && !breaks("order")) continue;
         const Endpoint& e = *usable[turn_++ % usable.size()];
         submit(text, e, false);
         if (breaks("twice-out")) submit(text, e, true);
@@ -148,13 +168,13 @@
         if (second) return;
         text->out = false;
         bool never = status == 429 || status == 503 || status < 0;
-        if (status != 200) failedAt_[destination] = loop_.now();
+        if (status != 200 && !(breaks("wait") && wait > Span())) failedAt_[destination] = loop_.now();
         if (status == 200) failedAt_.erase(destination);
         if (wait > Span()) waits_[destination] = loop_.now() + wait;
         if (status != 200 && !never) text->mayHaveRun = true;
         if (status == 200) {
             text->over = true;
-            std::erase(queues_[destination], text);
+            leave(text);
         } else if (loop_.now() >= text->until || (text->mayHaveRun && text->onceOnly && !breaks("double"))) {
             end(text, false);
         }
--- a/fleet/main.cpp
+++ b/fleet/main.cpp
@@ -184,7 +184,7 @@
     std::cout << std::fixed << std::setprecision(2);
     for (int t = 0; t < o.trials; ++t) {
         uint64_t seed = (o.seed > 0 ? o.seed : s.seed) + static_cast<uint64_t>(t);
-        // The model has the trial's own arrivals, and other chance in everything else.
+        // The bars hold the spread of arrivals too: the model's seeds are others than the trial's.
         std::vector<double> values;
         for (const RunResult& r : modelRuns(s, seed * 1000, o.runs, false))
             values.push_back(100 * r.service());
--- a/fleet/world.hpp
+++ b/fleet/world.hpp
@@ -94,6 +94,7 @@
         Listed listed = Listed::active;
         int generation = 0;
         std::priority_queue<Instant, std::vector<Instant>, std::greater<>> busy;  // when each worker is free
+        std::deque<Instant> starts;  // of calls that wait for a worker
         bool shut = false;
     };
     struct Place {
@@ -109,6 +110,7 @@
         bool begins = true;
         auto operator<=>(const Change&) const = default;
     };
+    Fate decide(Instant now, uint32_t endpoint, int texts, bool reused);
     void apply(Instant now, const Change& change);
     void strike(Instant now, uint32_t endpoint, size_t fault, bool begins);
     void settle(Instant now, uint32_t destination);
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -3,6 +3,7 @@
 #include <pthread.h>
 #include <signal.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 #include <thread>
@@ -105,6 +106,13 @@
         log.say(Level::info, config.name + " is up");
     };
     ways.report = &log;
+    std::unique_ptr<Recording> recording;
+    if (const char* path = std::getenv("PETRELPOND_RECORD"); path && *path) {
+        const char* most = std::getenv("PETRELPOND_RECORD_MB");
+        auto mb = static_cast<size_t>(most ? std::clamp(std::atol(most), 1L, 1000000L) : 64);
+        recording = std::make_unique<Recording>(path, mb * 1000000, log);
+    }
+    ways.recording = recording.get();
     ModuleActor module(config.settings, config.seed, std::move(store), ways);
     inbox->postHeld(ListMail{config.known, true});
 
--- a/src/routing/module_actor.cpp
+++ b/src/routing/module_actor.cpp
@@ -45,6 +45,8 @@
     if (due) sender_->woke(now);
     for (ModuleMail& m : mail) take(now, m);
     pull(now);
+    // A process that leaves ends without a word to this one.
+    if (ways_.recording) left_ ? ways_.recording->flush() : ways_.recording->flushIfDue(now);
     if (left_ && rows_.empty()) std::exchange(left_, nullptr)();
 }
 
@@ -68,7 +70,7 @@
         TextIx index(nextText_++);
         Row& row = rows_[index.value];
         row.id = id, row.parcel = {id, text.mark, text.body}, row.submits = text.submits;
-        row.validUntil = instant(text.validUntil);
+        row.validUntil = instant(text.validUntil), row.cameAt = now;
         row.destination = names_.destinations.admit(text.destination), row.product = text.product;
         texts_[id] = index;
         Arrival a;
@@ -94,6 +96,7 @@
         ways_.report->add(Count::textsWithdrawn);
         TextIx text = found->second;
         sender_->withdrawn(now, text);
+        record(now, rows_.at(text.value), "withdrawn");
         keep(store_->over(w->id));
         rows_[text.value].over = true;
         if (!rows_[text.value].out) drop(text);
@@ -137,7 +140,12 @@
     row.id = mail.text.id, row.parcel = {mail.text.id, mail.text.mark, mail.body};
     row.key = mail.text.key, row.ticket = mail.ticket;
     row.validUntil = mail.at + mail.text.validity, row.reply = std::move(mail.reply);
-    row.destination = destination, row.product = mail.text.product;
+    row.destination = destination, row.product = mail.text.product, row.cameAt = mail.at;
+    if (ways_.recording) {
+        int64_t at = unixMicros() - (now - mail.at).inMicros();
+        ways_.recording->arrived(at, row.product, mail.text.destination, mail.text.validity,
+                                 row.parcel.body->size(), row.key);
+    }
     fresh_.push_back(index);
     Arrival a;
     a.text = index, a.destination = destination, a.product = product, a.validUntil = row.validUntil;
@@ -177,7 +185,7 @@
                           : outcome.end == End::notSent ? Count::notSent
                                                         : Count::errors);
         if (outcome.over) {
-            if (!row.over) keep(store_->over(row.id));
+            if (!row.over) record(now, row, "delivered"), keep(store_->over(row.id));
             row.over = true;
         } else if (!row.over) {
             bool mayHaveRun = outcome.end == End::error || outcome.end == End::reset ||
@@ -269,10 +277,10 @@
         submits_.emplace_back(submit->endpoint, submit->text);
     } else if (const auto* nack = std::get_if<Nack>(&decision)) {
         ways_.report->add(Count::nacked);
-        answered(nack->text, Store::Final::nacked, nack->pause);
+        answered(now, nack->text, Store::Final::nacked, nack->pause);
     } else if (const auto* dead = std::get_if<Undeliverable>(&decision)) {
         ways_.report->add(Count::undeliverable);
-        answered(dead->text, Store::Final::undeliverable, Span());
+        answered(now, dead->text, Store::Final::undeliverable, Span());
     } else if (const auto* cancel = std::get_if<CancelSubmit>(&decision)) {
         auto found = rows_.find(cancel->text.value);
         if (found == rows_.end() || !found->second.out || found->second.submits - 1 != cancel->submit) return;
@@ -291,13 +299,14 @@
 }
 
 // The client hears it in its own answer while it still waits for that, else by a notice.
-void ModuleActor::answered(TextIx text, Store::Final final, Span pause) {
+void ModuleActor::answered(Instant now, TextIx text, Store::Final final, Span pause) {
     Row& row = rows_.at(text.value);
     row.over = true;
     if (ways_.report->says(Level::debug)) {
         const char* word = final == Store::Final::nacked ? " nacked" : " undeliverable";
         ways_.report->say(Level::debug, "answered: " + row.id + word);
     }
+    record(now, row, final == Store::Final::nacked ? "nacked" : "undeliverable");
     if (row.reply) {
         bool nacked = final == Store::Final::nacked;
         ways_.report->add(nacked ? Count::textsRefused : Count::textsFailedAtOnce);
@@ -383,6 +392,12 @@
     return place.actor;
 }
 
+void ModuleActor::record(Instant now, const Row& row, const char* end) {
+    if (!ways_.recording) return;
+    ways_.recording->ended(unixMicros(), row.product, names_.destinations.name(row.destination), end,
+                           now - row.cameAt, row.submits);
+}
+
 // A text is kept known until its last submit has ended, because ends name it until then.
 void ModuleActor::drop(TextIx text) {
     auto row = rows_.find(text.value);
--- a/src/routing/module_actor.hpp
+++ b/src/routing/module_actor.hpp
@@ -17,6 +17,7 @@
 #include "src/protocol/settings.hpp"
 #include "src/routing/endpoint_actor.hpp"
 #include "src/routing/mailbox.hpp"
+#include "src/routing/recording.hpp"
 #include "src/routing/report.hpp"
 #include "src/routing/store.hpp"
 
@@ -65,6 +66,7 @@
         std::function<void()> watch;  // the module asks to be kept informed
         std::function<void()> ready;  // what was open before the restart is with the module
         Report* report;
+        Recording* recording = nullptr;  // where what comes and ends is recorded
     };
     ModuleActor(const Settings& settings, uint64_t seed, std::unique_ptr<Store> store, Ways ways);
     // Rounds, for ever; the first takes up what the store holds.
@@ -83,7 +85,9 @@
         std::shared_ptr<EndpointActor> carrier;  // of that submit
         DestinationIx destination;
         std::string product, key;
+        Instant cameAt;
     };
+    void record(Instant now, const Row& row, const char* end);
 
     void resume(Instant now);
     void take(Instant now, ModuleMail& mail);
@@ -93,7 +97,7 @@
     void pull(Instant now);
     void receive(Instant now);
     void decide(Instant now, const Decision& decision);
-    void answered(TextIx text, Store::Final final, Span pause);
+    void answered(Instant now, TextIx text, Store::Final final, Span pause);
     void dispatch();
     void send(EndpointIx endpoint, std::vector<TextIx> texts);
     std::shared_ptr<EndpointActor> actorOf(EndpointIx endpoint);
