Module: destinations are looked at when they changed; retries are paid for

Change: what can't go is parked until what it waits for (an instant, a slot, a delivery that pays for its next try, a key); of many that could go 64 are compared at a time. Backlogs are lists with handles, texts a hash table; records of silent destinations go back to a seed after a minute (src/index, no decisions in it). Further submits and trials are paid for by deliveries, all slots' worth in four seconds where there are none. Past a quarter of a store that is half full a destination's own cheapest text makes room.

--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -56,6 +56,8 @@
         return spent_ - before;
     }
 
+    void silence(Span span) { runTo(now_ + span); }
+
   private:
     template <class Work>
     void timed(Work work) {
@@ -128,15 +130,17 @@
     ->Unit(benchmark::kMillisecond)
     ->MinTime(0.5);
 
-// What a destination that got one text and fell silent keeps, in the module alone.
+// What a destination keeps that got a few texts and fell silent, in the module alone: at once and at rest.
 void idleBytes(benchmark::State& state) {
     auto destinations = static_cast<uint32_t>(state.range(0));
     for (auto _ : state) {
         size_t before = mallinfo2().uordblks;
         Scripted world(destinations, 0);
         world.texts(static_cast<int>(destinations) * 3);
-        world.texts(0);
-        state.counters["bytes_each"] = static_cast<double>(mallinfo2().uordblks - before) / destinations;
+        size_t used = mallinfo2().uordblks;
+        world.silence(Span::seconds(130));  // rest comes after a minute, in turn
+        state.counters["bytes_used"] = static_cast<double>(used - before) / destinations;
+        state.counters["bytes_idle"] = static_cast<double>(mallinfo2().uordblks - before) / destinations;
     }
 }
 BENCHMARK(idleBytes)->Arg(10000)->Iterations(1)->Unit(benchmark::kMillisecond);
--- a/include/petrelpond/sender.hpp
+++ b/include/petrelpond/sender.hpp
@@ -146,6 +146,8 @@
     virtual void withdrawn(Instant now, TextIx text) = 0;
     virtual void listed(Instant now, ListScope scope, const std::vector<ListEntry>& entries) = 0;
     virtual void listFailed(Instant now) = 0;
+    // Nothing is listed of it and no text is for it: its index becomes another's.
+    virtual void forgotten(Instant, DestinationIx) {}
     virtual void leaving(Instant) {}  // the process ends then; what it holds comes back with its next life
     virtual void woke(Instant) {}     // a timer fell due; next() sees to what that brings
     virtual std::optional<Decision> next(Instant now) = 0;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -3,16 +3,27 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <list>
 #include <map>
 #include <random>
 #include <set>
 #include <tuple>
+#include <unordered_map>
+#include <utility>
 
 #include "petrelpond/sender.hpp"
+#include "src/index/calls_out.hpp"
+#include "src/index/parking.hpp"
+#include "src/index/roster.hpp"
+#include "src/index/served.hpp"
+#include "src/index/texts.hpp"
+#include "src/index/worth.hpp"
 
 namespace petrelpond {
 namespace {
 
+using index::Call, index::Due, index::Falls, index::Text;
+
 struct Chance {
     std::mt19937 source;
     double between(double low, double high) { return low + (high - low) * (source() / 4294967296.0); }
@@ -154,48 +165,45 @@
     int fullRounds = 0, silent = 0;
 };
 
-// Starts of the calls that are out. One that calls begun long after it have overtaken is lost (its connection
-// fell silent, its answer went astray): it keeps its slot, but says nothing of how busy or slow the place is.
-struct InFlight {
-    std::multiset<Instant> starts;
-    Instant answered = Instant::longAgo();  // the latest start of one that was delivered
-    Span late;                              // overtaken by so much it is lost
-    auto live() const { return starts.lower_bound(answered - late); }
-    double count() const { return static_cast<double>(std::distance(live(), starts.end())); }
+// What outlives a silent place's rest where not all is well: a told wait, an outage, what limit was learned.
+struct Kept {
+    ReturnGuard guard;
+    Instant toldUntil;
+    double trust = 1, reportedRate = 0;
+};
+struct PlaceSeed {
+    double listedRate = 0;
+    std::shared_ptr<const Kept> kept;
 };
 
 // What a limit, a pace and an outage belong to: a destination, or one route where routes are separate.
 struct Place {
+    void woke() {
+        if (is.kept) guard = is.kept->guard, toldUntil = is.kept->toldUntil, bucket.trust = is.kept->trust;
+        if (is.kept) reportedRate = is.kept->reportedRate;
+    }
+    PlaceSeed is;
     Bucket bucket;
     InFlight out;
     ReturnGuard guard;
     AnswerTimes times;
     Instant toldUntil = Instant::longAgo();
-    double listedRate = 0, reportedRate = 0;
-    std::deque<Instant> served;  // of the last 20 seconds
+    double reportedRate = 0;
+    Served served;
 
-    double servedRate(Instant now, Span over) {
-        while (!served.empty() && now - served.front() > Span::seconds(20)) served.pop_front();
-        auto from = std::lower_bound(served.begin(), served.end(), now - over);
-        return static_cast<double>(served.end() - from) / over.inSeconds();
-    }
-    double fleetRate() const { return listedRate > 0 ? listedRate : reportedRate; }
+    double fleetRate() const { return is.listedRate > 0 ? is.listedRate : reportedRate; }
     // This sender's part; unknown, what it is served. The design's one call a second floods from hundreds.
     double slice(Instant now, int senders) {
         if (fleetRate() > 0) return fleetRate() / senders;
-        double lately = servedRate(now, Span::seconds(2)), longer = servedRate(now, Span::seconds(20));
+        double lately = served.rate(now, Span::seconds(2)), longer = served.rate(now, Span::seconds(20));
         if (senders <= kFew) return std::max({1.0, lately, longer});
         return std::max({lately / 2, longer, 0.01});
     }
 };
 
 struct Endpoint {
-    DestinationIx destination;
-    ZoneIx zone;
-    KindIx kind;
-    uint32_t place = 0;
-    int misses = 0;  // since it last delivered
-    bool usable = false, gone = false;
+    EndpointSeed is;
+    int misses = 0;      // since it last delivered
     double reach = 4;    // calls that it is thought to take at once (ours)
     double trickle = 0;  // set aside: calls a second it gets; 0: in full use
     Instant trickleAt = Instant::longAgo(), deliveredAt = Instant::longAgo();
@@ -206,49 +214,12 @@
 };
 
 struct Destination {
+    DestinationSeed is;
     std::vector<uint32_t> endpoints;
-    std::vector<TextIx> waiting;
-    uint32_t place = DestinationIx::kNone;  // shared by its endpoints
-};
-
-// What falls due: a look round, a text's last chance of an answer, an idle connection's end.
-enum class Falls { look, text, idle };
-using Due = std::tuple<Instant, Falls, uint32_t>;
-
-struct Text {
-    Arrival arrival;
-    const Product* product = nullptr;
-    Instant firstMayHaveRun = Instant::never(), started;
-    ZoneIx ranIn;
-    EndpointIx at;
-    int64_t call = 0;
-    int submits = 0;
-    bool out = false, over = false, mayHaveRun = false, givenUp = false;
-};
-
-struct Call {
-    int texts = 0, ended = 0;  // ended: of its texts
-    double load = 1;           // beside a call with one text; each further one adds a little (ours)
-};
-
-// Texts of one key go in the order taken; after a submit that may still run the key rests.
-struct KeyOrder {
-    struct Line {
-        std::deque<TextIx> texts;
-        Instant restsUntil = Instant::longAgo();
-        TextIx restsFor;
-    };
-    std::map<uint64_t, Line> keys;
-
-    void taken(uint64_t key, TextIx text) { keys[key].texts.push_back(text); }
-    bool mayGo(uint64_t key, TextIx text, Instant now) const {
-        const Line& line = keys.at(key);
-        return line.texts.front() == text && (now >= line.restsUntil || line.restsFor == text);
-    }
-    void done(uint64_t key, TextIx text) { std::erase(keys[key].texts, text); }
-    void forgetIdle(Instant now) {
-        std::erase_if(keys, [&](auto& k) { return k.second.texts.empty() && now >= k.second.restsUntil; });
-    }
+    std::list<TextIx> waiting;
+    Instant checkedFor = Instant::longAgo();  // its texts' times were held against this turn,
+    size_t unchecked = 0;                     // but for so many of the last
+    Instant usedAt = Instant::longAgo();
 };
 
 // How long connections to a kind of endpoint lie idle: less where they die unseen, which breaks a call, and
@@ -293,11 +264,12 @@
         kinds.emplace_back();  // for those of no known kind
         for (const Kind& k : kinds) sorts_.push_back({k, IdleBound(links.idle, crew_.senders), 0.2});
         if (list.onRequest) askListAt_ = Instant::longAgo();
+        if (room.calls > 0) mostCredit_ = credit_ = room.calls;
     }
 
     // One that was taken on before a restart brings what it has used up: forgotten, it would run twice.
     void arrived(Instant now, const Arrival& a) override {
-        Text& text = texts_[a.text];
+        Text& text = texts_[a.text.value];
         text.arrival = a;
         text.product = a.product.value < products_.size() ? &products_[a.product.value] : nullptr;
         if (!text.product) return toAnswer_.push_back(a.text);
@@ -306,19 +278,29 @@
         if (inOrder(text)) order_.taken(*a.key, a.text);
         if (inOrder(text) && text.mayHaveRun) restKey(now, text);
         dues_.insert({a.validUntil - lastCall(), Falls::text, a.text.value});
+        // One destination's backlog may not fill a store that others need: past a quarter of a store that is
+        // half full, what earns less of its oldest and its newest is told now when to come back.
         queue(now, text);
+        auto& backlog = destination(a.destination).waiting;
+        size_t most = room_.held > 0 ? room_.held : SIZE_MAX / 4;
+        if (2 * texts_.size() <= most || 4 * backlog.size() <= most) return;
+        Text& oldest = texts_.at(backlog.front().value);
+        Instant then = now + room_.longestPause;
+        bool old = mayNack(oldest) && worth(oldest, then) < worth(text, then);
+        toAnswer_.push_back(old ? oldest.arrival.text : a.text), unqueue(old ? oldest : text);
     }
 
     void ended(Instant now, const SubmitEnd& e) override {
-        auto found = texts_.find(e.text);
+        auto found = texts_.find(e.text.value);
         if (found == texts_.end() || !found->second.out) return;
         Text& text = found->second;
-        text.out = false;
+        text.out = false, outTexts_.erase(e.text);
         noteCall(now, text, e);
+        touch(text.arrival.destination.value);
         bool mayRun =
             e.end == End::error || e.end == End::timeout || e.end == End::reset || e.end == End::cancelled;
         if (mayRun && !text.mayHaveRun)
-            text.firstMayHaveRun = text.started, text.ranIn = endpoints_[text.at.value].zone;
+            text.firstMayHaveRun = text.started, text.ranIn = endpoints_[text.at.value].is.zone;
         text.mayHaveRun = text.mayHaveRun || mayRun;
         if (inOrder(text) && mayRun && e.end != End::error) restKey(now, text);
         e.over || text.over ? forget(e.text) : queue(now, text);
@@ -326,7 +308,7 @@
     }
 
     void withdrawn(Instant, TextIx text) override {
-        auto found = texts_.find(text);
+        auto found = texts_.find(text.value);
         if (found == texts_.end()) return;
         found->second.over = true;
         unqueue(found->second);
@@ -335,16 +317,31 @@
 
     void listed(Instant, ListScope scope, const std::vector<ListEntry>& entries) override {
         if (scope != ListScope::old) listFailures_ = 0;
-        for (Endpoint& e : endpoints_)
-            if (scope != ListScope::changes) e.usable = false, e.gone = e.gone || scope == ListScope::whole;
+        bool whole = scope == ListScope::whole, all = scope != ListScope::changes;
+        auto unlist = [&](EndpointSeed& e) { e.usable = false, e.gone = e.gone || whole; };
+        for (uint32_t i = 0; all && i < endpoints_.size(); ++i) endpoints_.reseed(i, unlist);
         for (const ListEntry& entry : entries) {
-            if (entry.endpoint.value >= endpoints_.size()) endpoints_.resize(entry.endpoint.value + 1);
-            Endpoint& e = endpoints_[entry.endpoint.value];
-            if (!e.destination.known()) place(entry, e);
-            e.usable = entry.state == Listed::active, e.gone = entry.state == Listed::gone;
-            if (listRule_.ratesListed && entry.rate > 0) places_[e.place].listedRate = entry.rate;
+            uint32_t ix = entry.endpoint.value;
+            endpoints_.cover(ix);
+            if (!endpoints_.seed(ix).destination.known()) place(entry);
+            bool usable = entry.state == Listed::active, gone = entry.state == Listed::gone;
+            endpoints_.reseed(ix, [&](EndpointSeed& e) { e.usable = usable, e.gone = gone; });
+            auto relist = [&](PlaceSeed& p) { p.listedRate = entry.rate; };
+            if (listRule_.ratesListed && entry.rate > 0) places_.reseed(endpoints_.seed(ix).place, relist);
+            touch(entry.destination.value);
         }
-        for (uint32_t i = 0; i < endpoints_.size(); ++i) freeIfGone(i);
+        for (const ListEntry& entry : entries) freeIfGone(entry.endpoint.value);
+        for (uint32_t i = 0; all && i < endpoints_.size(); ++i) freeIfGone(i);
+    }
+
+    // The host gives the index to another name, which inherits nothing.
+    void forgotten(Instant, DestinationIx d) override {
+        destinations_.rest(d.value);
+        auto free = [&](DestinationSeed& seed) {
+            if (seed.place != kNone) freePlace(seed.place);
+            seed = {};
+        };
+        destinations_.reseed(d.value, free);
     }
 
     // All may break at one moment, hence the jitter; sooner than we are deemed told, so that drains are kept.
@@ -363,14 +360,15 @@
             auto [at, what, which] = *dues_.begin();
             dues_.erase(dues_.begin());
             if (what == Falls::idle) toClose_.push_back(EndpointIx(which));
+            if (what == Falls::look) which == kNone ? parking_.releaseAll(Row::key) : touch(which);
             if (what != Falls::text) continue;
-            auto found = texts_.find(TextIx(which));
+            auto found = texts_.find(which);
             if (found == texts_.end() || found->second.over || found->second.out) continue;
             unqueue(found->second);
-            toAnswer_.push_back(found->first);
+            toAnswer_.push_back(TextIx(which));
         }
         while (!toAnswer_.empty()) {
-            auto found = texts_.find(toAnswer_.front());
+            auto found = texts_.find(toAnswer_.front().value);
             toAnswer_.pop_front();
             if (found != texts_.end() && !found->second.out) return answer(now, found->second);
         }
@@ -385,9 +383,10 @@
         while (!toClose_.empty()) {
             EndpointIx ix = toClose_.back();
             toClose_.pop_back();
-            const Endpoint& e = endpoints_[ix.value];
-            if (!e.out.starts.empty()) continue;
-            Instant end = e.usedAt + sort(e).idle.span;  // which may have moved on since
+            const Endpoint* e = endpoints_.find(ix.value);
+            if (!e) return CloseIdle{ix};  // at rest: silent for long
+            if (!e->out.starts.empty()) continue;
+            Instant end = e->usedAt + sort(e->is).idle.span;  // which may have moved on since
             if (now >= end) return CloseIdle{ix};
             dues_.insert({end, Falls::idle, ix.value});
         }
@@ -398,40 +397,73 @@
     }
 
   private:
-    Destination& destination(DestinationIx d) {
-        destinations_.resize(std::max<size_t>(destinations_.size(), d.value + 1));
-        return destinations_[d.value];
+    Destination& destination(DestinationIx ix) {
+        if (Destination* d = destinations_.find(ix.value)) return *d;
+        Destination& d = destinations_[ix.value];
+        d.endpoints = endpointsFrom(endpoints_, d.is.first);
+        return d;
+    }
+    Sort& sort(const EndpointSeed& e) { return sorts_[std::min<size_t>(e.kind.value, sorts_.size() - 1)]; }
+    Sort& sort(const Endpoint& e) { return sort(e.is); }
+    // Something about it changed, so that a text there may go.
+    void touch(uint32_t ix) {
+        const Destination* d = destinations_.find(ix);
+        if (d && !d->waiting.empty()) parking_.ready(ix);
     }
-    Sort& sort(const Endpoint& e) { return sorts_[std::min<size_t>(e.kind.value, sorts_.size() - 1)]; }
     Span lastCall() const { return room_.tick * 2 + Span::millis(1); }
     bool inOrder(const Text& t) const { return t.arrival.key && t.product && t.product->inOrder; }
 
-    void place(const ListEntry& entry, Endpoint& e) {
-        e.destination = entry.destination, e.zone = entry.zone, e.kind = entry.kind;
-        Destination& d = destination(entry.destination);
-        bool first = d.place == DestinationIx::kNone, own = sort(e).kind.separateRoutes;
-        e.place = own || first ? freshPlace() : d.place;
-        if (!own) d.place = e.place;
-        d.endpoints.push_back(entry.endpoint.value);
+    void place(const ListEntry& entry) {
+        uint32_t d = entry.destination.value;
+        EndpointSeed e{entry.destination, entry.zone, entry.kind, 0, kNone, false, false};
+        bool own = sort(e).kind.separateRoutes;
+        destinations_.cover(d);
+        e.place = destinations_.seed(d).place;
+        if (own || e.place == kNone) e.place = freePlaces_.take(), places_.cover(e.place);
+        if (!own) destinations_.reseed(d, [&](DestinationSeed& at) { at.place = e.place; });
+        link(endpoints_, destinations_, entry.endpoint.value, e);
     }
-    uint32_t freshPlace() {
-        if (freePlaces_.empty()) places_.emplace_back(), freePlaces_.push_back(places_.size() - 1);
-        uint32_t ix = freePlaces_.back();
-        return freePlaces_.pop_back(), ix;
+    void freePlace(uint32_t ix) {
+        places_.rest(ix), freePlaces_.give(ix);
+        places_.reseed(ix, [](PlaceSeed& p) { p = {}; });
     }
     // The host gives the index to another, which inherits no belief. What is known of the destination stays.
     void freeIfGone(uint32_t ix) {
-        Endpoint& e = endpoints_[ix];
-        if (!e.gone || !e.out.starts.empty() || !e.destination.known()) return;
-        std::erase(destination(e.destination).endpoints, ix);
-        if (sort(e).kind.separateRoutes) places_[e.place] = Place(), freePlaces_.push_back(e.place);
-        e = Endpoint();
+        if (ix >= endpoints_.size()) return;
+        const Endpoint* whole = endpoints_.find(ix);
+        EndpointSeed e = endpoints_.seed(ix);
+        if (!e.gone || (whole && !whole->out.starts.empty()) || !e.destination.known()) return;
+        unlink(endpoints_, destinations_, ix);
+        if (sort(e).kind.separateRoutes) freePlace(e.place);
+    }
+
+    // Silent for a minute, a destination goes back to its seed; what is to outlive that is kept small. Harm:
+    // answer times are learned anew, and what a destination without a known rate was thought to take.
+    void restIfStill(Instant now, uint32_t ix) {
+        Destination* d = destinations_.find(ix);
+        if (!d || !d->waiting.empty() || now - d->usedAt < Span::seconds(60)) return;
+        for (uint32_t e : d->endpoints)
+            if (const Endpoint* at = endpoints_.find(e); at && !at->out.starts.empty()) return;
+        for (uint32_t e : d->endpoints) {
+            uint32_t place = endpoints_.seed(e).place;
+            endpoints_.rest(e);
+            const Place* p = places_.find(place);
+            if (!p) continue;
+            bool well = p->guard.phase != Phase::down && p->toldUntil <= now && p->bucket.trust >= 1;
+            auto kept =
+                std::make_shared<const Kept>(p->guard, p->toldUntil, p->bucket.trust, p->reportedRate);
+            if (well && p->reportedRate <= 0) kept = nullptr;
+            places_.reseed(place, [&](PlaceSeed& seed) { seed.kept = kept; });
+            places_.rest(place);
+        }
+        destinations_.rest(ix);
     }
 
     void noteCall(Instant now, const Text& text, const SubmitEnd& e) {
         Endpoint& at = endpoints_[text.at.value];
-        Place& p = places_[at.place];
+        Place& p = places_[at.is.place];
         if (e.reportedLimit) p.reportedRate = *e.reportedLimit;
+        destination(text.arrival.destination).usedAt = now;
         Call& call = calls_[text.call];
         bool first = call.ended++ == 0;  // a call's texts share its fate: it counts once
         double load = call.load;
@@ -439,6 +471,7 @@
         if (--call.texts == 0) {
             calls_.erase(text.call);
             --callsOut_;
+            parking_.release(Row::slot, kCompared);
             for (auto* out : {&p.out, &at.out}) out->starts.erase(out->starts.find(text.started));
             Span idle = sort(at).idle.span;
             if (idle < links_.idle) dues_.insert({now + idle, Falls::idle, text.at.value});
@@ -468,7 +501,10 @@
             if (at.out.count() + 2 > at.reach) at.reach += 1 / at.reach;
             p.out.late = at.out.late = Span::seconds(overdueAfter(p, 1));
             for (auto* out : {&p.out, &at.out}) out->answered = std::max(out->answered, text.started);
-            p.served.push_back(now);
+            p.served.add(now);
+            // Each delivery pays for one further submit somewhere.
+            credit_ = std::min(credit_ + 1, mostCredit_);
+            parking_.release(Row::pay, 1);
             if (p.bucket.pacedSince(text.started)) sort(at).pace = std::min(sort(at).pace * 1.25, 0.5);
             p.bucket.succeeded(now, p.fleetRate() > 0 ? slice : 1e9, p.fleetRate() > 0 ? p.fleetRate() : 1e9);
             p.guard.delivered(now);
@@ -487,11 +523,11 @@
         }
         // An endpoint that misses while a fellow lives (its calls are not overdue) is its own trouble.
         bool lives = false;
-        for (uint32_t i : destination(at.destination).endpoints) {
+        for (uint32_t i : destination(at.is.destination).endpoints) {
             const Endpoint& f = endpoints_[i];
             double age = f.out.count() <= 0 ? 0 : (now - std::max(*f.out.live(), f.deliveredAt)).inSeconds();
-            lives |=
-                &f != &at && f.place == at.place && f.usable && f.misses == 0 && age < overdueAfter(p, load);
+            lives |= &f != &at && f.is.place == at.is.place && f.is.usable && f.misses == 0 &&
+                     age < overdueAfter(p, load);
         }
         bool sure = ++at.misses > (e.end == End::unreachable ? 2 : 1) || e.end == End::timeout;
         if (e.end != End::full && lives && at.deliveredAt < text.started)
@@ -502,7 +538,7 @@
 
     void setAside(Instant now, Endpoint& e) {
         // A busy place misses an endpoint more, and learns sooner that it is well.
-        double first = std::max(0.5, 0.05 * places_[e.place].servedRate(now, Span::seconds(2)));
+        double first = std::max(0.5, 0.05 * places_[e.is.place].served.rate(now, Span::seconds(2)));
         e.trickle = e.trickle > 0 ? std::max(e.trickle / 2, 0.2 * first) : first;
         e.trickleAt = now + chance_.about(Span::seconds(0.75 / e.trickle));
     }
@@ -517,58 +553,63 @@
 
     // Rule 2's word on a nack: it promises that nothing took effect that a repeat would double.
     static bool mayNack(const Text& t) { return !t.mayHaveRun || t.product->effect == Effect::resendable; }
-    Decision answer(Instant now, const Text& t) {
+    Decision answer(Instant now, Text& t) {
         Decision d = Undeliverable{t.arrival.text};
         bool over = now + lastCall() >= t.arrival.validUntil;
         if (mayNack(t)) d = Nack{t.arrival.text, over ? Span() : room_.longestPause};
-        return unqueue(t), forget(t.arrival.text), d;
+        unqueue(t), forget(t.arrival.text);
+        return d;
     }
 
     void restKey(Instant now, const Text& t) {
         KeyOrder::Line& line = order_.keys[*t.arrival.key];
         line.restsUntil = now + links_.orderRest, line.restsFor = t.arrival.text;
-        dues_.insert({line.restsUntil, Falls::look, 0});
+        dues_.insert({line.restsUntil, Falls::look, kNone});
     }
 
     void forget(TextIx ix) {
-        Text& t = texts_[ix];
-        if (inOrder(t)) order_.done(*t.arrival.key, ix);
+        Text& t = texts_.at(ix.value);
+        if (inOrder(t)) {
+            order_.done(*t.arrival.key, ix);
+            auto next = texts_.find(order_.first(*t.arrival.key).value);
+            if (next != texts_.end()) touch(next->second.arrival.destination.value);
+        }
         dues_.erase({t.arrival.validUntil - lastCall(), Falls::text, ix.value});
-        texts_.erase(ix);
+        outTexts_.erase(ix);
+        texts_.erase(ix.value);
     }
 
-    void queue(Instant now, const Text& t) {
+    void queue(Instant now, Text& t) {
         if (!maySubmitAgain(now, t)) return toAnswer_.push_back(t.arrival.text);
-        destination(t.arrival.destination).waiting.push_back(t.arrival.text);
+        Destination& d = destination(t.arrival.destination);
+        t.spot = d.waiting.insert(d.waiting.end(), t.arrival.text), t.queued = true;
+        ++d.unchecked, d.usedAt = now;
         waiting_.insert(t.arrival.destination.value);
+        touch(t.arrival.destination.value);
     }
-    void unqueue(const Text& t) {
+    void unqueue(Text& t) {
+        if (!std::exchange(t.queued, false)) return;
+        uint32_t ix = t.arrival.destination.value;
         auto& w = destination(t.arrival.destination).waiting;
-        std::erase(w, t.arrival.text);
-        if (w.empty()) waiting_.erase(t.arrival.destination.value);
+        w.erase(t.spot);
+        if (w.empty()) waiting_.erase(ix), parking_.leave(ix);
     }
 
-    double earns(const Text& t, Instant at) const {
-        const Product& p = *t.product;
-        double late = (at - (t.arrival.validUntil - p.validity) - p.sla).inSeconds();
-        if (at >= t.arrival.validUntil) return 0;
-        if (late <= 0) return p.revenue;
-        double span = std::max((decay_ == Decay::halving ? p.sla : p.validity - p.sla).inSeconds(), 0.001);
-        if (decay_ == Decay::halving) return p.revenue * std::max(p.lateShare, std::pow(0.5, late / span));
-        return p.revenue * (1 - (1 - p.lateShare) * std::min(1.0, late / span));
+    double worth(const Text& t, Instant at) const {
+        return earns(*t.product, t.arrival.validUntil, at, decay_);
     }
 
     bool mayGo(const Text& t, Instant now, const Endpoint& e) const {
         if (!maySubmitAgain(now, t)) return false;
         bool tied = t.mayHaveRun && t.product->effect == Effect::referenced && t.product->memoryByZone;
-        if (tied && e.zone != t.ranIn) return false;
+        if (tied && e.is.zone != t.ranIn) return false;
         return !inOrder(t) || order_.mayGo(*t.arrival.key, t.arrival.text, now);
     }
 
     // Room at an endpoint for one more call, zero if it may not have one.
     double roomAt(Instant now, const Endpoint& e) {
-        if (!e.usable) return 0;
-        Place& p = places_[e.place];
+        if (!e.is.usable) return 0;
+        Place& p = places_[e.is.place];
         if (now < p.toldUntil) return blockedUntil(p.toldUntil);
         double out = e.out.count();
         bool down = p.guard.phase == Phase::down;
@@ -578,11 +619,11 @@
             return (down ? p.out : e.out).count() > 0 ? 0 : 1;
         }
         // Where calls carry many texts, what comes meanwhile travels with the next: limits count calls.
-        size_t waiting = destinations_[e.destination.value].waiting.size();
+        size_t waiting = destination(e.is.destination).waiting.size();
         if (out > 0 && waiting < static_cast<size_t>(sort(e).kind.batch)) return 0;
         double room = e.reach - out;
         if (room < 1 && out > 0) return 0;
-        if (e.zone != crew_.zone) room *= 0.5;
+        if (e.is.zone != crew_.zone) room *= 0.5;
         if (sort(e).kind.separateRoutes && p.fleetRate() > 0) return p.fleetRate();  // their limits differ
         room = std::max(room, 1.0);
         // A connection that lies idle is room at hand: it saves a handshake, and a place in a full table.
@@ -594,22 +635,26 @@
     }
 
     bool paced(Instant now, const Endpoint& e) {
-        Place& p = places_[e.place];
+        Place& p = places_[e.is.place];
         double slice = std::max(p.slice(now, crew_.senders), p.fleetRate() > 0 ? 0 : p.guard.before);
         double cap = p.guard.budget(now, slice, crew_.senders > kFew, cold_);
         if (p.bucket.ready(now, cap, chance_) || p.guard.phase == Phase::down) return true;
         blockedUntil(p.bucket.askAt);
         // A text whose turn comes after its time is answered now; its program may find a freer sender.
         if (sort(e).kind.separateRoutes) return false;
-        for (TextIx t : destinations_[e.destination.value].waiting)
-            if (texts_[t].arrival.validUntil < p.bucket.askAt) toAnswer_.push_back(t);
+        Destination& d = destination(e.is.destination);
+        size_t held = d.waiting.size(),
+               fresh = d.checkedFor == p.bucket.askAt ? std::min(d.unchecked, held) : held;
+        for (auto t = std::prev(d.waiting.end(), static_cast<long>(fresh)); t != d.waiting.end(); ++t)
+            if (texts_.at(t->value).arrival.validUntil < p.bucket.askAt) toAnswer_.push_back(*t);
+        d.checkedFor = p.bucket.askAt, d.unchecked = 0;
         return false;
     }
 
-    double blockedUntil(Instant at) { return dues_.insert({at, Falls::look, 0}), 0; }
+    double blockedUntil(Instant at) { return blocked_ = std::min(blocked_, at), 0; }
 
     // The longer a destination's calls take, the fewer of the free slots it gets: none hung or slow gets all.
-    bool slotFor(const Destination& d, double takes) const {
+    bool slotFor(const Destination& d, double takes) {
         if (room_.calls <= 0) return true;
         int free = room_.calls - callsOut_;
         double alpha = std::clamp(2 * usualTime_ / std::max(takes, 0.001), 0.25, 4.0);
@@ -618,10 +663,10 @@
         return out < std::max(1.0, alpha * free);
     }
 
-    double callTime(Instant now, const Destination& d) const {
+    double callTime(Instant now, const Destination& d) {
         double best = 1e9;
         for (uint32_t e : d.endpoints) {
-            const Place& p = places_[endpoints_[e].place];
+            const Place& p = places_[endpoints_[e].is.place];
             double ages = 0;
             for (auto at = p.out.live(); at != p.out.starts.end(); ++at) ages += (now - *at).inSeconds();
             best = std::min(best, p.times.mean(ages, usualTime_));
@@ -629,41 +674,65 @@
         return best;
     }
 
+    // Only destinations about which something changed are looked at; what can't go now is parked until what
+    // it waits for: an instant, a slot, a delivery that pays for its next try, a key. Of many that could go
+    // so many are compared at a time, in turn (ours): the rest lose a round at most.
     void startCall(Instant now) {
         bool full = room_.calls > 0 && callsOut_ >= room_.calls;
-        Destination* best = nullptr;
-        double bestScore = -1;
-        size_t bestAt = 0, bestText = 0;
-        for (uint32_t ix : waiting_) {
-            Destination& d = destinations_[ix];
-            judge(now, d);
-            double takes = callTime(now, d);
-            if (!full && !slotFor(d, takes)) continue;
-            // Cut off as the process ends, a call may have run, which loses a once-only text for good.
-            if (now + Span::seconds(2 * takes) > leavesAt_) continue;
-            // Which endpoint: drawn by room among those whose place may have a call now.
-            size_t at = 0;
-            double sum = 0;
-            for (uint32_t e : d.endpoints) {
-                double room = roomAt(now, endpoints_[e]);
-                if (room <= 0 || !paced(now, endpoints_[e])) continue;
-                sum += room;
-                if (chance_.between(0, sum) < room) at = e;
-            }
-            if (sum <= 0) continue;
-            bool trial = places_[endpoints_[at].place].guard.phase == Phase::down;
-            Instant soon = now + Span::seconds(takes);
-            Span backlog = Span::seconds(std::clamp(static_cast<double>(d.waiting.size()) * takes, 1.0, 8.0));
-            for (size_t i = 0; i < d.waiting.size(); ++i) {
-                const Text& t = texts_[d.waiting[i]];
-                if (!mayGo(t, now, endpoints_[at])) continue;
-                // What passing it over until the backlog has gone loses; a little for what it earns at all.
-                double score = (1.05 * earns(t, soon) - earns(t, soon + backlog)) / takes;
-                if (trial) score *= std::pow(0.5, t.submits);  // else one text uses up its submits
-                if (score > bestScore) bestScore = score, best = &d, bestAt = at, bestText = i;
-            }
+        if (full) parking_.release(Row::slot, kCompared);
+        best_ = nullptr, bestScore_ = -1;
+        parking_.row(Row::ready).turn(kCompared, looked_);
+        for (uint32_t ix : looked_) consider(now, ix, full);
+        if (best_) full ? freeSlot(now) : submitCall(now, *best_, bestAt_, bestText_);
+    }
+
+    void consider(Instant now, uint32_t ix, bool full) {
+        Destination& d = destination(DestinationIx(ix));
+        blocked_ = Instant::never();
+        judge(now, d);
+        double takes = callTime(now, d);
+        if (!full && !slotFor(d, takes)) return park(ix, Row::slot);
+        // Cut off as the process ends, a call may have run, which loses a once-only text for good.
+        if (now + Span::seconds(2 * takes) > leavesAt_) return park(ix);
+        // Which endpoint: drawn by room among those whose place may have a call now.
+        size_t at = 0;
+        double sum = 0;
+        for (uint32_t e : d.endpoints) {
+            double room = roomAt(now, endpoints_[e]);
+            if (room <= 0 || !paced(now, endpoints_[e])) continue;
+            sum += room;
+            if (chance_.between(0, sum) < room) at = e;
         }
-        if (best) full ? freeSlot(now) : submitCall(now, *best, bestAt, bestText);
+        if (sum <= 0) return park(ix);
+        bool trial = places_[endpoints_[at].is.place].guard.phase == Phase::down;
+        bool unpaid = false, ordered = false;
+        Instant soon = now + Span::seconds(takes);
+        Span backlog = Span::seconds(std::clamp(static_cast<double>(d.waiting.size()) * takes, 1.0, 8.0));
+        int compared = 0;
+        double own = -1;
+        TextIx text;
+        for (TextIx each : d.waiting) {
+            if (++compared > kTexts && text.known()) break;
+            const Text& t = texts_.at(each.value);
+            ordered |= inOrder(t);
+            if (!mayGo(t, now, endpoints_[at])) continue;
+            // Of what fails, no more than what others deliver: the work wasted stays bounded (ours).
+            bool mayPay = credit_ >= 1 || (!trial && t.submits == 0);
+            unpaid |= !mayPay;
+            if (!mayPay) continue;
+            // What passing it over until the backlog has gone loses; a little for what it earns at all.
+            double score = (1.05 * worth(t, soon) - worth(t, soon + backlog)) / takes;
+            if (trial) score *= std::pow(0.5, t.submits);  // else one text uses up its submits
+            if (score > own) own = score, text = each;
+        }
+        if (!text.known()) return unpaid ? park(ix, Row::pay) : ordered ? park(ix, Row::key) : void();
+        if (own > bestScore_) bestScore_ = own, best_ = &d, bestAt_ = at, bestText_ = text;
+    }
+
+    // A row to wait in where it waits for something else than an instant.
+    void park(uint32_t ix, Row row = Row::none) {
+        parking_.park(ix, row);
+        if (blocked_ < Instant::never()) dues_.insert({blocked_, Falls::look, ix});
     }
 
     double overdueAfter(const Place& p, double load) const {
@@ -677,11 +746,11 @@
         if (!room_.cancel) return;
         const Text* stuck = nullptr;
         double most = 6;
-        for (const auto& [ix, t] : texts_) {
-            if (!t.out) continue;
+        for (TextIx ix : outTexts_) {
+            const Text& t = texts_.at(ix.value);
             if (t.givenUp) return;
             double age = (now - t.started).inSeconds();
-            const Place& p = places_[endpoints_[t.at.value].place];
+            const Place& p = places_[endpoints_[t.at.value].is.place];
             double overdue = age / (p.times.high * calls_[t.call].texts + 0.001);
             bool dear = t.product->effect == Effect::onceOnly, kept = dear && p.guard.phase == Phase::down;
             bool hopeless = hope_ < 0.3 && !kept && age > overdueAfter(p, calls_[t.call].load);
@@ -689,19 +758,20 @@
             if (overdue > most && (hopeless || age > t.product->sla.inSeconds())) most = overdue, stuck = &t;
         }
         if (!stuck) return;
-        for (auto& [ix, t] : texts_)
-            if (t.out && t.call == stuck->call)
-                t.givenUp = true, out_.push_back(CancelSubmit{ix, t.submits - 1});
+        for (TextIx ix : outTexts_) {
+            Text& t = texts_.at(ix.value);
+            if (t.call == stuck->call) t.givenUp = true, out_.push_back(CancelSubmit{ix, t.submits - 1});
+        }
     }
 
-    void submitCall(Instant now, Destination& d, size_t at, size_t firstText) {
+    void submitCall(Instant now, Destination& d, size_t at, TextIx firstText) {
         Endpoint& e = endpoints_[at];
-        Place& p = places_[e.place];
+        Place& p = places_[e.is.place];
         int64_t call = nextCall_++;
-        std::vector<TextIx> going = {d.waiting[firstText]};
+        std::vector<TextIx> going = {firstText};
         for (TextIx ix : d.waiting) {
             if (static_cast<int>(going.size()) >= std::max(1, sort(e).kind.batch)) break;
-            const Text& t = texts_[ix];
+            const Text& t = texts_.at(ix.value);
             if (ix == going.front() || inOrder(t) || !mayGo(t, now, e)) continue;
             if (p.guard.phase == Phase::down && 2 * t.submits >= room_.submits) continue;
             going.push_back(ix);
@@ -709,8 +779,10 @@
         double load = 1 + 0.2 * (static_cast<double>(going.size()) - 1);
         if (e.out.starts.empty()) e.idleAt = e.usedAt;
         for (TextIx ix : going) {
-            Text& t = texts_[ix];
+            Text& t = texts_.at(ix.value);
             unqueue(t);
+            outTexts_.insert(ix);
+            if (t.submits > 0 || p.guard.phase == Phase::down) credit_ -= 1;
             t.at = EndpointIx(at), t.started = now, t.call = call, t.out = true, t.givenUp = false,
             ++t.submits;
             out_.push_back(Submit{ix, t.at, timeout(now, t, p, load)});
@@ -735,53 +807,71 @@
     std::optional<Decision> makeRoom(Instant now) {
         int spare = room_.held - static_cast<int>(texts_.size());
         if (room_.held <= 0 || spare >= 2 + room_.held / 20) return std::nullopt;
-        const Text* least = nullptr;
-        double lowest = 1e9, drain = 0;
-        for (uint32_t place : waiting_) {
-            const Destination& d = destinations_[place];
+        std::vector<std::tuple<double, TextIx, double>> all;  // what it will earn, when the backlog has gone
+        for (uint32_t ix : waiting_) {
+            const Destination& d = destination(DestinationIx(ix));
             double rate = 0;
             for (uint32_t e : d.endpoints)
-                rate = std::max(rate, places_[endpoints_[e].place].servedRate(now, Span::seconds(2)));
+                rate = std::max(rate, places_[endpoints_[e].is.place].served.rate(now, Span::seconds(2)));
             double wait = static_cast<double>(d.waiting.size()) / std::max(rate, 0.5);
-            for (TextIx ix : d.waiting) {
-                const Text& t = texts_[ix];
+            for (TextIx each : d.waiting) {
+                const Text& t = texts_.at(each.value);
                 if (!mayNack(t)) continue;
-                double w = earns(t, now + Span::seconds(wait)) + 0.01 * earns(t, now);
-                if (w < lowest) lowest = w, least = &t, drain = wait;
+                all.emplace_back(worth(t, now + Span::seconds(wait)) + 0.01 * worth(t, now), each, wait);
             }
         }
-        if (!least) return std::nullopt;
-        Nack nack{least->arrival.text, std::min(Span::seconds(drain), room_.longestPause)};
-        unqueue(*least), forget(nack.text);
-        return nack;
+        if (all.empty()) return std::nullopt;
+        // A big store makes room for some at a time: looking through it costs.
+        size_t some = std::min<size_t>(all.size(), 1 + static_cast<size_t>(room_.held) / 2000);
+        std::partial_sort(all.begin(), all.begin() + static_cast<long>(some), all.end());
+        for (size_t i = 0; i < some; ++i) {
+            auto [worth, ix, wait] = all[i];
+            out_.push_back(Nack{ix, std::min(Span::seconds(wait), room_.longestPause)});
+            unqueue(texts_.at(ix.value)), forget(ix);
+        }
+        Decision first = out_.back();
+        return out_.pop_back(), first;
     }
 
     void tick(Instant now) {  // all periodic work
         tickAt_ = now + Span::millis(250);
         if (now >= askListAt_) askListAt_ = Instant::never(), out_.push_back(WatchList{});
         order_.forgetIdle(now);
+        // Where nothing is delivered at all, so much is tried all the same: all slots once in four seconds.
+        credit_ = std::min(credit_ + mostCredit_ / 16, mostCredit_);
+        parking_.release(Row::pay, static_cast<size_t>(mostCredit_ / 16) + 1);
+        for (size_t n = destinations_.size() / 200 + 1; n > 0 && destinations_.size() > 0; --n)
+            restIfStill(now, static_cast<uint32_t>(sweepAt_++ % destinations_.size()));
         for (Sort& sort : sorts_) sort.idle.ease();
     }
 
     // A high quantile of each endpoint's answer times against its fellows'.
     void judge(Instant now, const Destination& d) {
+        if (d.endpoints.size() < 2) return;
         for (uint32_t i : d.endpoints) {
             Endpoint& e = endpoints_[i];
-            std::vector<double> fellows;
+            if (!e.is.usable || e.trickle > 0) continue;
+            fellows_.clear();
             for (uint32_t j : d.endpoints) {
                 const Endpoint& f = endpoints_[j];
-                if (j != i && f.usable && f.times.count > 0 && f.trickle <= 0)
-                    fellows.push_back(f.times.high);
+                if (j != i && f.is.usable && f.times.count > 0 && f.trickle <= 0)
+                    fellows_.push_back(f.times.high);
             }
-            if (!e.usable || e.trickle > 0 || fellows.empty()) continue;
+            if (fellows_.empty()) continue;
             double own = e.times.count < 4 ? 0 : e.times.high;
             if (e.out.count() > 0) own = std::max(own, (now - *e.out.live()).inSeconds());
-            auto median = fellows.begin() + fellows.size() / 2;
-            std::nth_element(fellows.begin(), median, fellows.end());
-            if (own > 4 * *median) setAside(now, e);
+            auto median = fellows_.begin() + static_cast<long>(fellows_.size() / 2);
+            std::nth_element(fellows_.begin(), median, fellows_.end());
+            if (own > 4 * *median) {
+                setAside(now, e);
+            } else if (e.out.count() > 0) {  // looked at again when it would be too slow
+                blockedUntil(std::max(*e.out.live() + Span::seconds(4 * *median), now) + Span::millis(1));
+            }
         }
     }
 
+    static constexpr size_t kCompared = 64;  // destinations
+    static constexpr int kTexts = 256;       // of one destination
     Chance chance_;
     std::vector<Product> products_;
     std::vector<Sort> sorts_;
@@ -792,12 +882,20 @@
     Decay decay_;
     Links links_;
     KeyOrder order_;
-    std::vector<Destination> destinations_;
+    Lazy<Destination, DestinationSeed> destinations_;
+    Lazy<Place, PlaceSeed> places_;
+    Lazy<Endpoint, EndpointSeed> endpoints_;
     std::set<uint32_t> waiting_;  // destinations with texts to go
-    std::vector<Place> places_;
-    std::vector<uint32_t> freePlaces_;
-    std::vector<Endpoint> endpoints_;
-    std::map<TextIx, Text> texts_;
+    Parking parking_;             // of those
+    FreeIndices freePlaces_;
+    std::vector<uint32_t> looked_;
+    std::vector<double> fellows_;
+    Destination* best_ = nullptr;  // of those compared
+    size_t bestAt_ = 0;
+    TextIx bestText_;
+    Instant blocked_;  // of the destination looked at: when to look again
+    std::unordered_map<uint32_t, Text> texts_;
+    std::set<TextIx> outTexts_;
     std::map<int64_t, Call> calls_;
     std::set<Due> dues_;
     std::deque<Decision> out_;
@@ -805,7 +903,8 @@
     std::vector<EndpointIx> toClose_;
     Instant tickAt_ = Instant::longAgo(), armed_ = Instant::never(), askListAt_ = Instant::never();
     Instant leavesAt_ = Instant::never();
-    double usualTime_ = 0.3, hope_ = 1;
+    double usualTime_ = 0.3, hope_ = 1, mostCredit_ = 256, credit_ = 256, bestScore_ = 0;
+    size_t sweepAt_ = 0;
     int callsOut_ = 0, listFailures_ = 0;
     int64_t nextCall_ = 0;
 };
