Host: text indices used again, no threads for silent endpoints, names freed

Need: an endpoint that was met kept a thread for ever, a destination its name; text indices ended after 4 billion.

Results carry memory and threads by second.

--- a/fleet/process.cpp
+++ b/fleet/process.cpp
@@ -189,7 +189,11 @@
     if (size_t found = status.find("VmHWM:"); found != std::string::npos) {
         used_.memoryMb = std::max(used_.memoryMb, std::atof(status.c_str() + found + 6) / 1000);
     }
-    used_.threads = std::max(used_.threads, countIn(at + "/task"));
+    size_t resident = status.find("VmRSS:");
+    used_.memoryBySecond.push_back(
+        resident == std::string::npos ? 0 : std::atof(status.c_str() + resident + 6) / 1000);
+    used_.threadsBySecond.push_back(countIn(at + "/task"));
+    used_.threads = std::max(used_.threads, used_.threadsBySecond.back());
     used_.descriptors = std::max(used_.descriptors, countIn(at + "/fd"));
 }
 
--- a/fleet/result.cpp
+++ b/fleet/result.cpp
@@ -168,6 +168,8 @@
                                   {"memory_mb", s.memoryMb},
                                   {"threads", s.threads},
                                   {"descriptors", s.descriptors},
+                                  {"memory_by_second", s.memoryBySecond},
+                                  {"threads_by_second", s.threadsBySecond},
                                   {"starts", s.starts}});
     }
     out["breaches"] = json::array();
@@ -204,8 +206,8 @@
                             s.at("group_limits")});
     }
     for (const auto& s : v.at("senders")) {
-        r.senders.push_back(
-            {s.at("cpu_seconds"), s.at("memory_mb"), s.at("threads"), s.at("descriptors"), s.at("starts")});
+        r.senders.push_back({s.at("cpu_seconds"), s.at("memory_mb"), s.at("threads"), s.at("descriptors"),
+                             s.at("starts"), s.at("memory_by_second"), s.at("threads_by_second")});
     }
     for (const auto& b : v.at("breaches")) {
         r.breaches.push_back({static_cast<Rule>(b.at("rule").get<int>()),
--- a/fleet/result.hpp
+++ b/fleet/result.hpp
@@ -50,6 +50,8 @@
 struct SenderResult {
     double cpuSeconds = 0, memoryMb = 0;
     long threads = 0, descriptors = 0, starts = 0;
+    std::vector<double> memoryBySecond;  // resident, MB
+    std::vector<long> threadsBySecond;
 };
 
 struct RunResult {
--- a/src/routing/module_actor.cpp
+++ b/src/routing/module_actor.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "src/routing/outcome.hpp"
+#include "src/transport/socket.hpp"
 
 namespace petrelpond {
 
@@ -12,6 +13,28 @@
 
 // A client's clock and ours need not agree to the last millisecond on how long a product's texts are valid.
 constexpr Span kLeeway = Span::seconds(1);
+// An endpoint whose connections have long gone as idle keeps no thread, and a destination of which nothing is
+// listed no name: after that time it may yet come back.
+constexpr Span kForgetAfter = Span::seconds(60);
+constexpr size_t kTextsApart = 4096;  // indices that were given back before one is used again
+
+uint64_t packed(const std::string& address) {
+    auto at = Address::parse(address);
+    if (!at) return 0;
+    uint64_t host = 0, part = 0;
+    for (char c : at->host) {
+        if (c == '.') host = host << 8 | part, part = 0;
+        if (c != '.') part = part * 10 + static_cast<uint64_t>(c - '0');
+    }
+    return (host << 8 | part) << 16 | static_cast<uint64_t>(at->port);
+}
+std::string unpacked(uint64_t address) {
+    std::string host;
+    for (int shift = 40; shift >= 16; shift -= 8) {
+        host += (host.empty() ? "" : ".") + std::to_string(address >> shift & 255);
+    }
+    return host + ":" + std::to_string(address & 65535);
+}
 
 }  // namespace
 
@@ -45,6 +68,7 @@
     if (due) sender_->woke(now);
     for (ModuleMail& m : mail) take(now, m);
     pull(now);
+    rest(now);
     // A process that leaves ends without a word to this one.
     if (ways_.recording) left_ ? ways_.recording->flush() : ways_.recording->flushIfDue(now);
     if (left_ && rows_.empty()) std::exchange(left_, nullptr)();
@@ -67,11 +91,13 @@
             keep(store_->ended(id, true));
             text = store_->texts().at(id);
         }
-        TextIx index(nextText_++);
+        TextIx index = freshText();
         Row& row = rows_[index.value];
         row.id = id, row.parcel = {id, text.mark, text.body}, row.submits = text.submits;
         row.validUntil = instant(text.validUntil), row.cameAt = now;
         row.destination = names_.destinations.admit(text.destination), row.product = text.product;
+        if (row.destination.value >= users_.size()) users_.resize(row.destination.value + 1);
+        ++users_[row.destination.value].texts;
         texts_[id] = index;
         Arrival a;
         a.text = index, a.destination = row.destination, a.product = names_.products.find(text.product);
@@ -134,13 +160,14 @@
         ways_.report->add(Count::storeRefused);
         return mail.reply->postHeld({Reception::What::nacked, busy_});
     }
-    TextIx index(nextText_++);
+    TextIx index = freshText();
     texts_[mail.text.id] = index;
     Row& row = rows_[index.value];
     row.id = mail.text.id, row.parcel = {mail.text.id, mail.text.mark, mail.body};
     row.key = mail.text.key, row.ticket = mail.ticket;
     row.validUntil = mail.at + mail.text.validity, row.reply = std::move(mail.reply);
     row.destination = destination, row.product = mail.text.product, row.cameAt = mail.at;
+    ++users_[destination.value].texts;
     if (ways_.recording) {
         int64_t at = unixMicros() - (now - mail.at).inMicros();
         ways_.recording->arrived(at, row.product, mail.text.destination, mail.text.validity,
@@ -154,7 +181,10 @@
 }
 
 void ModuleActor::ended(Instant now, CallEnd& call) {
-    --callsOut_, --places_.at(call.endpoint.value).out;
+    --callsOut_;
+    Place& at = places_.at(call.endpoint.value);
+    --at.out, at.usedAt = now;
+    if (at.out == 0) used_.emplace_back(now, call.endpoint);
     ways_.report->add(
         static_cast<Count>(static_cast<int>(Count::callsAnswered) + static_cast<int>(call.ending)));
     // Ours ran out: what lies idle at other endpoints makes room for the next try.
@@ -198,12 +228,45 @@
     freeIfGone(call.endpoint);
 }
 
+TextIx ModuleActor::freshText() {
+    if (freeTexts_.size() < kTextsApart) return TextIx(nextText_++);
+    uint32_t ix = freeTexts_.front();
+    freeTexts_.pop_front();
+    return TextIx(ix);
+}
+
+void ModuleActor::leftAlone(Instant now, DestinationIx d) {
+    if (users_[d.value].places + users_[d.value].texts == 0) alone_.emplace_back(now, d);
+}
+
+// What has been silent long enough gives back its threads, or its name.
+void ModuleActor::rest(Instant now) {
+    Span idle = ways_.endpoints.idle > Span() ? std::min(ways_.endpoints.idle, kForgetAfter) : kForgetAfter;
+    for (; !used_.empty() && now - used_.front().first >= idle; used_.pop_front()) {
+        Place& place = places_.at(used_.front().second.value);
+        if (!place.actor || place.out > 0 || place.usedAt != used_.front().first) continue;
+        place.actor->retire();
+        place.actor = nullptr;
+    }
+    for (; !alone_.empty() && now - alone_.front().first >= kForgetAfter; alone_.pop_front()) {
+        DestinationIx d = alone_.front().second;
+        if (names_.destinations.name(d).empty() || users_[d.value].places + users_[d.value].texts > 0)
+            continue;
+        sender_->forgotten(now, d);
+        names_.destinations.release(d);
+        ways_.report->add(Count::destinationsFreed);
+    }
+}
+
 // An endpoint's name, index and threads go with it once no call names it, so that what is held follows what
 // is live however long endpoints come and go; its successor inherits nothing, even at the same address.
 void ModuleActor::freeIfGone(EndpointIx endpoint) {
     Place& place = places_.at(endpoint.value);
     if (!place.gone || place.out > 0) return;
+    DestinationIx destination = place.destination;
     place = Place();
+    --users_[destination.value].places;
+    leftAlone(steadyNow(), destination);
     names_.endpoints.release(endpoint);
     ways_.report->add(Count::endpointsFreed);
 }
@@ -216,26 +279,33 @@
         EndpointIx ix = names_.endpoints.admit(m.id);
         if (ix.value >= places_.size()) places_.resize(ix.value + 1);
         Place& place = places_[ix.value];
-        if (!m.address.empty() && place.address != m.address) {
+        if (uint64_t address = packed(m.address); !m.address.empty() && place.address != address) {
             if (place.actor) place.actor->retire();
-            place.actor = nullptr, place.address = m.address;
+            place.actor = nullptr, place.address = address;
+        }
+        place.zone = names_.zones.admit(m.zone), place.kind = names_.kinds.admit(m.kind);
+        DestinationIx destination = names_.destinations.admit(m.destination), before = place.destination;
+        if (destination.value >= users_.size()) users_.resize(destination.value + 1);
+        if (before != destination) {
+            ++users_[destination.value].places;
+            if (before.known()) --users_[before.value].places, leftAlone(now, before);
         }
-        place.zone = m.zone, place.kind = names_.kinds.admit(m.kind);
-        place.destination = names_.destinations.admit(m.destination);
+        place.destination = destination;
         if (m.state == Listed::leaving && place.actor) place.actor->holdBack(), place.actor->closeIdle();
         named.insert(ix.value);
         place.gone = m.state == Listed::gone;
         if (m.state == Listed::gone && place.actor) place.actor->retire(), place.actor = nullptr;
-        entries.push_back({ix, place.destination, names_.zones.admit(m.zone), place.kind, m.state, m.rate});
+        entries.push_back({ix, place.destination, place.zone, place.kind, m.state, m.rate});
     }
     for (uint32_t i = 0; mail.list.whole && i < places_.size(); ++i) {
-        if (named.count(i) > 0 || places_[i].address.empty()) continue;
+        if (named.count(i) > 0 || !places_[i].destination.known()) continue;
         if (places_[i].actor) places_[i].actor->retire(), places_[i].actor = nullptr;
         places_[i].gone = !mail.old;
     }
     ListScope scope = mail.old ? ListScope::old : mail.list.whole ? ListScope::whole : ListScope::changes;
     sender_->listed(now, scope, entries);
-    for (uint32_t i = 0; i < places_.size(); ++i) freeIfGone(EndpointIx(i));
+    for (const ListEntry& e : entries) freeIfGone(e.endpoint);
+    for (uint32_t i = 0; mail.list.whole && i < places_.size(); ++i) freeIfGone(EndpointIx(i));
 }
 
 void ModuleActor::pull(Instant now) {
@@ -349,7 +419,7 @@
         Row& row = rows_.at(ix.value);
         row.at = endpoint;
         // What could not be written down must not leave: after a restart it would be sent again.
-        if (row.over || !store_->begun(row.id, at, places_.at(endpoint.value).zone)) {
+        if (row.over || !store_->begun(row.id, at, names_.zones.name(places_.at(endpoint.value).zone))) {
             if (!row.over) keep(false);
             unsent.push_back(ix);
             continue;
@@ -388,7 +458,7 @@
 std::shared_ptr<EndpointActor> ModuleActor::actorOf(EndpointIx endpoint) {
     if (endpoint.value >= places_.size()) return nullptr;
     Place& place = places_[endpoint.value];
-    if (!place.actor) place.actor = EndpointActor::start(endpoint, place.address, ways_.endpoints);
+    if (!place.actor) place.actor = EndpointActor::start(endpoint, unpacked(place.address), ways_.endpoints);
     return place.actor;
 }
 
@@ -403,7 +473,11 @@
     auto row = rows_.find(text.value);
     if (row == rows_.end()) return;
     texts_.erase(row->second.id);
+    DestinationIx destination = row->second.destination;
     rows_.erase(row);
+    freeTexts_.push_back(text.value);
+    --users_[destination.value].texts;
+    leftAlone(steadyNow(), destination);
 }
 
 void ModuleActor::keep(bool written) {
--- a/src/routing/module_actor.hpp
+++ b/src/routing/module_actor.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -106,15 +107,24 @@
     void drop(TextIx text);
     void keep(bool written);
 
+    // Most places lie silent, so each is small: its threads and the names' strings are elsewhere.
     struct Place {
-        std::string address, zone;
+        uint64_t address = 0;  // packed; 0 where there is none
+        ZoneIx zone;
         KindIx kind;
         DestinationIx destination;
-        std::shared_ptr<EndpointActor> actor;
-        int out = 0;  // calls
+        int32_t out = 0;  // calls
         bool gone = false;
+        std::shared_ptr<EndpointActor> actor;
+        Instant usedAt;
+    };
+    struct Users {  // of a destination's name
+        uint32_t places = 0, texts = 0;
     };
     void freeIfGone(EndpointIx endpoint);
+    void leftAlone(Instant now, DestinationIx destination);
+    void rest(Instant now);
+    TextIx freshText();
 
     Names names_;
     std::vector<Kind> kinds_;
@@ -125,7 +135,12 @@
     std::unordered_map<std::string, TextIx> texts_;
     std::unordered_map<uint32_t, Row> rows_;
     std::vector<Place> places_;
-    std::vector<TextIx> fresh_;                           // taken in during this round
+    std::vector<Users> users_;  // by destination
+    // In the order of time: endpoints called last then, and destinations of which nothing was left then.
+    std::deque<std::pair<Instant, EndpointIx>> used_;
+    std::deque<std::pair<Instant, DestinationIx>> alone_;
+    std::deque<uint32_t> freeTexts_;  // used again in turn, so that what still names one has long been read
+    std::vector<TextIx> fresh_;       // taken in during this round
     std::vector<std::pair<EndpointIx, TextIx>> submits_;  // of this round, in the order pulled
     std::set<Instant> timers_;
     std::function<void()> left_;
