--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -145,6 +145,51 @@
 }
 BENCHMARK(idleBytes)->Arg(10000)->Iterations(1)->Unit(benchmark::kMillisecond);
 
+// A list of so many destinations replaced whole, each with a new endpoint, as a host does once a second: what
+// one costs, and what a hundred leave behind.
+void wholeLists(benchmark::State& state) {
+    auto destinations = static_cast<uint32_t>(state.range(0));
+    std::vector<Product> products = {
+        {Span::seconds(1), Span::seconds(10), Effect::resendable, Span(), false, 1, 0.3, false}};
+    auto sender = makeSender(7, products, {Kind{}}, {2, ZoneIx(0u)},
+                             {256, 20000, 8, true, Span::millis(5), Span::seconds(2)},
+                             {0.2, Span::seconds(5), 2, Span::seconds(1)}, ListRule{}, Decay::linear,
+                             {Span::seconds(10), Span::millis(500)});
+    Instant now = Instant::atMicros(1000000);
+    uint32_t round = 0, nextText = 0;
+    size_t before = 0;
+    auto once = [&] {
+        // The host's indices go round too: what is gone gives its own to what comes two lists later.
+        std::vector<ListEntry> list;
+        for (uint32_t d = 0; d < destinations; ++d) {
+            list.push_back({EndpointIx(d + round % 2 * destinations), DestinationIx(d), ZoneIx(0u),
+                            KindIx(0u), Listed::active, 0});
+        }
+        ++round;
+        auto from = std::chrono::steady_clock::now();
+        sender->listed(now, ListScope::whole, list);
+        for (int i = 0; i < 100; ++i) {
+            Arrival a;
+            a.text = TextIx(nextText++), a.destination = DestinationIx(nextText * 7919 % destinations);
+            a.product = ProductIx(0u), a.validUntil = now + Span::seconds(10);
+            sender->arrived(now, a);
+        }
+        while (auto d = sender->next(now)) {
+            if (const auto* s = std::get_if<Submit>(&*d)) {
+                sender->ended(now, {s->text, s->endpoint, End::delivered, true, Span(), std::nullopt});
+            }
+        }
+        double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - from).count();
+        now = now + Span::seconds(1);
+        return took;
+    };
+    for (int i = 0; i < 130; ++i) once();  // until the first have had their rest
+    before = mallinfo2().uordblks;
+    for (auto _ : state) state.SetIterationTime(once());
+    state.counters["bytes_grown"] = static_cast<double>(mallinfo2().uordblks) - static_cast<double>(before);
+}
+BENCHMARK(wholeLists)->Arg(10000)->Iterations(100)->UseManualTime()->Unit(benchmark::kMillisecond);
+
 }  // namespace
 
 BENCHMARK_MAIN();
--- a/fleet/main.cpp
+++ b/fleet/main.cpp
@@ -97,7 +97,7 @@
 struct Options {
     std::string file, other, sender = besideUs("petrelpond"), out, keep, breaks = "nothing", html, record;
     uint64_t seed = 0;
-    int runs = 20, trials = 10, connections = 64;
+    int runs = 20, plays = 1, trials = 10, connections = 64;
     double seconds = 3;
     bool quiet = false, words = false;
 };
@@ -134,10 +134,13 @@
 
 int run(const Options& o) {
     Scenario s = readScenarioFile(o.file);
-    RunResult r = runOnSockets(o, s, o.seed > 0 ? o.seed : s.seed);
-    keepResults(o, {r});
-    std::cout << inWords(r);
-    return verdict({r});
+    std::vector<RunResult> runs;
+    for (int k = 0; k < o.plays; ++k) {
+        runs.push_back(runOnSockets(o, s, (o.seed > 0 ? o.seed : s.seed) + static_cast<uint64_t>(k)));
+        std::cout << inWords(runs.back()) << std::flush;
+        keepResults(o, runs);  // of those so far, should the next be stopped
+    }
+    return verdict(runs);
 }
 
 int demo(const Options& o) {
@@ -270,6 +273,9 @@
     scenario(check);
     auto* play = app.add_subcommand("run", "play a scenario on sockets with real senders, under the judge");
     scenario(play), seeds(play), sockets(play), outputs(play);
+    play->add_option("-n,--runs", o.plays, "how many, each with the next seed")
+        ->capture_default_str()
+        ->check(CLI::Range(1, 1000));
     play->add_option("--false-sender", o.breaks, "play with a sender that breaks this rule on purpose")
         ->check(CLI::IsMember(falsehoods()));
     auto* show = app.add_subcommand("demo", "the same with a small built-in fleet; needs no files");
--- a/fleet/process.cpp
+++ b/fleet/process.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -134,6 +135,7 @@
     pid_ = fork();
     if (pid_ < 0) throw std::runtime_error("no process to be had for a sender");
     if (pid_ == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);  // no sender outlives its stage, however that ends
         // The sender's descriptors are bounded by its configuration; ours are closed by exec.
         int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         if (fd >= 0) dup2(fd, 1), dup2(fd, 2);
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -49,7 +49,7 @@
     }
 }
 
-int serveUntilTold(const Config& config, Log& log, const sigset_t& signals) {
+int serveUntilTold(Config& config, Log& log, const sigset_t& signals) {
     auto listenAddress = Address::parse(config.listen);
     std::string problem = "no address";
     Socket listener;
@@ -113,8 +113,11 @@
         recording = std::make_unique<Recording>(path, mb * 1000000, log);
     }
     ways.recording = recording.get();
+    ways.tidy = [] { malloc_trim(0); };  // what ten thousand destinations used while they were awake
     ModuleActor module(config.settings, config.seed, std::move(store), ways);
-    inbox->postHeld(ListMail{config.known, true});
+    bool many = config.known.members.size() > 1000;
+    inbox->postHeld(ListMail{std::move(config.known), true});
+    config.known = MemberList();
 
     bool started = startThread([&] { module.run(); }) && startThread([&] { notices.run(); }) &&
                    startThread([&] { list.run(); }) && startThread([&] { clients.accept(); }) &&
@@ -124,6 +127,7 @@
         return 1;
     }
 
+    if (many) malloc_trim(0);  // of the configuration, read whole
     for (int signal = 0; signal != SIGTERM && signal != SIGINT;) {
         signal = 0;
         if (sigwait(&signals, &signal) != 0) continue;
@@ -164,7 +168,8 @@
     signal(SIGPIPE, SIG_IGN);
     Log log(std::cerr, levelFrom(std::getenv("PETRELPOND_LOG")));
     try {
-        return serveUntilTold(readConfig(), log, signals);
+        Config config = readConfig();
+        return serveUntilTold(config, log, signals);
     } catch (const std::exception& wrong) {
         log.say(Level::error, wrong.what());
         return 2;
--- a/src/routing/module_actor.cpp
+++ b/src/routing/module_actor.cpp
@@ -16,6 +16,7 @@
 // An endpoint whose connections have long gone as idle keeps no thread, and a destination of which nothing is
 // listed no name: after that time it may yet come back.
 constexpr Span kForgetAfter = Span::seconds(60);
+constexpr size_t kMany = 500;
 constexpr size_t kTextsApart = 4096;  // indices that were given back before one is used again
 
 uint64_t packed(const std::string& address) {
@@ -247,7 +248,10 @@
         if (!place.actor || place.out > 0 || place.usedAt != used_.front().first) continue;
         place.actor->retire();
         place.actor = nullptr;
+        ++retired_, retiredAt_ = now;
     }
+    // Once their threads have gone; a small fleet is never tidied, as it holds up the round for a moment.
+    if (retired_ >= kMany && now - retiredAt_ > Span::seconds(2)) retired_ = 0, ways_.tidy();
     for (; !alone_.empty() && now - alone_.front().first >= kForgetAfter; alone_.pop_front()) {
         DestinationIx d = alone_.front().second;
         if (names_.destinations.name(d).empty() || users_[d.value].places + users_[d.value].texts > 0)
--- a/src/routing/module_actor.hpp
+++ b/src/routing/module_actor.hpp
@@ -67,7 +67,8 @@
         std::function<void()> watch;  // the module asks to be kept informed
         std::function<void()> ready;  // what was open before the restart is with the module
         Report* report;
-        Recording* recording = nullptr;  // where what comes and ends is recorded
+        Recording* recording = nullptr;      // where what comes and ends is recorded
+        std::function<void()> tidy = [] {};  // much was given back
     };
     ModuleActor(const Settings& settings, uint64_t seed, std::unique_ptr<Store> store, Ways ways);
     // Rounds, for ever; the first takes up what the store holds.
@@ -139,6 +140,8 @@
     // In the order of time: endpoints called last then, and destinations of which nothing was left then.
     std::deque<std::pair<Instant, EndpointIx>> used_;
     std::deque<std::pair<Instant, DestinationIx>> alone_;
+    size_t retired_ = 0;  // since the last tidying up
+    Instant retiredAt_;
     std::deque<uint32_t> freeTexts_;  // used again in turn, so that what still names one has long been read
     std::vector<TextIx> fresh_;       // taken in during this round
     std::vector<std::pair<EndpointIx, TextIx>> submits_;  // of this round, in the order pulled
--- /dev/null
+++ b/tests/scale_test.cpp
@@ -0,0 +1,286 @@
+// Many destinations: the indexed structures against plain models, and what the module keeps to at size.
+#include "src/index/parking.hpp"
+#include "src/index/roster.hpp"
+#include "src/index/served.hpp"
+#include "tests/helpers.hpp"
+
+using namespace petrelpond;
+
+namespace {
+
+struct WholeEndpoint {
+    EndpointSeed is;
+};
+struct WholeDestination {
+    DestinationSeed is;
+    std::vector<uint32_t> endpoints;
+};
+
+Set manySet(int calls, int held) {
+    Set set;
+    set.products = {{Span::seconds(3), Span::seconds(20), Effect::resendable, Span(), false, 1, 0.3}};
+    set.kinds = {{1, false}};
+    set.room = {calls, held, 8, true, Span::millis(5), Span::seconds(2)};
+    return set;
+}
+
+// A world in which every call ends after a while as its destination says.
+struct Crowd : Rig {
+    std::multimap<Instant, std::pair<Submit, End>> ends;
+    std::function<End(uint32_t destination)> how = [](uint32_t) { return End::delivered; };
+    std::map<End, long> ended;
+    long further = 0, nacked = 0, mostOut = 0;
+    std::map<uint32_t, long> outOf, nackedOf;
+
+    Crowd(Set s, uint32_t destinations) : Rig(std::move(s)) {
+        std::vector<ListEntry> entries;
+        for (uint32_t d = 0; d < destinations; ++d) {
+            entries.push_back({EndpointIx(d), DestinationIx(d), ZoneIx(0u), KindIx(0u), Listed::active, 0});
+        }
+        list(entries, ListScope::whole);
+    }
+    void step() {
+        pull();
+        for (const Submit& s : submits) {
+            uint32_t d = s.endpoint.value;
+            further += count[s.text] > 1;
+            mostOut = std::max(mostOut, ++outOf[d]);
+            ends.emplace(now + Span::millis(20), std::pair(s, how(d)));
+        }
+        for (const Decision& d : others) {
+            const auto* nack = std::get_if<Nack>(&d);
+            if (nack) ++nacked, ++nackedOf[rules.rows.at(nack->text).arrival.destination.value];
+        }
+        while (!ends.empty() && ends.begin()->first <= now) {
+            auto [submit, end] = ends.begin()->second;
+            ends.erase(ends.begin());
+            --outOf[submit.endpoint.value], ++ended[end];
+            Rig::end(submit, end);
+        }
+    }
+    void go(
+        Span span, const std::function<void()>& each = [] {}) {
+        for (Instant until = now + span; now < until; now = now + Span::millis(5)) each(), step();
+    }
+};
+
+}  // namespace
+
+TEST_CASE("names at the door: as a plain map has them, however they come and go") {
+    std::mt19937 chance(3);
+    Door<DestinationIx> door;
+    std::map<std::string, DestinationIx> model;
+    for (int i = 0; i < 20000; ++i) {
+        std::string name = "n" + std::to_string(chance() % 700);
+        if (chance() % 2 == 0) {
+            DestinationIx ix = door.admit(name);
+            if (auto known = model.find(name); known != model.end()) CHECK(known->second == ix);
+            for (int k = 0; k < 3 && i % 100 == 0; ++k) CHECK(door.name(ix) == name);
+            model[name] = ix;
+        } else if (auto known = model.find(name); known != model.end()) {
+            CHECK(door.find(name) == known->second);
+            door.release(known->second);
+            model.erase(known);
+        } else {
+            CHECK(!door.find(name).known());
+        }
+    }
+    std::set<DestinationIx> indices;
+    for (const auto& [name, ix] : model) CHECK((door.find(name) == ix && indices.insert(ix).second));
+    CHECK(model.size() > 200);
+}
+
+TEST_CASE("parked: in one row at most; of many all get their turn") {
+    std::mt19937 chance(4);
+    Parking parking;
+    std::map<uint32_t, Row> model;
+    std::vector<uint32_t> turn;
+    for (int i = 0; i < 5000; ++i) {
+        uint32_t ix = chance() % 300;
+        auto row = static_cast<Row>(chance() % 5);
+        parking.park(ix, row);
+        model[ix] = row;
+        if (i % 500 == 0) {
+            parking.releaseAll(Row::key);
+            for (auto& [k, r] : model) r = r == Row::key ? Row::ready : r;
+        }
+    }
+    for (Row row : {Row::ready, Row::slot, Row::pay, Row::key}) {
+        std::vector<uint32_t> want;
+        for (auto& [k, r] : model) {
+            if (r == row) want.push_back(k);
+        }
+        parking.row(row).turn(1000, turn);
+        CHECK(turn == want);
+    }
+    Rota rota;
+    for (uint32_t i = 0; i < 1000; ++i) rota.insert(3 * i);
+    std::set<uint32_t> met;
+    for (int i = 0; i < 16; ++i) {
+        rota.turn(64, turn);
+        CHECK(turn.size() == 64);
+        met.insert(turn.begin(), turn.end());
+    }
+    CHECK(met.size() == 1000);
+}
+
+TEST_CASE("the roster's chains are the lists that they stand for") {
+    std::mt19937 chance(5);
+    Lazy<WholeEndpoint, EndpointSeed> endpoints;
+    Lazy<WholeDestination, DestinationSeed> destinations;
+    std::map<uint32_t, std::vector<uint32_t>> model;
+    std::map<uint32_t, uint32_t> home;
+    destinations.cover(19);
+    for (int i = 0; i < 5000; ++i) {
+        uint32_t e = chance() % 200, d = chance() % 20;
+        if (auto at = home.find(e); at != home.end()) {
+            unlink(endpoints, destinations, e);
+            std::erase(model[at->second], e);
+            home.erase(at);
+        } else {
+            link(endpoints, destinations, e, {DestinationIx(d), ZoneIx(), KindIx(), 0, kNone, true, false});
+            model[d].push_back(e), home[e] = d;
+        }
+        if (chance() % 10 == 0)
+            destinations[d].endpoints = endpointsFrom(endpoints, destinations.seed(d).first);
+        if (chance() % 10 == 0) destinations.rest(d);
+        CHECK(endpointsFrom(endpoints, destinations.seed(d).first) == model[d]);
+        if (const auto* whole = destinations.find(d)) CHECK(whole->endpoints == model[d]);
+    }
+}
+
+TEST_CASE("rates served: as counted one by one") {
+    std::mt19937 chance(6);
+    Served served;
+    std::vector<Instant> all;
+    Instant now = Instant::atMicros(0);
+    for (int i = 0; i < 3000; ++i) {
+        now = now + Span::millis(chance() % 60);
+        if (chance() % 3 > 0) served.add(now), all.push_back(now);
+        for (Span over : {Span::seconds(2), Span::seconds(20)}) {
+            auto within = std::count_if(all.begin(), all.end(), [&](Instant at) { return now - at <= over; });
+            CHECK(served.rate(now, over) == Approx(static_cast<double>(within) / over.inSeconds()));
+        }
+    }
+}
+
+TEST_CASE("all destinations full for a minute, then free: all texts that come then are delivered") {
+    Crowd crowd(manySet(256, 0), 300);
+    bool full = true;
+    crowd.how = [&](uint32_t) { return full ? End::full : End::delivered; };
+    auto arrive = [&] { crowd.text(crowd.nextText * 7919 % 300, 0); };
+    crowd.go(Span::seconds(60), arrive);
+    long before = crowd.ended[End::full];
+    // What is wasted meanwhile: all slots once at first, then once in four seconds; each text its first
+    // submit.
+    CHECK(crowd.further < 256 + 256 * 60 / 4 + 300);
+    CHECK(before < 12000 + crowd.further + 1);
+    full = false;
+    crowd.go(Span::seconds(25));
+    uint32_t first = crowd.nextText;
+    crowd.go(Span::seconds(5), arrive);
+    crowd.go(Span::seconds(3));
+    long late = 0;
+    for (uint32_t t = first; t < crowd.nextText; ++t) late += !crowd.rules.rows.at(TextIx(t)).over;
+    CHECK(late == 0);
+    CHECK(crowd.ended[End::delivered] >= static_cast<long>(crowd.nextText - first));
+}
+
+TEST_CASE("a large share fails together: further submits stay within what others deliver") {
+    Crowd crowd(manySet(64, 0), 2000);
+    crowd.how = [](uint32_t d) { return d < 1800 ? End::unreachable : End::delivered; };
+    crowd.go(Span::seconds(20), [&] {
+        crowd.text(crowd.nextText * 7919 % 2000, 0), crowd.text(crowd.nextText * 104729 % 2000, 0);
+    });
+    long delivered = crowd.ended[End::delivered];
+    CHECK(delivered > 700);
+    CHECK(crowd.further < delivered + 64 + 64 * 20 / 4 + 64);
+    // And those that are well lose nothing by it.
+    long waits = 0;
+    for (const auto& [ix, row] : crowd.rules.rows) {
+        waits += row.arrival.destination.value >= 1800 && !row.over &&
+                 crowd.now - (row.arrival.validUntil - Span::seconds(20)) > Span::seconds(1);
+    }
+    CHECK(waits == 0);
+}
+
+TEST_CASE("one hung destination with 20,000 texts: others' are all delivered, its own have a bound") {
+    Crowd crowd(manySet(32, 4000), 50);
+    crowd.how = [](uint32_t d) { return d == 0 ? End::timeout : End::delivered; };
+    uint32_t n = 0;
+    crowd.go(Span::seconds(10), [&] {
+        for (int i = 0; i < 10; ++i) crowd.text(0, 0);
+        crowd.text(1 + n++ % 49, 0);
+    });
+    crowd.go(Span::seconds(1));
+    long held = 0, othersOpen = 0;
+    for (const auto& [ix, row] : crowd.rules.rows) {
+        if (row.over) continue;
+        (row.arrival.destination.value == 0 ? held : othersOpen) += 1;
+    }
+    CHECK(othersOpen == 0);
+    CHECK(held <= 2000 + 32);  // half of the store
+    CHECK(crowd.nackedOf[0] > 17000);
+    CHECK(crowd.nacked == crowd.nackedOf[0]);
+}
+
+TEST_CASE("5,000 idle destinations wake at once: each is served, none gets more than it may at first") {
+    Crowd crowd(manySet(256, 0), 5000);
+    crowd.go(Span::seconds(1), [&] { crowd.text(crowd.nextText * 7919 % 5000, 0); });
+    crowd.go(Span::seconds(90));  // all at rest
+    crowd.outOf.clear(), crowd.mostOut = 0;
+    uint32_t first = crowd.nextText;
+    for (uint32_t d = 0; d < 5000; ++d) crowd.text(d, 0), crowd.text(d, 0);
+    crowd.go(Span::seconds(8));
+    long open = 0;
+    for (uint32_t t = first; t < crowd.nextText; ++t) open += !crowd.rules.rows.at(TextIx(t)).over;
+    CHECK(open == 0);
+    CHECK(crowd.mostOut <= 2);
+}
+
+TEST_CASE("what outlives a destination's rest: a told wait, an outage; not what it was when forgotten") {
+    Crowd crowd(manySet(64, 0), 4);
+    End end = End::unreachable;
+    crowd.how = [&](uint32_t d) { return d == 1 ? end : End::delivered; };
+    // Destination 0 is told to wait for 150 s, 1 is out, 2 and 3 are well.
+    crowd.text(0, 0);
+    crowd.pull();
+    REQUIRE(crowd.submits.size() == 1);
+    crowd.end(crowd.submits[0], End::full, Span::seconds(150));
+    crowd.go(Span::seconds(4), [&] { crowd.text(1, 0), crowd.text(2, 0); });
+    crowd.go(Span::seconds(110));  // longer than a text is valid, and long enough to rest
+    crowd.ended.clear();
+    for (uint32_t d = 0; d < 3; ++d) {
+        for (int i = 0; i < 10; ++i) crowd.text(d, 0);
+    }
+    crowd.pull();
+    std::map<uint32_t, int> sent;
+    for (const Submit& s : crowd.submits) ++sent[s.endpoint.value];
+    CHECK(sent[0] == 0);  // the plain model would have complained too
+    CHECK(sent[1] <= 1);
+    CHECK(sent[2] > 1);
+    for (const Submit& s : crowd.submits) crowd.end(s, End::delivered);
+    // Its endpoint goes, its name too, and the index becomes another's.
+    crowd.go(Span::seconds(21));
+    crowd.list({{EndpointIx(1), DestinationIx(1), ZoneIx(0u), KindIx(0u), Listed::gone, 0}});
+    crowd.sender->forgotten(crowd.now, DestinationIx(1));
+    crowd.list({{EndpointIx(1), DestinationIx(1), ZoneIx(0u), KindIx(0u), Listed::active, 0}});
+    for (int i = 0; i < 10; ++i) crowd.text(1, 0);
+    crowd.pull();
+    CHECK(crowd.submits.size() > 1);
+}
+
+TEST_CASE("a clock that jumps between two rounds breaks no rule and stops nothing") {
+    Crowd crowd(manySet(64, 500), 100);
+    crowd.how = [&](uint32_t d) { return d % 5 == 0 ? End::full : End::delivered; };
+    for (int i = 0; i < 12; ++i) {
+        crowd.go(Span::seconds(1), [&] { crowd.text(crowd.nextText * 31 % 100, 0); });
+        crowd.now = crowd.now + Span::seconds(i % 3 == 0 ? 7 : 1);
+    }
+    uint32_t first = crowd.nextText;
+    for (uint32_t d = 1; d < 100; d += 5) crowd.text(d, 0);
+    crowd.go(Span::seconds(1));
+    long open = 0;
+    for (uint32_t t = first; t < crowd.nextText; ++t) open += !crowd.rules.rows.at(TextIx(t)).over;
+    CHECK(open == 0);
+}
