--- a/src/routing/module_actor.cpp
+++ b/src/routing/module_actor.cpp
@@ -251,7 +251,11 @@
         ++retired_, retiredAt_ = now;
     }
     // Once their threads have gone; a small fleet is never tidied, as it holds up the round for a moment.
-    if (retired_ >= kMany && now - retiredAt_ > Span::seconds(2)) retired_ = 0, ways_.tidy();
+    // The module's own records rest later.
+    bool many = retired_ >= kMany && now - retiredAt_ > Span::seconds(2);
+    if (many) retired_ = 0, tidyAgainAt_ = now + kForgetAfter * 2.5;
+    if (now >= tidyAgainAt_) tidyAgainAt_ = Instant::never(), many = true;
+    if (many) ways_.tidy();
     for (; !alone_.empty() && now - alone_.front().first >= kForgetAfter; alone_.pop_front()) {
         DestinationIx d = alone_.front().second;
         if (names_.destinations.name(d).empty() || users_[d.value].places + users_[d.value].texts > 0)
--- a/src/routing/module_actor.hpp
+++ b/src/routing/module_actor.hpp
@@ -141,7 +141,7 @@
     std::deque<std::pair<Instant, EndpointIx>> used_;
     std::deque<std::pair<Instant, DestinationIx>> alone_;
     size_t retired_ = 0;  // since the last tidying up
-    Instant retiredAt_;
+    Instant retiredAt_, tidyAgainAt_ = Instant::never();
     std::deque<uint32_t> freeTexts_;  // used again in turn, so that what still names one has long been read
     std::vector<TextIx> fresh_;       // taken in during this round
     std::vector<std::pair<EndpointIx, TextIx>> submits_;  // of this round, in the order pulled
