--- a/fleet/main.cpp
+++ b/fleet/main.cpp
@@ -151,9 +151,12 @@
     RunResult r = runOnSockets(o, s, o.seed > 0 ? o.seed : s.seed);
     keepResults(o, {r});
     std::cout << inWords(r);
-    std::cout << "What has no delivery: once-only texts whose call broke and may have run are given up, "
-                 "never sent twice;\n"
-                 "what could not have its turn in its validity period was told so at once.\n";
+    long undeliverable = 0, refused = 0;
+    for (const ProductResult& p : r.products) undeliverable += p.undeliverable, refused += p.refused;
+    if (undeliverable > 0)
+        std::cout << undeliverable << " undeliverable: a submit may have run, or their time was over\n";
+    if (refused > 0)
+        std::cout << refused << " refused to the end: no turn for them in time, told so and when to return\n";
     return verdict({r});
 }
 
--- a/fleet/model.cpp
+++ b/fleet/model.cpp
@@ -97,7 +97,6 @@
     void arrive(const std::shared_ptr<Call>& call, bool reused);
     void overAtPeer(const std::shared_ptr<Call>& call, int status, bool neverRan, Span wait);
     void endCall(const std::shared_ptr<Call>& call, End end, Span wait = Span());
-    void freeConnection(const std::shared_ptr<Call>& call);
     void finalAnswer(int s, TextIx text, bool nacked, Span pause);
 
     void handIn(size_t text);
@@ -287,8 +286,6 @@
     call->fresh = !reused;
     Span takes = scenario_.model.hop;
     if (!reused) {
-        bool gone = world_.generation(e) != call->generation && world_.standing(e) == Standing::up;
-        (void)gone;  // the address is another's by now, who answers as itself
         if (world_.standing(e) == Standing::down ||
             !world_.takesConnection(e, static_cast<int>(callsAt_[e].size()))) {
             bool never = world_.standing(e) == Standing::vanished;
--- a/fleet/result.cpp
+++ b/fleet/result.cpp
@@ -132,7 +132,6 @@
                 {"tipped_places", r.tippedPlaces},
                 {"late_ms", {r.lateP99, r.lateP999, r.lateMost}},
                 {"entry_ms", r.entryMs},
-                {"handshake_ms", r.handshakeMs},
                 {"void", r.voidBecause},
                 {"service", r.service()},
                 {"service_in_time", r.serviceInTime()}};
@@ -192,8 +191,7 @@
     r.texts = v.at("texts"), r.calls = v.at("calls"), r.wastedCalls = v.at("wasted_calls");
     r.tippedPlaces = v.at("tipped_places"), r.voidBecause = v.at("void");
     r.lateP99 = v.at("late_ms").at(0), r.lateP999 = v.at("late_ms").at(1), r.lateMost = v.at("late_ms").at(2);
-    r.entryMs = v.at("entry_ms"), r.handshakeMs = v.at("handshake_ms"),
-    r.breachCounts = v.at("breach_counts");
+    r.entryMs = v.at("entry_ms"), r.breachCounts = v.at("breach_counts");
     for (const auto& p : v.at("products")) {
         r.products.push_back({p.at("name"), p.at("handed"), p.at("in_time"), p.at("late"),
                               p.at("undeliverable"), p.at("refused"), p.at("expired"), p.at("possible"),
--- a/fleet/result.hpp
+++ b/fleet/result.hpp
@@ -64,7 +64,7 @@
     std::vector<SenderResult> senders;
     long texts = 0, calls = 0, wastedCalls = 0, tippedPlaces = 0;
     double lateP99 = 0, lateP999 = 0, lateMost = 0;  // the judge's own lateness, milliseconds
-    double entryMs = 0, handshakeMs = 0;             // medians: from handing in to 202; to an open connection
+    double entryMs = 0;                              // median from handing in to 202
     std::string voidBecause;                         // empty: the run counts
     std::vector<Breach> breaches;
     std::array<int, 7> breachCounts{};
--- a/fleet/stage.cpp
+++ b/fleet/stage.cpp
@@ -177,7 +177,6 @@
     std::vector<size_t> textOf_;  // by request
     std::vector<SecondOf> series_;
     Latencies entry_;
-    Latencies handshake_;
     long tippedPlaces_ = 0;
     int failedStarts_ = 0;
     std::string trouble_;
@@ -906,7 +905,7 @@
     for (Sender& s : senders_) s.process->kill(), r.senders.push_back(s.process->used());
     r.calls = judge_.calls(), r.wastedCalls = judge_.wasted(), r.tippedPlaces = tippedPlaces_;
     r.lateP99 = loop_.lateAt(0.99), r.lateP999 = loop_.lateAt(0.999), r.lateMost = loop_.lateAt(1);
-    r.entryMs = entry_.quantile(0.5), r.handshakeMs = handshake_.quantile(0.5);
+    r.entryMs = entry_.quantile(0.5);
     r.breaches = judge_.breaches(), r.breachCounts = judge_.counts();
     r.voidBecause = trouble_;
     if (r.voidBecause.empty() && r.lateP999 > kVoidLateMs) {
