--- a/bench/old_store.cpp
+++ b/bench/old_store.cpp
@@ -1,4 +1,4 @@
-#include "src/routing/store.hpp"
+#include "bench/old_store.hpp"
 
 #include <fcntl.h>
 #include <sys/stat.h>
@@ -88,7 +88,7 @@
     return true;
 }
 
-std::string takenRecord(const std::string& id, const Store::Text& t) {
+std::string takenRecord(const std::string& id, const OldStore::Text& t) {
     return Writer('t')
         .number(static_cast<int64_t>(t.serial))
         .text(id)
@@ -102,7 +102,7 @@
 }
 
 // What has come of a text since it was taken on, in one record.
-std::string stateRecord(const std::string& id, const Store::Text& t) {
+std::string stateRecord(const std::string& id, const OldStore::Text& t) {
     return Writer('s')
         .text(id)
         .number(t.submits)
@@ -119,18 +119,18 @@
 
 }  // namespace
 
-Store::Store(std::string folder, int64_t mostBytes) : folder_(std::move(folder)), most_(mostBytes) {
+OldStore::OldStore(std::string folder, int64_t mostBytes) : folder_(std::move(folder)), most_(mostBytes) {
     ::unlink(path("texts.new").c_str());
     fd_ = ::open(path("texts").c_str(), O_RDWR | O_CREAT | O_CLOEXEC | O_APPEND, 0600);
     compactAt_ = most_ * 21 / 40;
     if (fd_ >= 0) read();
 }
 
-Store::~Store() {
+OldStore::~OldStore() {
     if (fd_ >= 0) ::close(fd_);
 }
 
-void Store::read() {
+void OldStore::read() {
     std::string bytes;
     char part[4096];
     ssize_t n;
@@ -147,7 +147,7 @@
     if (!rest.empty() && ::ftruncate(fd_, size_) != 0) ::close(fd_), fd_ = -1;
 }
 
-bool Store::apply(std::string_view record) {
+bool OldStore::apply(std::string_view record) {
     if (record.empty()) return false;
     char letter = record.front();
     Reader in(record.substr(1));
@@ -191,17 +191,17 @@
     return in.fine();
 }
 
-void Store::account(const Text& text, const std::string& id, int sign) {
+void OldStore::account(const Text& text, const std::string& id, int sign) {
     live_ += sign * (kLife + static_cast<int64_t>(8 * id.size() + text.body->size()));
 }
 
 // Old and new lie side by side while the file is made anew, so what is live may take less than half, and the
 // old file a little over half.
-bool Store::roomFor(size_t idBytes, size_t bodyBytes) const {
+bool OldStore::roomFor(size_t idBytes, size_t bodyBytes) const {
     return fd_ >= 0 && live_ + kLife + static_cast<int64_t>(8 * idBytes + bodyBytes) < most_ * 9 / 20;
 }
 
-bool Store::append(const std::string& record) {
+bool OldStore::append(const std::string& record) {
     if (fd_ < 0) return false;
     auto bytes = static_cast<int64_t>(record.size());
     if (size_ + bytes > compactAt_ && !compact() && size_ + bytes > most_ * 19 / 20) return false;
@@ -211,7 +211,7 @@
     return false;
 }
 
-bool Store::compact() {
+bool OldStore::compact() {
     int fresh = ::open(path("texts.new").c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC | O_APPEND, 0600);
     if (fresh < 0) return false;
     std::vector<const Texts::value_type*> live;
@@ -234,7 +234,7 @@
     return true;
 }
 
-bool Store::taken(const std::string& id, Text text) {
+bool OldStore::taken(const std::string& id, Text text) {
     text.serial = nextSerial_++;
     if (!append(takenRecord(id, text))) return false;
     account(text, id, 1);
@@ -242,7 +242,7 @@
     return true;
 }
 
-bool Store::begun(const std::string& id, int64_t at, const std::string& zone) {
+bool OldStore::begun(const std::string& id, int64_t at, const std::string& zone) {
     auto found = texts_.find(id);
     if (found == texts_.end() || !append(Writer('b').text(id).number(at).text(zone).record())) return false;
     Text& t = found->second;
@@ -250,7 +250,7 @@
     return true;
 }
 
-bool Store::ended(const std::string& id, bool mayHaveRun) {
+bool OldStore::ended(const std::string& id, bool mayHaveRun) {
     auto found = texts_.find(id);
     if (found == texts_.end()) return false;
     Text& t = found->second;
@@ -260,7 +260,7 @@
     return append(Writer('e').text(id).number(mayHaveRun).record());
 }
 
-bool Store::over(const std::string& id) {
+bool OldStore::over(const std::string& id) {
     auto found = texts_.find(id);
     if (found == texts_.end()) return true;
     account(found->second, id, -1);
@@ -268,7 +268,7 @@
     return append(Writer('o').text(id).record());
 }
 
-bool Store::final(const std::string& id, Final final, int64_t pause) {
+bool OldStore::final(const std::string& id, Final final, int64_t pause) {
     auto found = texts_.find(id);
     if (found == texts_.end()) return false;
     found->second.final = final, found->second.pause = pause;
--- a/bench/old_store.hpp
+++ b/bench/old_store.hpp
@@ -14,7 +14,7 @@
 
 namespace petrelpond {
 
-class Store {
+class OldStore {
   public:
     enum class Final { none, nacked, undeliverable };
     struct Text {
@@ -34,10 +34,10 @@
 
     // Reads what is there. A tail that was torn by a kill is cut off; where no file can be had, nothing is
     // taken on.
-    Store(std::string folder, int64_t mostBytes);
-    ~Store();
-    Store(const Store&) = delete;
-    Store& operator=(const Store&) = delete;
+    OldStore(std::string folder, int64_t mostBytes);
+    ~OldStore();
+    OldStore(const OldStore&) = delete;
+    OldStore& operator=(const OldStore&) = delete;
 
     const Texts& texts() const { return texts_; }
     // Whether a text may still be taken on, so that its whole life fits.
--- a/fleet/main.cpp
+++ b/fleet/main.cpp
@@ -11,6 +11,7 @@
 #include <thread>
 
 #include "fleet/compare.hpp"
+#include "fleet/costs.hpp"
 #include "fleet/false_sender.hpp"
 #include "fleet/model.hpp"
 #include "fleet/report.hpp"
@@ -183,8 +184,24 @@
     return verdict(runs);
 }
 
+Model costsHere(const Options& o) {
+    Folder folder(o.keep.empty() ? o.keep : o.keep + "/costs");
+    Model costs = measureCosts(stageFor(o, folder));
+    if (!o.quiet) progressOver();
+    return costs;
+}
+
+int costs(const Options& o) {
+    std::cout << "# what sockets add on this machine, medians\n" << asToml(costsHere(o));
+    return 0;
+}
+
 int validate(const Options& o) {
     Scenario s = readScenarioFile(o.file);
+    if (!s.model.given) {
+        s.model = costsHere(o);
+        std::cout << asToml(s.model);
+    }
     std::vector<RunResult> played;
     int within = 0, counted = 0;
     std::cout << std::fixed << std::setprecision(2);
@@ -296,6 +313,8 @@
     trials->add_option("-n,--runs", o.runs, "runs of the model for each")
         ->capture_default_str()
         ->check(CLI::Range(3, 10000));
+    auto* prices = app.add_subcommand("costs", "measure what sockets add on this machine, for the model");
+    sockets(prices);
     auto* pair =
         app.add_subcommand("compare", "two scenarios (by the model) or two result files, paired by seed");
     pair->add_option("a", o.file, "scenario (.toml) or results (.json)")->required();
@@ -332,6 +351,7 @@
         if (*show) return demo(o);
         if (*simulate) return model(o);
         if (*trials) return validate(o);
+        if (*prices) return costs(o);
         if (*pair) return compareTwo(o);
         if (*page) return report(o);
         if (*own) return self(o);
--- a/fleet/model.cpp
+++ b/fleet/model.cpp
@@ -67,7 +67,8 @@
         bool up = false, stopped = false, leaving = false;
         int life = 0, starts = 0;
         uint32_t nextText = 0;
-        size_t heard = 0;  // of the directory's log
+        size_t heard = 0;   // of the directory's log
+        Instant busyUntil;  // with texts that came before
     };
     struct Event {
         Instant at;
@@ -284,7 +285,7 @@
     bool reused = !idle.empty();
     if (reused) idle.pop_back();
     call->fresh = !reused;
-    Span takes = scenario_.model.hop;
+    Span takes = scenario_.model.hop + scenario_.model.round;
     if (!reused) {
         if (world_.standing(e) == Standing::down ||
             !world_.takesConnection(e, static_cast<int>(callsAt_[e].size()))) {
@@ -463,7 +464,10 @@
         }
         again(text, programs_.unheard(now_, text));
     });
-    reach(now_ + scenario_.model.hop + scenario_.model.store, s, [this, s, r, text, told] {
+    // The sender's own work is done one text after the other, so that those of a clump wait for each other.
+    Instant& busy = nodes_[static_cast<size_t>(s)].busyUntil;
+    busy = std::max(busy, now_ + scenario_.model.hop) + scenario_.model.work;
+    reach(busy + scenario_.model.store, s, [this, s, r, text, told] {
         Node& n = nodes_[static_cast<size_t>(s)];
         if (*told) return;
         const Planned& plan = programs_.text(text).plan;
--- a/fleet/scenario.cpp
+++ b/fleet/scenario.cpp
@@ -292,6 +292,9 @@
     s.model.hop = model.millis("hop_ms", s.model.hop);
     s.model.handshake = model.millis("handshake_ms", s.model.handshake);
     s.model.store = model.millis("store_ms", s.model.store);
+    s.model.round = model.millis("round_ms", s.model.round);
+    s.model.work = model.millis("work_ms", s.model.work);
+    s.model.given = top.find("model") != nullptr;
     model.done();
     auto each = [&](const char* key, auto read) {
         int i = 0;
--- a/fleet/stage.cpp
+++ b/fleet/stage.cpp
@@ -158,6 +158,7 @@
     void textEnded(RequestNo request);
 
     void everySecond();
+    void ping();
     RunResult sum();
 
     const Scenario& scenario_;
@@ -174,7 +175,10 @@
     std::vector<Entry> log_;
     int64_t revision_ = 1;
     bool ownListeners_ = true, directorySilent_ = false, directoryOld_ = false, begun_ = false;
-    std::vector<size_t> textOf_;  // by request
+    std::vector<size_t> textOf_;   // by request
+    std::vector<Instant> sentAt_;  // by request, where samples are taken
+    std::shared_ptr<Conn> pinging_;
+    Instant pingedAt_;
     std::vector<SecondOf> series_;
     Latencies entry_;
     long tippedPlaces_ = 0;
@@ -296,6 +300,12 @@
         return lineClosed(line);
     }
     for (RequestNo r : texts) programs_.calledFirst(now, textOf_[r]);
+    if (options_.samples) {
+        for (RequestNo r : texts) {
+            options_.samples->called.push_back({programs_.text(textOf_[r]).plan.at, sentAt_[r], m.firstByte,
+                                                line->conn->calls == 1});
+        }
+    }
     auto call = std::make_shared<CallOut>();
     call->no = judge_.called(m.firstByte, now, line->sender, e, line->generation, texts);
     call->texts = texts;
@@ -741,6 +751,7 @@
     asked->text = text, asked->sender = s, asked->sentAt = now;
     asked->request = judge_.handed(now, s, p.product, p.destination, until, p.key);
     textOf_.push_back(text);
+    if (options_.samples) sentAt_.push_back(now);
     programs_.handedIn(text);
     if (!conn) return unheard(asked);
     std::string target = "/" + scenario_.products[p.product].name;
@@ -787,6 +798,7 @@
     int status = m.status();
     if (status == 202 || status == 200) {
         entry_.add((now - asked->sentAt).inSeconds() * 1e3);
+        if (options_.samples) options_.samples->entries.push_back((now - asked->sentAt).inSeconds() * 1e3);
         judge_.taken(now, asked->request);
         return textEnded(asked->request);
     }
@@ -825,6 +837,23 @@
     loop_.at(Instant() + Span::seconds(static_cast<double>(ix) + 1), [this] { everySecond(); });
 }
 
+// The shortest way there and back: a request that touches neither the store nor the module.
+void Stage::ping() {
+    if (!pinging_ || !pinging_->open()) {
+        int fd = connectTo(senders_.front().listen);
+        if (fd < 0) return;
+        pinging_ = std::make_shared<Conn>(loop_, fd);
+        pinging_->onMessage = [this](Message&&) {
+            // The first one of a connection has its handshake in it.
+            if (pinging_->calls > 1) options_.samples->pings.push_back((loop_.now() - pingedAt_).inSeconds() * 1e3);
+        };
+        pinging_->start(true);
+    }
+    pingedAt_ = loop_.now();
+    pinging_->send(request("GET", "/alive", "", ""));
+    loop_.at(loop_.now() + Span::millis(17), [this] { ping(); });
+}
+
 RunResult Stage::play() {
     raiseDescriptors();
     signal(SIGPIPE, SIG_IGN);
@@ -869,6 +898,7 @@
     // Timers set before the start were of the earlier zero: none matters but the polls, which are over.
     if (auto at = world_.nextChange()) loop_.at(*at, [this] { happenings(); });
     loop_.at(Instant(), [this] { everySecond(); });
+    if (options_.samples) loop_.at(Instant() + Span::millis(100), [this] { ping(); });
     std::function<void()> next = [&] {
         // All that is due now, each by its own planned moment; never held up by how the senders fare.
         while (nextText_ < programs_.size() && programs_.text(nextText_).plan.at <= loop_.now())
--- a/fleet/stage.hpp
+++ b/fleet/stage.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "fleet/process.hpp"
 #include "fleet/result.hpp"
@@ -11,7 +12,18 @@
 
 namespace petrelpond::fleet {
 
+// What a calm run shows of the costs of sockets, raw.
+struct CostSamples {
+    struct Called {  // a text's first submit came to its endpoint
+        Instant planned, sentAt, at;
+        bool fresh = false;  // by a new connection
+    };
+    std::vector<double> pings, entries;  // milliseconds: of GET /alive; from handing in to 202
+    std::vector<Called> called;
+};
+
 struct StageOptions {
+    CostSamples* samples = nullptr;  // taken if given
     Command sender;
     std::string folder;                                // the senders' folders are made in it
     std::function<void(const std::string&)> progress;  // a line a second; may be empty
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -5,6 +5,8 @@
 #include <fstream>
 #include <iterator>
 
+#include "src/transport/socket.hpp"
+
 namespace petrelpond {
 
 namespace {
@@ -52,6 +54,27 @@
         if (list) config.known = std::move(*list);  // else discovery tells
     }
     if (const json::Value* settings = value->member("settings")) flatten(*settings, config.settings);
+    std::string kept = variable("PETRELPOND_STORE", "written");
+    if (kept == "grouped" || kept.starts_with("grouped:")) {
+        config.durability = Durability::grouped;
+        int millis = 2;
+        std::string_view span = std::string_view(kept).substr(std::min<size_t>(8, kept.size()));
+        auto [end, error] = std::from_chars(span.data(), span.data() + span.size(), millis);
+        bool odd = !span.empty() && (error != std::errc() || end != span.data() + span.size());
+        if (odd || millis < 0 || millis > 1000) throw Malformed("PETRELPOND_STORE: no span of 0 to 1000 ms: '" + kept + "'");
+        config.gatherFor = Span::millis(millis);
+    } else if (kept == "each") {
+        config.durability = Durability::each;
+    } else if (kept != "written") {
+        throw Malformed("PETRELPOND_STORE must be written, grouped, grouped:MS or each, not '" + kept + "'");
+    }
+    std::string reserve = variable("PETRELPOND_STORE_RESERVE", "0");
+    if (reserve != "0" && reserve != "1") throw Malformed("PETRELPOND_STORE_RESERVE must be 0 or 1");
+    config.reserve = reserve == "1";
+    config.replica = variable("PETRELPOND_REPLICA");
+    if (!config.replica.empty() && !Address::parse(config.replica)) {
+        throw Malformed("PETRELPOND_REPLICA is no address: '" + config.replica + "'");
+    }
     if (config.listen.empty() || config.discovery.empty() || config.state.empty()) {
         throw Malformed("LB_LISTEN, LB_DISCOVERY and LB_STATE must be given");
     }
--- a/src/program/config.hpp
+++ b/src/program/config.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "src/protocol/messages.hpp"
+#include "src/store/store.hpp"
 
 namespace petrelpond {
 
@@ -12,6 +13,11 @@
     std::string name, listen, discovery, state;
     uint64_t seed = 0;
     int64_t memoryMb = 192, sockets = 1024, diskMb = 3;
+    // Of the store, for installations other than the platform's, whose folder needs no sync.
+    Durability durability = Durability::written;
+    Span gatherFor = Span::millis(2);
+    bool reserve = false;
+    std::string replica;  // host:port of the standby without which nothing is taken on; empty: none
     MemberList known;
     Settings settings;
 };
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -6,10 +6,14 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <random>
 #include <thread>
 
 #include "src/program/config.hpp"
 #include "src/program/log.hpp"
+#include "src/program/store_tool.hpp"
+#include "src/replica/shipper.hpp"
+#include "src/replica/standby.hpp"
 #include "src/routing/client_actor.hpp"
 #include "src/routing/platform_actors.hpp"
 #include "src/transport/thread.hpp"
@@ -49,6 +53,32 @@
     }
 }
 
+std::unique_ptr<Store> openStore(const Config& config, std::shared_ptr<ModuleBox> inbox, Log& log,
+                                 replica::Shipper* shipper) {
+    Store::Options options;
+    options.most = config.diskMb * 1000000;
+    options.durability = config.durability, options.gatherFor = config.gatherFor;
+    options.reserve = config.reserve;
+    options.onSafe = [inbox] { inbox->postHeld(SafeMail{}); };
+    options.say = [&log](bool warning, const std::string& words) {
+        log.say(warning ? Level::warning : Level::info, words);
+    };
+    if (shipper) {
+        options.mirror = [shipper](uint64_t sequence, std::string_view payload) {
+            shipper->mirror(sequence, payload);
+        };
+    }
+    std::string problem;
+    std::unique_ptr<store::Disk> disk;
+    if (replica::marked(config.state)) {
+        problem = config.state + " is a standby's: promote it first, petrelpond store promote";
+    } else {
+        disk = store::realDisk(config.state, true, problem);
+    }
+    if (!disk) log.say(Level::error, problem);
+    return std::make_unique<Store>(std::move(disk), std::move(options));
+}
+
 int serveUntilTold(Config& config, Log& log, const sigset_t& signals) {
     auto listenAddress = Address::parse(config.listen);
     std::string problem = "no address";
@@ -77,10 +107,19 @@
     Buffers buffers(static_cast<size_t>(forCalls)), clientBuffers(static_cast<size_t>(pool - forCalls));
     Lines lines{linesMost};
 
-    auto store = std::make_unique<Store>(config.state, config.diskMb * 1000000);
+    auto inbox = std::make_shared<ModuleBox>(4096);
+    std::unique_ptr<replica::Shipper> shipper;
+    if (!config.replica.empty()) {
+        replica::Shipper::Options options;
+        options.to = config.replica, options.report = &log;
+        std::random_device chance;
+        options.session = static_cast<uint64_t>(chance()) << 32 | chance();
+        options.wake = [inbox] { inbox->postHeld(SafeMail{}); };
+        shipper = std::make_unique<replica::Shipper>(std::move(options));
+    }
+    auto store = openStore(config, inbox, log, shipper.get());
     bool works = store->works();
     if (!works) log.say(Level::error, "no store in " + config.state + ": nothing can be taken on");
-    auto inbox = std::make_shared<ModuleBox>(4096);
     NoticeActor notices(config.discovery, buffers, inbox, log);
     ListActor list(config.discovery, config.known.revision, buffers, inbox, log);
     Clients clients(std::move(listener), clientsMost, room.longestPause, clientBuffers, inbox, log);
@@ -114,6 +153,8 @@
     }
     ways.recording = recording.get();
     ways.tidy = [] { malloc_trim(0); };  // what ten thousand destinations used while they were awake
+    ways.standby = shipper.get();
+    if (shipper) shipper->begin(store->epoch());
     ModuleActor module(config.settings, config.seed, std::move(store), ways);
     bool many = config.known.members.size() > 1000;
     inbox->postHeld(ListMail{std::move(config.known), true});
@@ -157,7 +198,16 @@
 
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
+    if (argc > 1) {
+        std::vector<std::string> words(argv + 1, argv + argc);
+        if (words[0] == "store") return storeTool({words.begin() + 1, words.end()}, std::cout, std::cerr);
+        if (words[0] == "standby") return standbyProgram({words.begin() + 1, words.end()}, std::cout, std::cerr);
+        std::cerr << "petrelpond: no such command: " << words[0]
+                  << "\nIt takes its configuration from LB_CONFIG; `petrelpond store` looks at a store, "
+                     "`petrelpond standby` keeps a copy of another's.\n";
+        return 2;
+    }
     // First of all, as a SIGHUP would else end the process; threads take the mask over.
     sigset_t signals;
     sigemptyset(&signals);
--- a/src/routing/module_actor.cpp
+++ b/src/routing/module_actor.cpp
@@ -68,6 +68,7 @@
     while (!timers_.empty() && *timers_.begin() <= now) timers_.erase(timers_.begin());
     if (due) sender_->woke(now);
     for (ModuleMail& m : mail) take(now, m);
+    release();
     pull(now);
     rest(now);
     // A process that leaves ends without a word to this one.
@@ -84,7 +85,8 @@
     auto instant = [&](int64_t at) { return now + Span::micros(at - unixNow); };
     for (auto& [id, text] : open) {
         if (text.final != Store::Final::none) {
-            ways_.notify({id, text.final == Store::Final::nacked, Span::micros(text.pause)});
+            Notice notice{id, text.final == Store::Final::nacked, Span::micros(text.pause)};
+            whenSafe([this, notice] { ways_.notify(notice); });
             continue;
         }
         // A call that was out when the process ended may have run.
@@ -94,7 +96,8 @@
         }
         TextIx index = freshText();
         Row& row = rows_[index.value];
-        row.id = id, row.parcel = {id, text.mark, text.body}, row.submits = text.submits;
+        // Its body is read when it is sent.
+        row.id = id, row.parcel = {id, text.mark, nullptr}, row.submits = text.submits;
         row.validUntil = instant(text.validUntil), row.cameAt = now;
         row.destination = names_.destinations.admit(text.destination), row.product = text.product;
         if (row.destination.value >= users_.size()) users_.resize(row.destination.value + 1);
@@ -111,6 +114,41 @@
     }
 }
 
+// What tells others of a record goes out once that is as safe as was asked for; never: it will not be.
+void ModuleActor::whenSafe(std::function<void()> go, std::function<void()> never) {
+    if (!mayServe() && waiting_.empty()) {
+        if (never) never();
+    } else if (waiting_.empty() && safe() >= store_->last()) {
+        go();
+    } else {
+        waiting_.push_back({store_->last(), std::move(go), std::move(never)});
+    }
+}
+
+uint64_t ModuleActor::safe() const {
+    return ways_.standby ? std::min(store_->safe(), ways_.standby->acked()) : store_->safe();
+}
+
+void ModuleActor::release() {
+    if (ways_.standby) ways_.standby->feed(*store_);
+    while (!waiting_.empty() && waiting_.front().record <= safe() && mayServe()) {
+        auto next = std::move(waiting_.front());
+        waiting_.pop_front();
+        next.go();
+    }
+    if (mayServe()) return;
+    for (auto& w : std::exchange(waiting_, {})) {
+        if (w.never) w.never();
+    }
+}
+
+// Nothing can be sent of a text whose body is gone: that is its end.
+void ModuleActor::lost(Instant now, TextIx text) {
+    sender_->withdrawn(now, text);
+    ways_.report->add(Count::undeliverable);
+    answered(now, text, Store::Final::undeliverable, Span());
+}
+
 void ModuleActor::take(Instant now, ModuleMail& mail) {
     if (auto* m = std::get_if<ArrivedMail>(&mail)) {
         arrived(now, *m);
@@ -133,6 +171,8 @@
         sender_->listFailed(now);
     } else if (auto* told = std::get_if<ToldMail>(&mail)) {
         for (const std::string& id : told->ids) keep(store_->over(id));
+    } else if (std::holds_alternative<SafeMail>(mail)) {
+        return;  // each round looks
     } else if (auto* leaving = std::get_if<LeavingMail>(&mail)) {
         sender_->leaving(leaving->by);
         left_ = std::move(leaving->done);
@@ -157,7 +197,8 @@
         return mail.reply->postHeld({Reception::What::unusable, Span()});
     }
     // A text whose record has no room must not reach the module, which could send it at once.
-    if (!store_->roomFor(mail.text.id.size(), mail.body->size())) {
+    bool kept = mayServe() && (!ways_.standby || ways_.standby->inStep());
+    if (!kept || !store_->roomFor(mail.text.id.size(), mail.body->size())) {
         ways_.report->add(Count::storeRefused);
         return mail.reply->postHeld({Reception::What::nacked, busy_});
     }
@@ -251,11 +292,8 @@
         ++retired_, retiredAt_ = now;
     }
     // Once their threads have gone; a small fleet is never tidied, as it holds up the round for a moment.
-    // The module's own records rest later.
     bool many = retired_ >= kMany && now - retiredAt_ > Span::seconds(2);
-    if (many) retired_ = 0, tidyAgainAt_ = now + kForgetAfter * 2.5;
-    if (now >= tidyAgainAt_) tidyAgainAt_ = Instant::never(), many = true;
-    if (many) ways_.tidy();
+    if (many) retired_ = 0, ways_.tidy();
     for (; !alone_.empty() && now - alone_.front().first >= kForgetAfter; alone_.pop_front()) {
         DestinationIx d = alone_.front().second;
         if (names_.destinations.name(d).empty() || users_[d.value].places + users_[d.value].texts > 0)
@@ -331,13 +369,25 @@
         Store::Text text;
         text.destination = names_.destinations.name(row.destination), text.product = row.product;
         text.mark = row.parcel.mark, text.key = row.key, text.body = row.parcel.body;
-        text.validUntil = unixMicros() + (row.validUntil - steadyNow()).inMicros();
+        text.takenAt = unixMicros();
+        text.validUntil = text.takenAt + (row.validUntil - steadyNow()).inMicros();
         bool taken = store_->taken(row.id, std::move(text));
         keep(taken);
         ways_.report->add(taken ? Count::textsTaken : Count::storeRefused);
-        row.reply->postHeld({taken ? Reception::What::taken : Reception::What::nacked, Span()});
-        row.reply = nullptr;
-        if (taken) continue;
+        auto reply = std::exchange(row.reply, nullptr);
+        if (taken) {
+            whenSafe([reply] { reply->postHeld({Reception::What::taken, Span()}); },
+                     [this, reply, ix, id = row.id] {
+                         reply->postHeld({Reception::What::nacked, busy_});
+                         auto at = rows_.find(ix.value);
+                         if (at == rows_.end() || at->second.id != id || at->second.over) return;
+                         at->second.over = true;
+                         sender_->withdrawn(steadyNow(), ix);
+                         if (!at->second.out) drop(ix);
+                     });
+            continue;
+        }
+        reply->postHeld({Reception::What::nacked, busy_});
         row.over = true;
         sender_->withdrawn(now, ix);
         if (!row.out) drop(ix);
@@ -349,6 +399,9 @@
     if (const auto* submit = std::get_if<Submit>(&decision)) {
         Row& row = rows_.at(submit->text.value);
         row.out = true, ++row.submits;
+        if (!row.parcel.body && !(row.parcel.body = store_->body(row.id))) {
+            row.parcel.body = std::make_shared<const std::string>(), row.spoilt = true;
+        }
         Instant until = row.validUntil;
         if (submit->timeout > Span()) until = std::min(until, now + submit->timeout);
         row.until = until;
@@ -391,7 +444,9 @@
         row.reply->postHeld({nacked ? Reception::What::nacked : Reception::What::undeliverable, pause});
     } else {
         keep(store_->final(row.id, final, pause.inMicros()));
-        ways_.notify({row.id, final == Store::Final::nacked, pause});
+        whenSafe([this, id = row.id, final, pause] {
+            ways_.notify({id, final == Store::Final::nacked, pause});
+        });
     }
     if (!row.out) drop(text);
 }
@@ -426,6 +481,7 @@
     for (TextIx ix : texts) {
         Row& row = rows_.at(ix.value);
         row.at = endpoint;
+        if (row.spoilt && !row.over) lost(steadyNow(), ix);
         // What could not be written down must not leave: after a restart it would be sent again.
         if (row.over || !store_->begun(row.id, at, names_.zones.name(places_.at(endpoint.value).zone))) {
             if (!row.over) keep(false);
@@ -448,8 +504,16 @@
     auto actor = actorOf(endpoint);
     auto went = call.texts;
     for (TextIx ix : went) rows_.at(ix.value).carrier = actor;
-    if (!actor || !actor->call(std::move(call))) return notSent(std::move(went));
+    if (!actor) return notSent(std::move(went));
     ++callsOut_, ++places_.at(endpoint.value).out;
+    auto never = [inbox = ways_.inbox, endpoint, went] {
+        inbox->postHeld(CallEnd{endpoint, went, Ending::noMeans, {}});
+    };
+    whenSafe(
+        [actor, never, leaving = std::make_shared<Call>(std::move(call))] {
+            if (!actor->call(std::move(*leaving))) never();
+        },
+        never);
 }
 
 // Told to wait: what was submitted before and has not left must not leave now. A wait holds for a
@@ -492,6 +556,9 @@
     if (!written) ways_.report->add(Count::storeFailed);
     if (store_->compactions() > compactions_) ways_.report->add(Count::storeCompacted);
     compactions_ = store_->compactions();
+    long damages = store_->damages();
+    if (damages > damages_) ways_.report->add(Count::storeDamaged, damages - damages_);
+    damages_ = damages;
 }
 
 }  // namespace petrelpond
--- a/src/routing/module_actor.hpp
+++ b/src/routing/module_actor.hpp
@@ -20,7 +20,7 @@
 #include "src/routing/mailbox.hpp"
 #include "src/routing/recording.hpp"
 #include "src/routing/report.hpp"
-#include "src/routing/store.hpp"
+#include "src/store/store.hpp"
 
 namespace petrelpond {
 
@@ -50,14 +50,25 @@
 struct ToldMail {  // notices that the platform has
     std::vector<std::string> ids;
 };
+struct SafeMail {};  // the store has got more of what was written safe
 struct LeavingMail {  // the process ends then; done sooner where nothing is held
     Instant by;
     std::function<void()> done;
 };
 using ModuleMail =
-    std::variant<ArrivedMail, WithdrawnMail, CallEnd, ListMail, ListFailedMail, ToldMail, LeavingMail>;
+    std::variant<ArrivedMail, WithdrawnMail, CallEnd, ListMail, ListFailedMail, ToldMail, SafeMail, LeavingMail>;
 using ModuleBox = Mailbox<ModuleMail>;
 
+// A standby without which nothing is taken on, sent or answered; what it has kept is as safe as it gets.
+class StandbyLink {
+  public:
+    virtual ~StandbyLink() = default;
+    virtual uint64_t acked() const = 0;
+    virtual bool inStep() const = 0;
+    virtual bool fenced() const = 0;      // another is primary; final
+    virtual void feed(Store& store) = 0;  // hands on a part of what is open, where that is wanted
+};
+
 class ModuleActor {
   public:
     struct Ways {
@@ -69,6 +80,7 @@
         Report* report;
         Recording* recording = nullptr;      // where what comes and ends is recorded
         std::function<void()> tidy = [] {};  // much was given back
+        StandbyLink* standby = nullptr;
     };
     ModuleActor(const Settings& settings, uint64_t seed, std::unique_ptr<Store> store, Ways ways);
     // Rounds, for ever; the first takes up what the store holds.
@@ -81,7 +93,7 @@
         Instant validUntil, until;  // until: of the submit that is out
         EndpointIx at;
         int submits = 0;
-        bool out = false, over = false;
+        bool out = false, over = false, spoilt = false;  // spoilt: its body can't be read any more
         uint64_t ticket = 0;                     // of the one request that may withdraw it; 0: none may
         std::shared_ptr<ReceptionBox> reply;     // until the client has been told
         std::shared_ptr<EndpointActor> carrier;  // of that submit
@@ -126,6 +138,11 @@
     void leftAlone(Instant now, DestinationIx destination);
     void rest(Instant now);
     TextIx freshText();
+    void whenSafe(std::function<void()> go, std::function<void()> never = nullptr);
+    void release();
+    uint64_t safe() const;
+    bool mayServe() const { return store_->works() && !(ways_.standby && ways_.standby->fenced()); }
+    void lost(Instant now, TextIx text);
 
     Names names_;
     std::vector<Kind> kinds_;
@@ -141,7 +158,7 @@
     std::deque<std::pair<Instant, EndpointIx>> used_;
     std::deque<std::pair<Instant, DestinationIx>> alone_;
     size_t retired_ = 0;  // since the last tidying up
-    Instant retiredAt_, tidyAgainAt_ = Instant::never();
+    Instant retiredAt_;
     std::deque<uint32_t> freeTexts_;  // used again in turn, so that what still names one has long been read
     std::vector<TextIx> fresh_;       // taken in during this round
     std::vector<std::pair<EndpointIx, TextIx>> submits_;  // of this round, in the order pulled
@@ -149,7 +166,12 @@
     std::function<void()> left_;
     uint32_t nextText_ = 0;
     int callsOut_ = 0;
-    long compactions_ = 0;
+    long compactions_ = 0, damages_ = 0;
+    struct Waiting {
+        uint64_t record = 0;
+        std::function<void()> go, never;
+    };
+    std::deque<Waiting> waiting_;  // what goes out once the record before it is safe
 };
 
 }  // namespace petrelpond
--- a/tests/fleet/play_test.cpp
+++ b/tests/fleet/play_test.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "fleet/compare.hpp"
+#include "fleet/costs.hpp"
 #include "fleet/model.hpp"
 #include "fleet/report.hpp"
 #include "fleet/stage.hpp"
@@ -281,3 +282,27 @@
     CHECK(r.breaches.empty());
     CHECK(r.products[0].inTime > 20);
 }
+
+TEST_CASE("costs of sockets are medians of what was seen, each once and none below nothing") {
+    CostSamples calm, clumps;
+    auto at = [](double ms) { return Instant() + Span::seconds(2) + Span::seconds(ms / 1e3); };
+    for (int i = 0; i < 41; ++i) {
+        calm.pings.push_back(i == 0 ? 90 : 0.2), calm.entries.push_back(i == 0 ? 90 : 0.5);
+        calm.called.push_back({at(i), at(i), at(i + 0.6), false});
+        calm.called.push_back({at(i), at(i), at(i + 0.9), true});
+        for (int j = 0; j < 20; ++j) clumps.called.push_back({at(i * 10), at(i * 10), at(i * 10 + j * 0.05), false});
+    }
+    Model m = costsFrom(calm, clumps);
+    CHECK(m.hop == Span::micros(100));
+    CHECK(m.work == Span::micros(50));
+    CHECK(m.store == Span::micros(250));  // of the entry, less two hops and its own work
+    CHECK(m.round == Span::micros(100));
+    CHECK(m.handshake == Span::micros(300));
+    CHECK(m.given);
+    Scenario s = readScenario(std::string(demoScenario()) + "\n" + asToml(m), "with costs");
+    CHECK((s.model.given && s.model.store == m.store && s.model.work == m.work));
+    for (auto& c : calm.called) c.at = c.sentAt;
+    CHECK(costsFrom(calm, clumps).round == Span());
+    calm.pings.resize(10);
+    CHECK_THROWS(costsFrom(calm, clumps));
+}
