--- a/fleet/costs.cpp
+++ b/fleet/costs.cpp
@@ -1,6 +1,7 @@
 #include "fleet/costs.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <iomanip>
 #include <map>
 #include <sstream>
@@ -113,7 +114,7 @@
     double ping = median(calm.pings, "round trips"), entry = median(calm.entries, "texts handed in");
     double byKept = median(kept, "calls by a kept connection"),
            byFresh = median(fresh, "calls by a new connection"), work = median(apart, "clumps");
-    auto span = [](double millis) { return Span::seconds(std::max(millis, 0.0) / 1e3); };
+    auto span = [](double millis) { return Span::micros(std::llround(std::max(millis, 0.0) * 1e3)); };
     Model m;
     m.hop = span(ping / 2), m.work = span(work);
     m.store = span(entry - ping - work);
