A refusal at a full table of connections is no longer taken for the limit

So endpoints whose few connections were taken turned the new ones away. Each sender took that for the limit: its bucket bound and halved, trust fell, places went "down", and destination 3 fell from 90 to 19 deliveries a second with a limit of 144. Deliveries waited 3 to 5 s in the median.

Ruled out: slices that are too thin (left stays at 0.95), limits that were lowered (the reported limit stands), a place with a full queue (calls on kept connections would have been refused as well).

At fault: src/logic.cpp, noteCall, the branch for End::full, which knew one cause of a refusal; IdleBound learned from connects that fail, not from refusals. Now such a refusal shortens the kind's idle span, as a failed connect does, and that endpoint rests for a jittered, doubling pause. The host tells whether a connection was made for a call and the share of the allowance that the report says is left.

With it: debug lines that name each submit's end, what was reported and what was believed, to be counted over a fleet.

--- a/include/petrelpond/sender.hpp
+++ b/include/petrelpond/sender.hpp
@@ -92,6 +92,8 @@
     bool over = false;                    // the text has had its final answer
     Span wait;                            // the told wait, zero if none
     std::optional<double> reportedLimit;  // calls a second, 0 where there is none
+    std::optional<double> reportedLeft;   // share of the allowance that is left, by the same report
+    bool fresh = false;                   // a connection was made for it
 };
 
 // What is known of an endpoint that is gone (or missing from a whole list) is forgotten once no call of it is
@@ -151,6 +153,7 @@
     virtual void leaving(Instant) {}  // the process ends then; what it holds comes back with its next life
     virtual void woke(Instant) {}     // a timer fell due; next() sees to what that brings
     virtual std::optional<Decision> next(Instant now) = 0;
+    virtual std::string belief(Instant, EndpointIx) const { return {}; }  // in words, for logs alone
 };
 
 std::unique_ptr<Sender> makeSender(uint32_t seed, std::vector<Product> products, std::vector<Kind> kinds,
--- a/simhost/host.cpp
+++ b/simhost/host.cpp
@@ -93,7 +93,7 @@
     Instance& in = instances_[who];
     Settings set;
     for (const auto& [path, value] : line.fields()) set.add(std::string(path), std::string(value));
-    in.limitField = readLimitField(set);
+    in.reports = readReportFields(set);
     uint64_t seed = set.text("entropy").empty() ? 0 : toUnsigned("entropy", set.text("entropy"));
     in.sender = seat(readSender(set, seed, in.names));
 }
@@ -132,7 +132,7 @@
             if (i < 0 || static_cast<size_t>(i) >= row.size() || row[i].empty()) return std::nullopt;
             return toNumber("telemetry", row[i]);
         };
-        e.reportedLimit = field(in.limitField);
+        e.reportedLimit = field(in.reports.limit), e.reportedLeft = field(in.reports.left);
     }
     e.endpoint = in.names.endpoints.find(line.text("endpoint"));
     if (!e.endpoint.known()) complain("outcome at an unknown endpoint");
--- a/simhost/host.hpp
+++ b/simhost/host.hpp
@@ -39,7 +39,7 @@
         std::unordered_map<std::string, TextIx> texts;
         std::unordered_map<uint32_t, TextRow> rows;
         uint32_t nextText = 0;
-        int limitField = -1;
+        ReportFields reports;
     };
     struct SheetRow {
         std::string endpoint, site, model, dest;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -210,6 +210,7 @@
     AnswerTimes times;
     InFlight out;
     Instant noneHadAt = Instant::longAgo();  // no connection could be had, and nothing delivered since
+    Instant doorAt = Instant::longAgo();     // turned away at its door: not before
     Instant usedAt = Instant::longAgo(), idleAt = Instant::longAgo();  // idleAt: usedAt as the last call left
 };
 
@@ -396,6 +397,16 @@
         return WakeAt{wake};
     }
 
+    std::string belief(Instant now, EndpointIx ix) const override {
+        const Place* p = places_.find(ix.value < endpoints_.size() ? endpoints_.seed(ix.value).place : kNone);
+        if (!p) return "nothing";
+        const char* phase[] = {"clear", "down", "returning"};
+        std::string words = phase[static_cast<int>(p->guard.phase)];
+        for (double x : {p->bucket.bound ? p->bucket.rate : 0, p->bucket.trust, p->fleetRate() / crew_.senders})
+            words += '/' + std::to_string(x);
+        return words + (now < p->toldUntil ? "/told" : "/free");
+    }
+
   private:
     Destination& destination(DestinationIx ix) {
         if (Destination* d = destinations_.find(ix.value)) return *d;
@@ -491,6 +502,15 @@
         if (!first || e.end == End::cancelled || e.end == End::notSent) return;
         // A quick break of a connection that had lain idle is the connection's trouble, not the place's.
         if (e.end == End::reset && sort(at).idle.brokeAfter(text.started - at.idleAt)) return;
+        // Refused on a new connection, without the report that the place's answers carry and without a wait: its
+        // table of connections is full, which says nothing of its limit. Also catches a proxy's own refusals.
+        // Harm: a place too busy to report is found at the next refusal with a report.
+        if (e.end == End::full && e.fresh && e.wait <= Span() && !e.reportedLeft && p.reportedRate > 0) {
+            at.noneHadAt = now, sort(at).idle.noneHad(links_.idle, true);
+            double pause = usualTime_ * std::pow(2, std::min(at.misses++, 4));
+            at.doorAt = now + chance_.about(Span::seconds(pause));
+            return;
+        }
         // A cut call took at least so long; left out, a place that slowed would go on being cut.
         for (AnswerTimes* times : {&p.times, &at.times})
             if (e.end == End::delivered || (e.end == End::timeout && at.out.answered < text.started))
@@ -611,6 +631,7 @@
         if (!e.is.usable) return 0;
         Place& p = places_[e.is.place];
         if (now < p.toldUntil) return blockedUntil(p.toldUntil);
+        if (now < e.doorAt) return blockedUntil(e.doorAt);
         double out = e.out.count();
         bool down = p.guard.phase == Phase::down;
         if (down || e.trickle > 0) {
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -126,14 +126,15 @@
 
     ModuleActor::Ways ways;
     ways.inbox = inbox;
-    int limitField = readLimitField(config.settings);
-    std::string limitName;
-    if (limitField >= 0) limitName = config.settings.list("report.fields")[static_cast<size_t>(limitField)];
+    ReportFields reported = readReportFields(config.settings);
+    auto fieldName = [&, names = config.settings.list("report.fields")](int i) {
+        return i < 0 ? std::string() : std::string(names[static_cast<size_t>(i)]);
+    };
     Span connectWithin = Span::micros(config.settings.integer("limits.connectTimeout", 1500000));
     ways.endpoints = {&buffers,
                       &lines,
                       &log,
-                      limitName,
+                      {fieldName(reported.limit), fieldName(reported.left)},
                       connectWithin,
                       readLinks(config.settings).idle,
                       [inbox](CallEnd end) { inbox->postHeld(std::move(end)); }};
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -88,13 +88,18 @@
 }
 
 std::optional<Answer> readAnswer(const http::Head& head, std::string_view body,
-                                 const std::vector<Parcel>& parcels, const std::string& limitField) {
+                                 const std::vector<Parcel>& parcels, const ReportNames& names) {
     Answer out;
     if (auto wait = head.field("Wait-Ms")) out.wait = asMillis(*wait).value_or(Span());
-    if (auto report = head.field("Server-Load"); report && !limitField.empty()) {
-        if (auto value = http::part(*report, limitField)) out.limit = http::decimal(*value);
-        // No limit is below none, and a report with a part that is no number is as absent.
-        if (out.limit && (*out.limit < 0 || *out.limit > 1e9 || !http::numbers(*report))) out.limit.reset();
+    if (auto report = head.field("Server-Load")) {
+        // No figure is below none, and a report with a part that is no number is as absent.
+        auto read = [&](const std::string& name) -> std::optional<double> {
+            auto value = name.empty() ? std::nullopt : http::part(*report, name);
+            auto number = value ? http::decimal(*value) : std::nullopt;
+            if (number && (*number < 0 || *number > 1e9 || !http::numbers(*report))) number.reset();
+            return number;
+        };
+        out.limit = read(names.limit), out.left = read(names.left);
     }
     auto all = [&](Verdict verdict) { out.verdicts.assign(parcels.size(), verdict); };
     switch (head.status()) {
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -45,11 +45,15 @@
 struct Answer {
     std::vector<Verdict> verdicts;  // in the order of the parcels
     Span wait;
-    std::optional<double> limit;
+    std::optional<double> limit, left;
 };
-// Nothing where the answer can't be read. `limitField` is the report's field with the limit, empty for none.
+// A load report's fields with the limit and with the share of it that is left; empty for none.
+struct ReportNames {
+    std::string limit, left;
+};
+// Nothing where the answer can't be read.
 std::optional<Answer> readAnswer(const http::Head& head, std::string_view body,
-                                 const std::vector<Parcel>& parcels, const std::string& limitField);
+                                 const std::vector<Parcel>& parcels, const ReportNames& names);
 
 // ---- discovery
 
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -130,13 +130,15 @@
     return {span(set, "limits.connIdle"), span(set, "contract.orderSettle")};
 }
 
-int readLimitField(const Settings& set) {
-    if (set.text("report.how") != "piggyback") return -1;
+ReportFields readReportFields(const Settings& set) {
+    ReportFields found;
+    if (set.text("report.how") != "piggyback") return found;
     auto fields = set.list("report.fields");
     for (size_t i = 0; i < fields.size(); ++i) {
-        if (fields[i] == "x1") return static_cast<int>(i);
+        if (fields[i] == "x0") found.left = static_cast<int>(i);
+        if (fields[i] == "x1") found.limit = static_cast<int>(i);
     }
-    return -1;
+    return found;
 }
 
 std::unique_ptr<Sender> readSender(const Settings& set, uint64_t seed, Names& names) {
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -61,8 +61,12 @@
 Room readRoom(const Settings& set);
 Span readLongestValidity(const Settings& set);  // of all products
 Links readLinks(const Settings& set);
-// The place in a load report of the limit in calls a second; -1 where answers carry none.
-int readLimitField(const Settings& set);
+// The places in a load report of the limit in calls a second and of the share of it that is left; -1 where
+// answers carry none.
+struct ReportFields {
+    int limit = -1, left = -1;
+};
+ReportFields readReportFields(const Settings& set);
 std::unique_ptr<Sender> readSender(const Settings& set, uint64_t seed, Names& names);
 
 }  // namespace petrelpond
--- a/src/routing/endpoint_actor.cpp
+++ b/src/routing/endpoint_actor.cpp
@@ -68,7 +68,7 @@
                 CallEnd end;
                 end.endpoint = actor->endpoint_;
                 end.texts = call.texts;
-                end.ending = carryOut(call, end.answer);
+                end.ending = carryOut(call, end.answer, end.fresh);
                 Mail mail{Mail::What::done, {}, {}, self, std::move(end)};
                 actor->mailbox_.postHeld(std::move(mail));
             }
@@ -127,11 +127,12 @@
         return Ending::answered;
     }
 
-    Ending carryOut(const Call& call, Answer& answer) {
+    Ending carryOut(const Call& call, Answer& answer, bool& fresh) {
         auto buffer = ways_.buffers->lease();
         if (!buffer) return Ending::noMeans;
         if (connected() && stale()) drop();
         if (!connected()) {
+            fresh = true;
             Ending got = connect(call);
             if (got != Ending::answered) return unsent(got);
         }
@@ -146,7 +147,7 @@
                         : reply.state == Reply::State::odd  ? Ending::oddAnswer
                                                             : Ending::brokeAfterSent;
         if (ending == Ending::answered || ending == Ending::halfAnswered) {
-            auto read = readAnswer(reply.head, reply.body, call.parcels, ways_.limitField);
+            auto read = readAnswer(reply.head, reply.body, call.parcels, ways_.reports);
             if (!read) return sent(Ending::oddAnswer);
             answer = std::move(*read);
             if (!reply.keep || givenUp() != Why::no) drop();
@@ -236,7 +237,7 @@
     } else {
         ++ways_.lines->left;
     }
-    if (!line) return ways_.ended({endpoint_, std::move(call.texts), Ending::noMeans, {}});
+    if (!line) return ways_.ended({endpoint_, std::move(call.texts), Ending::noMeans, {}, false});
     busy_.push_back(line);
     line->carry(std::move(call));
 }
--- a/src/routing/endpoint_actor.hpp
+++ b/src/routing/endpoint_actor.hpp
@@ -29,6 +29,7 @@
     std::vector<TextIx> texts;
     Ending ending = Ending::noMeans;
     Answer answer;  // a verdict for each text where the ending is an answer
+    bool fresh = false;  // a connection was made for it
 };
 
 // How many connections all endpoints together may have, by descriptors.
@@ -42,7 +43,7 @@
         Buffers* buffers;
         Lines* lines;
         Report* report;
-        std::string limitField;
+        ReportNames reports;
         Span connectWithin, idle;
         std::function<void(CallEnd)> ended;
     };
--- a/src/routing/module_actor.cpp
+++ b/src/routing/module_actor.cpp
@@ -244,15 +244,11 @@
         if (found == rows_.end()) continue;
         Row& row = found->second;
         Outcome outcome = outcomeOf(call.ending, answered ? call.answer.verdicts[i] : Verdict::error);
-        SubmitEnd e{call.texts[i], call.endpoint, outcome.end, outcome.over, Span(), std::nullopt};
+        SubmitEnd e{call.texts[i], call.endpoint, outcome.end, outcome.over, Span(), {}, {}, false};
         if (answered) e.wait = call.answer.wait, e.reportedLimit = call.answer.limit;
+        if (answered) e.reportedLeft = call.answer.left;
+        e.fresh = call.fresh;
         row.out = false, row.carrier = nullptr;
-        if (ways_.report->says(Level::debug)) {
-            ways_.report->say(Level::debug, "ended: " + row.id + " submit " + std::to_string(row.submits) +
-                                                " at " + names_.endpoints.name(call.endpoint) + ": ending " +
-                                                std::to_string(static_cast<int>(call.ending)) + " outcome " +
-                                                std::to_string(static_cast<int>(outcome.end)));
-        }
         ways_.report->add(outcome.end == End::delivered ? Count::delivered
                           : outcome.over                ? Count::overElsewhere
                           : outcome.end == End::full    ? Count::turnedAway
@@ -266,12 +262,32 @@
                               outcome.end == End::timeout || outcome.end == End::cancelled;
             keep(store_->ended(row.id, mayHaveRun));
         }
+        bool tells = ways_.report->says(Level::debug);
+        std::string before = tells ? sender_->belief(now, call.endpoint) : std::string();
         sender_->ended(now, e);
+        if (tells) tell(now, row, e, call, before);
         if (row.over) drop(call.texts[i]);
     }
     freeIfGone(call.endpoint);
 }
 
+// For those who count over a whole fleet of senders (scripts/fleet-count).
+void ModuleActor::tell(Instant now, const Row& row, const SubmitEnd& e, const CallEnd& call,
+                       const std::string& before) {
+    auto ms = [](Span s) { return std::to_string(s.inMicros() / 1000); };
+    auto share = [](std::optional<double> x) { return x ? std::to_string(*x) : std::string("-"); };
+    ways_.report->say(
+        Level::debug, "ended: " + row.id + " product " + row.product + " submit " + std::to_string(row.submits) +
+                          " at " + names_.endpoints.name(call.endpoint) + " of " +
+                          names_.destinations.name(row.destination) + " with " +
+                          std::to_string(call.texts.size()) + " ending " +
+                          std::to_string(static_cast<int>(call.ending)) + " outcome " +
+                          std::to_string(static_cast<int>(e.end)) + " took " + ms(now - row.sentAt) + " age " +
+                          ms(now - row.cameAt) + " fresh " + std::to_string(call.fresh) + " wait " + ms(e.wait) +
+                          " limit " + share(e.reportedLimit) + " left " + share(e.reportedLeft) + " believed " +
+                          before + " now " + sender_->belief(now, call.endpoint));
+}
+
 TextIx ModuleActor::freshText() {
     if (freeTexts_.size() < kTextsApart) return TextIx(nextText_++);
     uint32_t ix = freeTexts_.front();
@@ -400,7 +416,7 @@
 void ModuleActor::decide(Instant now, const Decision& decision) {
     if (const auto* submit = std::get_if<Submit>(&decision)) {
         Row& row = rows_.at(submit->text.value);
-        row.out = true, ++row.submits;
+        row.out = true, ++row.submits, row.sentAt = now;
         if (!row.parcel.body && !(row.parcel.body = store_->body(row.id))) {
             row.parcel.body = std::make_shared<const std::string>(), row.spoilt = true;
         }
@@ -437,7 +453,9 @@
     row.over = true;
     if (ways_.report->says(Level::debug)) {
         const char* word = final == Store::Final::nacked ? " nacked" : " undeliverable";
-        ways_.report->say(Level::debug, "answered: " + row.id + word);
+        ways_.report->say(Level::debug, "answered: " + row.id + word + " after " +
+                                            std::to_string((now - row.cameAt).inMicros() / 1000) + " of " +
+                                            names_.destinations.name(row.destination));
     }
     record(now, row, final == Store::Final::nacked ? "nacked" : "undeliverable");
     if (row.reply) {
@@ -498,7 +516,7 @@
     auto notSent = [&](std::vector<TextIx> which) {
         if (which.empty()) return;
         ++callsOut_, ++places_.at(endpoint.value).out;
-        ways_.inbox->postHeld(CallEnd{endpoint, std::move(which), Ending::noMeans, {}});
+        ways_.inbox->postHeld(CallEnd{endpoint, std::move(which), Ending::noMeans, {}, false});
     };
     notSent(std::move(unsent));
     if (call.texts.empty()) return;
@@ -509,7 +527,7 @@
     if (!actor) return notSent(std::move(went));
     ++callsOut_, ++places_.at(endpoint.value).out;
     auto never = [inbox = ways_.inbox, endpoint, went] {
-        inbox->postHeld(CallEnd{endpoint, went, Ending::noMeans, {}});
+        inbox->postHeld(CallEnd{endpoint, went, Ending::noMeans, {}, false});
     };
     whenSafe(
         [actor, never, leaving = std::make_shared<Call>(std::move(call))] {
--- a/src/routing/module_actor.hpp
+++ b/src/routing/module_actor.hpp
@@ -99,7 +99,7 @@
         std::shared_ptr<EndpointActor> carrier;  // of that submit
         DestinationIx destination;
         std::string product, key;
-        Instant cameAt;
+        Instant cameAt, sentAt;
     };
     void record(Instant now, const Row& row, const char* end);
 
@@ -107,6 +107,7 @@
     void take(Instant now, ModuleMail& mail);
     void arrived(Instant now, ArrivedMail& mail);
     void ended(Instant now, CallEnd& end);
+    void tell(Instant now, const Row& row, const SubmitEnd& e, const CallEnd& call, const std::string& before);
     void listed(Instant now, const ListMail& mail);
     void pull(Instant now);
     void receive(Instant now);
--- a/src/routing/platform_actors.cpp
+++ b/src/routing/platform_actors.cpp
@@ -75,13 +75,18 @@
 bool ListActor::ask() {
     if (int moves = agent_.moves(); moves != moves_) moves_ = moves, revision_.reset();
     auto buffer = buffers_.lease();
-    if (!buffer || !agent_.connect() || agent_.moves() != moves_) return false;
+    auto failed = [&](const std::string& how) {
+        if (report_.says(Level::debug)) report_.say(Level::debug, "not listed: " + how);
+        return false;
+    };
+    if (!buffer || !agent_.connect() || agent_.moves() != moves_) return failed("no connection");
     const Socket& socket = agent_.socket();
     Instant until = steadyNow() + kWatch + kGrace;
     socket.waitAtMost(kWatch + kGrace);
-    if (!socket.sendAll(writeWatch(agent_.address(), revision_, kWatch))) return false;
+    if (!socket.sendAll(writeWatch(agent_.address(), revision_, kWatch))) return failed("not sent");
     Reply reply = readReply(socket, buffer, true, until);
-    if (reply.state != Reply::State::whole || reply.head.status() != 200) return false;
+    if (reply.state != Reply::State::whole) return failed("no whole answer");
+    if (reply.head.status() != 200) return failed("status " + std::to_string(reply.head.status()));
     auto list = readMembers(reply.body);
     if (!list) {
         report_.add(Count::listsOdd);
@@ -89,6 +94,10 @@
     }
     if (!reply.keep) agent_.drop();
     report_.add(Count::listsRead);
+    if (report_.says(Level::debug)) {
+        report_.say(Level::debug, "listed: revision " + std::to_string(list->revision) + " members " +
+                                      std::to_string(list->members.size()));
+    }
     bool news = list->whole || !list->members.empty();
     int64_t revision = list->revision;
     // A list that got lost would leave a gap, so that the same is asked for again.
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -166,7 +166,7 @@
         return a.text;
     }
     void end(const Submit& s, End how, Span wait = Span()) {
-        SubmitEnd e{s.text, s.endpoint, how, how == End::delivered, wait, 0.0};  // no limit is reported
+        SubmitEnd e{s.text, s.endpoint, how, how == End::delivered, wait, 0.0, {}, false};  // no limit is reported
         rules.ended(now, e);
         sender->ended(now, e);
     }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -238,7 +238,7 @@
 TEST_CASE("late outcomes, unknown products and stale timers do no harm") {
     Rig rig;
     rig.endpoints(0, 0, 1);
-    rig.sender->ended(rig.now, SubmitEnd{TextIx(99u), EndpointIx(0u), End::delivered, true, {}, {}});
+    rig.sender->ended(rig.now, SubmitEnd{TextIx(99u), EndpointIx(0u), End::delivered, true, {}, {}, {}, false});
     rig.sender->withdrawn(rig.now, TextIx(99u));
     rig.sender->woke(rig.now);
     Arrival odd{TextIx(rig.nextText++), DestinationIx(0u), ProductIx(), rig.now + Span::seconds(5), {}};
@@ -557,3 +557,39 @@
     for (int i = 0; i < 3; ++i) rig.text(0, 2);
     CHECK(rig.run(Span::millis(50)).size() == 3);
 }
+
+// One of 100 senders has texts for a place of 400 calls a second, so that its slice is 4.
+static size_t sentAfterRefusals(bool atTheDoor) {
+    Set set;
+    set.crew.senders = 100;
+    Rig rig(set);
+    rig.endpoints(0, 0, 2);
+    auto end = [&](const Submit& s, End how, bool report, bool fresh) {
+        SubmitEnd e{s.text, s.endpoint, how, how == End::delivered, Span(), {}, {}, fresh};
+        if (report) e.reportedLimit = 400, e.reportedLeft = 0.9;
+        rig.rules.ended(rig.now, e);
+        rig.sender->ended(rig.now, e);
+    };
+    rig.text(0, 0);
+    REQUIRE(rig.pull() == 1);
+    end(rig.submits[0], End::delivered, true, true);
+    for (int refused = 0; refused < 3;) {
+        rig.text(0, 0);
+        for (const Submit& s : rig.run(Span::millis(500))) end(s, End::full, !atTheDoor, true), ++refused;
+    }
+    auto deliver = [&](int rounds) {
+        size_t sent = 0;
+        for (int i = 0; i < rounds; ++i) {
+            for (const Submit& s : rig.run(Span::millis(50))) end(s, End::delivered, true, false), ++sent;
+        }
+        return sent;
+    };
+    deliver(100);
+    for (int i = 0; i < 8; ++i) rig.text(0, 0);
+    return deliver(10);
+}
+
+TEST_CASE("refused at a full table of connections, a sender does not take that for the place's limit") {
+    CHECK(sentAfterRefusals(true) >= 8);   // nothing binds
+    CHECK(sentAfterRefusals(false) <= 4);  // refusals with a report bind at the slice
+}
--- a/tests/network_test.cpp
+++ b/tests/network_test.cpp
@@ -36,7 +36,7 @@
         EndpointActor::Ways ways{buffers.get(),
                                  lines.get(),
                                  report.get(),
-                                 "",
+                                 {},
                                  connectWithin,
                                  Span::seconds(2),
                                  [box = ends](CallEnd e) { box->postHeld(std::move(e)); }};
@@ -184,7 +184,7 @@
 TEST_CASE("answers mean what the protocol says") {
     auto one = parcels({"a"});
     auto read = [&](const std::string& status, const std::string& fields = "") {
-        return *readAnswer(response("HTTP/1.1 " + status + " x\r\n" + fields + "\r\n"), "", one, "x1");
+        return *readAnswer(response("HTTP/1.1 " + status + " x\r\n" + fields + "\r\n"), "", one, {"x1", "x0"});
     };
     CHECK(read("200").verdicts[0] == Verdict::delivered);
     CHECK(read("500").verdicts[0] == Verdict::error);
@@ -201,11 +201,11 @@
     std::string body =
         R"([{"id":"b","state":"fault"},{"id":"a","state":"accepted"},{"id":"c","state":"deferred"},)"
         R"({"id":"d","state":"expired"},{"id":"e","state":"no_more"}])";
-    auto all = readAnswer(response("HTTP/1.1 200 OK\r\n\r\n"), body, several, "");
+    auto all = readAnswer(response("HTTP/1.1 200 OK\r\n\r\n"), body, several, {});
     REQUIRE(all);
     CHECK(all->verdicts == std::vector<Verdict>{Verdict::delivered, Verdict::error, Verdict::turnedAway,
                                                 Verdict::over, Verdict::notSent, Verdict::error});
-    CHECK_FALSE(readAnswer(response("HTTP/1.1 200 OK\r\n\r\n"), body.substr(1), several, ""));
+    CHECK_FALSE(readAnswer(response("HTTP/1.1 200 OK\r\n\r\n"), body.substr(1), several, {}));
 }
 
 TEST_CASE("only ends that may have run are told as such") {
@@ -274,7 +274,7 @@
         if (http::parseRequest(bytes, request) == http::Fault::none) read += readHanded(request).has_value();
         if (http::parseResponse(bytes, answer) == http::Fault::none) {
             http::bodyLength(answer, length);
-            read += readAnswer(answer, bytes, parcels({"a", "b"}), "x1").has_value();
+            read += readAnswer(answer, bytes, parcels({"a", "b"}), {"x1", "x0"}).has_value();
         }
         http::headEnd(bytes);
         std::string body;
