Beyond a few senders the list is asked for whole, seldom, and by each at its own moments

After the release no sender that had been restarted heard one: the directory answered none of up to 90 calls a second. Endpoints were replaced meanwhile, so 4,382 of 21,770 submits went to addresses that refused connections, and the new endpoints stayed idle.

Whole lists cost the directory more, so each asks as seldom as the told time lets it.

At fault: src/routing/platform_actors.cpp, ListActor::run and ask: a watch of 2 s renewed for ever, answers waited for 1.5 s, pauses after failures 50 ms to 1 s without jitter, cut short by the module's own pauses, so that each failure led to two calls. Now src/routing/ask_plan.hpp decides, without input or output; up to eight senders keep the watch as it was, with jittered pauses after failures. The module is no longer asked when to ask in the real sender.

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -23,6 +23,7 @@
 namespace {
 
 // After a SIGTERM the kill comes no sooner than 3.7 s later, and new connections come for up to 0.4 s.
+constexpr Span kWatch = Span::seconds(2), kMustAskIn = Span::seconds(5);
 constexpr Span kAccepting = Span::millis(700), kLeaving = Span::millis(3400);
 
 Level levelFrom(const char* word) {
@@ -121,7 +122,11 @@
     bool works = store->works();
     if (!works) log.say(Level::error, "no store in " + config.state + ": nothing can be taken on");
     NoticeActor notices(config.discovery, buffers, inbox, log);
-    ListActor list(config.discovery, config.known.revision, buffers, inbox, log);
+    // A watch is kept short, so that one whose connection died unseen is soon replaced.
+    Span mustAskIn = readListRule(config.settings).mustAskIn;
+    AskPlan plan(static_cast<uint32_t>(config.seed >> 16), readCrewSize(config.settings),
+                 mustAskIn > Span() ? mustAskIn : kMustAskIn, kWatch);
+    ListActor list(config.discovery, config.known.revision, plan, buffers, inbox, log);
     Clients clients(std::move(listener), clientsMost, room.longestPause, clientBuffers, inbox, log);
 
     ModuleActor::Ways ways;
@@ -139,7 +144,6 @@
                       readLinks(config.settings).idle,
                       [inbox](CallEnd end) { inbox->postHeld(std::move(end)); }};
     ways.notify = [&](Notice notice) { notices.notify(std::move(notice)); };
-    ways.watch = [&] { list.askNow(); };
     ways.ready = [&] {
         if (!works) return;
         clients.ready();
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -130,6 +130,14 @@
     return {span(set, "limits.connIdle"), span(set, "contract.orderSettle")};
 }
 
+int readCrewSize(const Settings& set) { return static_cast<int>(set.integer("balancers", 1)); }
+
+ListRule readListRule(const Settings& set) {
+    std::string_view weights = set.text("weights");
+    return {set.text("membershipMode") == "subscribe", weights == "nominal" || weights == "rough",
+            span(set, "contract.mustAskIn")};
+}
+
 ReportFields readReportFields(const Settings& set) {
     ReportFields found;
     if (set.text("report.how") != "piggyback") return found;
@@ -145,15 +153,12 @@
     auto products = readProducts(set, names);
     auto kinds = readKinds(set, names);
     for (std::string_view name : set.list("failureDomains")) names.zones.admit(name);
-    Crew crew{static_cast<int>(set.integer("balancers", 1)), names.zones.admit(set.text("zone"))};
+    Crew crew{readCrewSize(set), names.zones.admit(set.text("zone"))};
     ColdRule cold{set.number("contract.coldFrom"), span(set, "contract.cold"),
                   set.number("contract.tipMultiple"), span(set, "contract.fall")};
-    std::string_view weights = set.text("weights");
-    ListRule list{set.text("membershipMode") == "subscribe", weights == "nominal" || weights == "rough",
-                  span(set, "contract.mustAskIn")};
     Decay decay = set.text("domain.decay") == "halving" ? Decay::halving : Decay::linear;
     return makeSender(static_cast<uint32_t>(seed ^ (seed >> 32)), std::move(products), std::move(kinds), crew,
-                      readRoom(set), cold, list, decay, readLinks(set));
+                      readRoom(set), cold, readListRule(set), decay, readLinks(set));
 }
 
 }  // namespace petrelpond
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -61,6 +61,8 @@
 Room readRoom(const Settings& set);
 Span readLongestValidity(const Settings& set);  // of all products
 Links readLinks(const Settings& set);
+ListRule readListRule(const Settings& set);
+int readCrewSize(const Settings& set);
 // The places in a load report of the limit in calls a second and of the share of it that is left; -1 where
 // answers carry none.
 struct ReportFields {
--- a/src/routing/module_actor.cpp
+++ b/src/routing/module_actor.cpp
@@ -169,8 +169,6 @@
         if (!rows_[text.value].out) drop(text);
     } else if (auto* list = std::get_if<ListMail>(&mail)) {
         listed(now, *list);
-    } else if (std::holds_alternative<ListFailedMail>(mail)) {
-        sender_->listFailed(now);
     } else if (auto* told = std::get_if<ToldMail>(&mail)) {
         for (const std::string& id : told->ids) keep(store_->over(id));
     } else if (std::holds_alternative<SafeMail>(mail)) {
@@ -437,7 +435,7 @@
     } else if (const auto* wake = std::get_if<WakeAt>(&decision)) {
         timers_.insert(wake->at);
     } else if (std::holds_alternative<WatchList>(decision)) {
-        ways_.watch();
+        return;  // the list's actor asks by itself, from the start on
     } else if (const auto* close = std::get_if<CloseIdle>(&decision)) {
         if (close->endpoint.value < places_.size() && places_[close->endpoint.value].actor) {
             places_[close->endpoint.value].actor->closeIdle();
--- a/src/routing/module_actor.hpp
+++ b/src/routing/module_actor.hpp
@@ -46,7 +46,6 @@
     MemberList list;
     bool old = false;  // as last held, before discovery was heard
 };
-struct ListFailedMail {};
 struct ToldMail {  // notices that the platform has
     std::vector<std::string> ids;
 };
@@ -56,7 +55,7 @@
     std::function<void()> done;
 };
 using ModuleMail =
-    std::variant<ArrivedMail, WithdrawnMail, CallEnd, ListMail, ListFailedMail, ToldMail, SafeMail, LeavingMail>;
+    std::variant<ArrivedMail, WithdrawnMail, CallEnd, ListMail, ToldMail, SafeMail, LeavingMail>;
 using ModuleBox = Mailbox<ModuleMail>;
 
 // A standby without which nothing is taken on, sent or answered; what it has kept is as safe as it gets.
@@ -75,7 +74,6 @@
         std::shared_ptr<ModuleBox> inbox;
         EndpointActor::Ways endpoints;
         std::function<void(Notice)> notify;
-        std::function<void()> watch;  // the module asks to be kept informed
         std::function<void()> ready;  // what was open before the restart is with the module
         Report* report;
         Recording* recording = nullptr;      // where what comes and ends is recorded
--- a/src/routing/platform_actors.cpp
+++ b/src/routing/platform_actors.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-// The agent is on this machine and answers at once; a watch is kept short so that one whose connection died
-// unseen is soon replaced.
-constexpr Span kWatch = Span::seconds(2);
 constexpr Span kGrace = Span::millis(1500);
 constexpr Span kConnect = Span::millis(500);
 // A notice is late soon, and telling it twice does no harm.
@@ -57,53 +54,54 @@
 }
 
 void ListActor::run() {
-    Span pause = kFirstPause;
+    Instant next = plan_.first(steadyNow());
     while (true) {
-        if (ask()) {
-            pause = kFirstPause;
-            continue;
-        }
+        while (agent_.moves() == moves_ && steadyNow() < next) moved_.drain(next);
+        Heard heard = ask();
+        Instant now = steadyNow();
+        next = now;  // where a new address cut it off, that is asked at once
+        if (heard == Heard::list) next = plan_.answered(now);
+        if (heard == Heard::list) continue;
         agent_.drop();
-        if (agent_.moves() != moves_) continue;  // cut off by a new address, which is asked at once
+        if (agent_.moves() != moves_) continue;
         report_.add(Count::listCallsFailed);
-        if (!module_->post(ListFailedMail{})) report_.say(Level::warning, "the module's mailbox is full");
-        askNow_.drain(steadyNow() + pause);
-        pause = std::min(pause * 2, kLongestPause);
+        if (heard == Heard::tooMany) report_.add(Count::listCallsTurnedAway);
+        report_.say(Level::debug, heard == Heard::tooMany ? "not listed: turned away" : "not listed");
+        next = heard == Heard::tooMany ? plan_.turnedAway(now) : plan_.failed(now);
     }
 }
 
-bool ListActor::ask() {
+ListActor::Heard ListActor::ask() {
     if (int moves = agent_.moves(); moves != moves_) moves_ = moves, revision_.reset();
     auto buffer = buffers_.lease();
-    auto failed = [&](const std::string& how) {
-        if (report_.says(Level::debug)) report_.say(Level::debug, "not listed: " + how);
-        return false;
-    };
-    if (!buffer || !agent_.connect() || agent_.moves() != moves_) return failed("no connection");
+    if (!buffer || !agent_.connect() || agent_.moves() != moves_) return Heard::nothing;
     const Socket& socket = agent_.socket();
-    Instant until = steadyNow() + kWatch + kGrace;
-    socket.waitAtMost(kWatch + kGrace);
-    if (!socket.sendAll(writeWatch(agent_.address(), revision_, kWatch))) return failed("not sent");
+    Span wait = plan_.wait();
+    Instant until = steadyNow() + wait + plan_.patience();
+    socket.waitAtMost(wait + plan_.patience());
+    if (!socket.sendAll(writeWatch(agent_.address(), wait > Span() ? revision_ : std::nullopt, wait))) return Heard::nothing;
     Reply reply = readReply(socket, buffer, true, until);
-    if (reply.state != Reply::State::whole) return failed("no whole answer");
-    if (reply.head.status() != 200) return failed("status " + std::to_string(reply.head.status()));
+    if (reply.state != Reply::State::whole) return Heard::nothing;
+    if (reply.head.status() == 503 || reply.head.status() == 429) return Heard::tooMany;
+    if (reply.head.status() != 200) return Heard::nothing;
     auto list = readMembers(reply.body);
     if (!list) {
         report_.add(Count::listsOdd);
-        return false;
+        return Heard::nothing;
     }
     if (!reply.keep) agent_.drop();
     report_.add(Count::listsRead);
     if (report_.says(Level::debug)) {
         report_.say(Level::debug, "listed: revision " + std::to_string(list->revision) + " members " +
-                                      std::to_string(list->members.size()));
+                                      std::to_string(list->members.size()) + " waited " +
+                                      std::to_string(wait.inMicros() / 1000));
     }
-    bool news = list->whole || !list->members.empty();
+    bool news = list->whole ? revision_ != list->revision : !list->members.empty();
     int64_t revision = list->revision;
     // A list that got lost would leave a gap, so that the same is asked for again.
-    if (news && !module_->post(ListMail{std::move(*list), false})) return false;
+    if (news && !module_->post(ListMail{std::move(*list), false})) return Heard::nothing;
     revision_ = revision;
-    return true;
+    return Heard::list;
 }
 
 void NoticeActor::run() {
--- a/src/routing/platform_actors.hpp
+++ b/src/routing/platform_actors.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "src/routing/ask_plan.hpp"
 #include "src/routing/module_actor.hpp"
 #include "src/transport/socket.hpp"
 
@@ -36,24 +37,25 @@
 // asked for first, as its revisions may be counted otherwise.
 class ListActor {
   public:
-    ListActor(std::string agent, int64_t revision, Buffers& buffers, std::shared_ptr<ModuleBox> module,
-              Report& report)
-        : agent_(std::move(agent)), revision_(revision), buffers_(buffers), module_(std::move(module)),
-          report_(report) {}
+    ListActor(std::string agent, int64_t revision, AskPlan plan, Buffers& buffers,
+              std::shared_ptr<ModuleBox> module, Report& report)
+        : agent_(std::move(agent)), plan_(std::move(plan)), revision_(revision), buffers_(buffers),
+          module_(std::move(module)), report_(report) {}
     void run();
-    void askNow() { askNow_.postHeld(true); }  // cuts a pause after a failed call short
-    void moveTo(std::string agent) { agent_.moveTo(std::move(agent)), askNow(); }
+    void moveTo(std::string agent) { agent_.moveTo(std::move(agent)), moved_.postHeld(true); }
 
   private:
-    bool ask();
+    enum class Heard { list, tooMany, nothing };
+    Heard ask();
 
     Agent agent_;
+    AskPlan plan_;
     int moves_ = 0;
     std::optional<int64_t> revision_;  // none: the whole list is wanted
     Buffers& buffers_;
     std::shared_ptr<ModuleBox> module_;
     Report& report_;
-    Mailbox<bool> askNow_{4};
+    Mailbox<bool> moved_{4};  // ends a pause
 };
 
 // Tells the platform of texts that ended otherwise than delivered, again and again until it has heard.
--- a/src/routing/report.hpp
+++ b/src/routing/report.hpp
@@ -17,7 +17,7 @@
     X(callsBrokeAfterSent) X(callsOddAnswer) X(callsTimedOutUnsent) X(callsTimedOut) \
     X(callsCancelledUnsent) X(callsCancelled) X(connectionsOpened) X(submits) X(delivered) X(errors) \
     X(turnedAway) X(notSent) X(overElsewhere) X(nacked) X(undeliverable) X(noticesTold) \
-    X(noticesOdd) X(listsRead) X(listsOdd) X(listCallsFailed) X(storeCompacted) X(storeRefused) \
+    X(noticesOdd) X(listsRead) X(listsOdd) X(listCallsFailed) X(listCallsTurnedAway) X(storeCompacted) X(storeRefused) \
     X(storeFailed) X(storeDamaged) X(endpointsFreed) X(destinationsFreed) X(configsReread) X(configsOdd)
 // clang-format on
 
