Reported room restores a slice at once; refused at the door, senders pause until idle ones close

Ruled out: trust (0.81 to 0.94 meanwhile, so slices were nearly whole), the place (no refusal from 15 s on), the reported limit (back at 0.67 to 0.75 a sender from 17.5 s on). At fault: src/logic.cpp, Bucket::succeeded, a step a second but only at a success, which a thin slice that was cut has once in several seconds; noteCall, the pause at the door.

Now an answer that says what is left restores trust and rate up to that share of the slice; the pause at the door begins at the span for which idle connections are kept.

Test: a limit lowered and given back; fails without the change.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -50,10 +50,13 @@
         askAt = std::max(askAt, until + jitter(chance) + apart);
     }
     // A busy sender may use what idle ones leave, as its successes show; past its slice by small steps.
-    void succeeded(Instant now, double slice, double ceiling) {
+    // Where the answer says what share of the limit is left, the slice is trusted by that at once: a thin one
+    // succeeds so seldom that it would climb for half a minute. Harm: what all see left, all take.
+    void succeeded(Instant now, double slice, double ceiling, double left) {
         delivered = true;
         if (!bound || now - raisedAt < Span::seconds(1)) return;
-        trust = std::min(1.0, trust + 0.03);
+        trust = std::min(1.0, std::max(trust + 0.03, left));
+        rate = std::max(rate, slice * left);
         rate = std::min(rate * (rate < slice * trust ? 1.25 : 1.05), std::max(ceiling, 1.0));
         raisedAt = now;
     }
@@ -506,9 +509,10 @@
         // table of connections is full, which says nothing of its limit. Also catches a proxy's own refusals.
         // Harm: a place too busy to report is found at the next refusal with a report.
         if (e.end == End::full && e.fresh && e.wait <= Span() && !e.reportedLeft && p.reportedRate > 0) {
+            // Until what lies idle there, the others' as this sender's own, has closed.
+            double pause = std::max(usualTime_, sort(at).idle.span.inSeconds());
+            at.doorAt = now + chance_.about(Span::seconds(pause * std::pow(2, std::min(at.misses++, 3))));
             at.noneHadAt = now, sort(at).idle.noneHad(links_.idle, true);
-            double pause = usualTime_ * std::pow(2, std::min(at.misses++, 4));
-            at.doorAt = now + chance_.about(Span::seconds(pause));
             return;
         }
         // A cut call took at least so long; left out, a place that slowed would go on being cut.
@@ -526,7 +530,9 @@
             credit_ = std::min(credit_ + 1, mostCredit_);
             parking_.release(Row::pay, 1);
             if (p.bucket.pacedSince(text.started)) sort(at).pace = std::min(sort(at).pace * 1.25, 0.5);
-            p.bucket.succeeded(now, p.fleetRate() > 0 ? slice : 1e9, p.fleetRate() > 0 ? p.fleetRate() : 1e9);
+            bool known = p.fleetRate() > 0;
+            p.bucket.succeeded(now, known ? slice : 1e9, known ? p.fleetRate() : 1e9,
+                               known ? std::min(e.reportedLeft.value_or(0), 1.0) : 0);
             p.guard.delivered(now);
             if (now - at.noneHadAt < Span::seconds(2)) sort(at).idle.noneHad(links_.idle, true);
             at.deliveredAt = now, at.misses = 0, at.noneHadAt = Instant::longAgo();
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -593,3 +593,35 @@
     CHECK(sentAfterRefusals(true) >= 8);   // nothing binds
     CHECK(sentAfterRefusals(false) <= 4);  // refusals with a report bind at the slice
 }
+
+// One of 100 senders at a place whose limit was lowered to a quarter for a while, and given back.
+static size_t sentAfterReturn(double left) {
+    Set set;
+    set.crew.senders = 100;
+    Rig rig(set);
+    rig.endpoints(0, 0, 1);
+    auto end = [&](const Submit& s, End how, double limit, double share) {
+        SubmitEnd e{s.text, s.endpoint, how, how == End::delivered, Span(), limit, share, true};
+        rig.rules.ended(rig.now, e);
+        rig.sender->ended(rig.now, e);
+    };
+    for (int ended = 0; ended < 12;) {
+        if (rig.count.size() < 5) rig.text(0, 0);
+        for (const Submit& s : rig.run(Span::millis(50))) end(s, ended++ % 3 < 2 ? End::full : End::delivered, 100, 0);
+    }
+    for (int i = 0; i < 40; ++i) rig.text(0, 0);
+    size_t sent = 0;
+    for (int i = 0; i < 400 && sent < 2; ++i) {
+        for (const Submit& s : rig.run(Span::millis(50))) end(s, End::delivered, 400, left), ++sent;
+    }
+    sent = 0;
+    for (int i = 0; i < 60; ++i) {
+        for (const Submit& s : rig.run(Span::millis(50))) end(s, End::delivered, 400, left), ++sent;
+    }
+    return sent;
+}
+
+TEST_CASE("a slice is used again at once when answers say that most of a limit is left") {
+    CHECK(sentAfterReturn(0.9) >= 7);  // 4 a second each, for 3 s
+    CHECK(sentAfterReturn(0) <= 5);
+}
