A sender of many that holds no list asks at once; a list that can't be read is logged

At fault: AskPlan::first. Now only a sender that holds a list waits. A list that can't be read leaves a warning beside the counter listsOdd, and the last one stays.

Test: of many plans one without a list asks at once, the others spread.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -405,8 +405,8 @@
         if (!p) return "nothing";
         const char* phase[] = {"clear", "down", "returning"};
         std::string words = phase[static_cast<int>(p->guard.phase)];
-        for (double x : {p->bucket.bound ? p->bucket.rate : 0, p->bucket.trust, p->fleetRate() / crew_.senders})
-            words += '/' + std::to_string(x);
+        double rate = p->bucket.bound ? p->bucket.rate : 0, slice = p->fleetRate() / crew_.senders;
+        for (double x : {rate, p->bucket.trust, slice}) words += '/' + std::to_string(x);
         return words + (now < p->toldUntil ? "/told" : "/free");
     }
 
@@ -505,9 +505,9 @@
         if (!first || e.end == End::cancelled || e.end == End::notSent) return;
         // A quick break of a connection that had lain idle is the connection's trouble, not the place's.
         if (e.end == End::reset && sort(at).idle.brokeAfter(text.started - at.idleAt)) return;
-        // Refused on a new connection, without the report that the place's answers carry and without a wait: its
-        // table of connections is full, which says nothing of its limit. Also catches a proxy's own refusals.
-        // Harm: a place too busy to report is found at the next refusal with a report.
+        // Refused on a new connection, without the report that the place's answers carry and without a wait:
+        // its table of connections is full, which says nothing of its limit. Also catches a proxy's own
+        // refusals. Harm: a place too busy to report is found at the next refusal with a report.
         if (e.end == End::full && e.fresh && e.wait <= Span() && !e.reportedLeft && p.reportedRate > 0) {
             // Until what lies idle there, the others' as this sender's own, has closed.
             double pause = std::max(usualTime_, sort(at).idle.span.inSeconds());
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -126,7 +126,8 @@
     Span mustAskIn = readListRule(config.settings).mustAskIn;
     AskPlan plan(static_cast<uint32_t>(config.seed >> 16), readCrewSize(config.settings),
                  mustAskIn > Span() ? mustAskIn : kMustAskIn, kWatch);
-    ListActor list(config.discovery, config.known.revision, plan, buffers, inbox, log);
+    ListActor list(config.discovery, config.known.revision, !config.known.members.empty(), plan, buffers,
+                   inbox, log);
     Clients clients(std::move(listener), clientsMost, room.longestPause, clientBuffers, inbox, log);
 
     ModuleActor::Ways ways;
@@ -213,7 +214,8 @@
     if (argc > 1) {
         std::vector<std::string> words(argv + 1, argv + argc);
         if (words[0] == "store") return storeTool({words.begin() + 1, words.end()}, std::cout, std::cerr);
-        if (words[0] == "standby") return standbyProgram({words.begin() + 1, words.end()}, std::cout, std::cerr);
+        if (words[0] == "standby")
+            return standbyProgram({words.begin() + 1, words.end()}, std::cout, std::cerr);
         std::cerr << "petrelpond: no such command: " << words[0]
                   << "\nIt takes its configuration from LB_CONFIG; `petrelpond store` looks at a store, "
                      "`petrelpond standby` keeps a copy of another's.\n";
--- a/src/routing/ask_plan.hpp
+++ b/src/routing/ask_plan.hpp
@@ -25,8 +25,9 @@
     // How long an answer may take beyond that: a crowded directory answers late, and a call that is given up
     // has cost it as much.
     Span patience() const { return many_ ? longest_ : watch_ * 0.75; }
-    // Many that start may have been restarted together: they ask at moments of their own.
-    Instant first(Instant now) { return many_ ? now + longest_ * part() : now; }
+    // Many that start may have been restarted together: they ask at moments of their own, but for one that
+    // holds no list and can deliver nothing until it has one.
+    Instant first(Instant now, bool holdsList) { return many_ && holdsList ? now + longest_ * part() : now; }
 
     Instant answered(Instant now) {
         failures_ = 0;
--- a/src/routing/endpoint_actor.hpp
+++ b/src/routing/endpoint_actor.hpp
@@ -28,7 +28,7 @@
     EndpointIx endpoint;
     std::vector<TextIx> texts;
     Ending ending = Ending::noMeans;
-    Answer answer;  // a verdict for each text where the ending is an answer
+    Answer answer;       // a verdict for each text where the ending is an answer
     bool fresh = false;  // a connection was made for it
 };
 
--- a/src/routing/module_actor.cpp
+++ b/src/routing/module_actor.cpp
@@ -274,16 +274,16 @@
                        const std::string& before) {
     auto ms = [](Span s) { return std::to_string(s.inMicros() / 1000); };
     auto share = [](std::optional<double> x) { return x ? std::to_string(*x) : std::string("-"); };
-    ways_.report->say(
-        Level::debug, "ended: " + row.id + " product " + row.product + " submit " + std::to_string(row.submits) +
-                          " at " + names_.endpoints.name(call.endpoint) + " of " +
-                          names_.destinations.name(row.destination) + " with " +
+    ways_.report->say(Level::debug,
+                      "ended: " + row.id + " product " + row.product + " submit " +
+                          std::to_string(row.submits) + " at " + names_.endpoints.name(call.endpoint) +
+                          " of " + names_.destinations.name(row.destination) + " with " +
                           std::to_string(call.texts.size()) + " ending " +
                           std::to_string(static_cast<int>(call.ending)) + " outcome " +
-                          std::to_string(static_cast<int>(e.end)) + " took " + ms(now - row.sentAt) + " age " +
-                          ms(now - row.cameAt) + " fresh " + std::to_string(call.fresh) + " wait " + ms(e.wait) +
-                          " limit " + share(e.reportedLimit) + " left " + share(e.reportedLeft) + " believed " +
-                          before + " now " + sender_->belief(now, call.endpoint));
+                          std::to_string(static_cast<int>(e.end)) + " took " + ms(now - row.sentAt) +
+                          " age " + ms(now - row.cameAt) + " fresh " + std::to_string(call.fresh) + " wait " +
+                          ms(e.wait) + " limit " + share(e.reportedLimit) + " left " + share(e.reportedLeft) +
+                          " believed " + before + " now " + sender_->belief(now, call.endpoint));
 }
 
 TextIx ModuleActor::freshText() {
@@ -392,15 +392,18 @@
         ways_.report->add(taken ? Count::textsTaken : Count::storeRefused);
         auto reply = std::exchange(row.reply, nullptr);
         if (taken) {
-            whenSafe([reply] { reply->postHeld({Reception::What::taken, Span()}); },
-                     [this, reply, ix, id = row.id] {
-                         reply->postHeld({Reception::What::nacked, busy_});
-                         auto at = rows_.find(ix.value);
-                         if (at == rows_.end() || at->second.id != id || at->second.over) return;
-                         at->second.over = true;
-                         sender_->withdrawn(steadyNow(), ix);
-                         if (!at->second.out) drop(ix);
-                     });
+            whenSafe(
+                [reply] {
+                    reply->postHeld({Reception::What::taken, Span()});
+                },
+                [this, reply, ix, id = row.id] {
+                    reply->postHeld({Reception::What::nacked, busy_});
+                    auto at = rows_.find(ix.value);
+                    if (at == rows_.end() || at->second.id != id || at->second.over) return;
+                    at->second.over = true;
+                    sender_->withdrawn(steadyNow(), ix);
+                    if (!at->second.out) drop(ix);
+                });
             continue;
         }
         reply->postHeld({Reception::What::nacked, busy_});
--- a/src/routing/module_actor.hpp
+++ b/src/routing/module_actor.hpp
@@ -49,7 +49,7 @@
 struct ToldMail {  // notices that the platform has
     std::vector<std::string> ids;
 };
-struct SafeMail {};  // the store has got more of what was written safe
+struct SafeMail {};   // the store has got more of what was written safe
 struct LeavingMail {  // the process ends then; done sooner where nothing is held
     Instant by;
     std::function<void()> done;
@@ -105,7 +105,8 @@
     void take(Instant now, ModuleMail& mail);
     void arrived(Instant now, ArrivedMail& mail);
     void ended(Instant now, CallEnd& end);
-    void tell(Instant now, const Row& row, const SubmitEnd& e, const CallEnd& call, const std::string& before);
+    void tell(Instant now, const Row& row, const SubmitEnd& e, const CallEnd& call,
+              const std::string& before);
     void listed(Instant now, const ListMail& mail);
     void pull(Instant now);
     void receive(Instant now);
--- a/src/routing/platform_actors.cpp
+++ b/src/routing/platform_actors.cpp
@@ -54,7 +54,7 @@
 }
 
 void ListActor::run() {
-    Instant next = plan_.first(steadyNow());
+    Instant next = plan_.first(steadyNow(), holdsList_);
     while (true) {
         while (agent_.moves() == moves_ && steadyNow() < next) moved_.drain(next);
         Heard heard = ask();
@@ -79,7 +79,8 @@
     Span wait = plan_.wait();
     Instant until = steadyNow() + wait + plan_.patience();
     socket.waitAtMost(wait + plan_.patience());
-    if (!socket.sendAll(writeWatch(agent_.address(), wait > Span() ? revision_ : std::nullopt, wait))) return Heard::nothing;
+    if (!socket.sendAll(writeWatch(agent_.address(), wait > Span() ? revision_ : std::nullopt, wait)))
+        return Heard::nothing;
     Reply reply = readReply(socket, buffer, true, until);
     if (reply.state != Reply::State::whole) return Heard::nothing;
     if (reply.head.status() == 503 || reply.head.status() == 429) return Heard::tooMany;
@@ -87,6 +88,7 @@
     auto list = readMembers(reply.body);
     if (!list) {
         report_.add(Count::listsOdd);
+        report_.say(Level::warning, "a list from " + agent_.address() + " can't be read; the last one stays");
         return Heard::nothing;
     }
     if (!reply.keep) agent_.drop();
--- a/src/routing/platform_actors.hpp
+++ b/src/routing/platform_actors.hpp
@@ -37,10 +37,11 @@
 // asked for first, as its revisions may be counted otherwise.
 class ListActor {
   public:
-    ListActor(std::string agent, int64_t revision, AskPlan plan, Buffers& buffers,
+    // holdsList: the sender was started with one that names endpoints.
+    ListActor(std::string agent, int64_t revision, bool holdsList, AskPlan plan, Buffers& buffers,
               std::shared_ptr<ModuleBox> module, Report& report)
-        : agent_(std::move(agent)), plan_(std::move(plan)), revision_(revision), buffers_(buffers),
-          module_(std::move(module)), report_(report) {}
+        : agent_(std::move(agent)), plan_(std::move(plan)), holdsList_(holdsList), revision_(revision),
+          buffers_(buffers), module_(std::move(module)), report_(report) {}
     void run();
     void moveTo(std::string agent) { agent_.moveTo(std::move(agent)), moved_.postHeld(true); }
 
@@ -50,6 +51,7 @@
 
     Agent agent_;
     AskPlan plan_;
+    bool holdsList_;
     int moves_ = 0;
     std::optional<int64_t> revision_;  // none: the whole list is wanted
     Buffers& buffers_;
--- a/tests/ask_plan_test.cpp
+++ b/tests/ask_plan_test.cpp
@@ -1,15 +1,15 @@
+#include "src/routing/ask_plan.hpp"
+
 #include <catch2/catch.hpp>
 #include <vector>
 
-#include "src/routing/ask_plan.hpp"
-
 using namespace petrelpond;
 
 static Instant at(double s) { return Instant::atMicros(0) + Span::seconds(s); }
 
 TEST_CASE("few senders keep a watch open, and ask again soon where nothing is heard") {
     AskPlan plan(3, 2, Span::seconds(10), Span::seconds(2));
-    CHECK(plan.first(at(1)) == at(1));
+    CHECK(plan.first(at(1), true) == at(1));
     CHECK(plan.wait() == Span::seconds(2));
     CHECK(plan.answered(at(3)) == at(3));  // at once, so that the watch goes on
     Instant first = plan.failed(at(5));
@@ -34,6 +34,16 @@
     CHECK(plan.wait() == Span::seconds(2));
 }
 
+TEST_CASE("of many senders one that holds no list asks for it at once") {
+    int spread = 0;
+    for (uint32_t seed = 1; seed <= 20; ++seed) {
+        AskPlan plan(seed, 100, Span::seconds(10), Span::seconds(2));
+        CHECK(plan.first(at(1), false) == at(1));
+        spread += plan.first(at(1), true) > at(2);
+    }
+    CHECK(spread > 10);
+}
+
 // A directory that answers so many calls a second, and pays for those that it turns away as well.
 static int heardLatest(double rate, int& askedMost) {
     constexpr int kSenders = 100;
@@ -41,7 +51,7 @@
     std::vector<Instant> next, heard(kSenders, Instant::longAgo());
     for (uint32_t i = 0; i < kSenders; ++i) {
         plans.emplace_back(i + 1, kSenders, Span::seconds(10), Span::seconds(2));
-        next.push_back(plans[i].first(at(0)));  // all at one moment, as after a release
+        next.push_back(plans[i].first(at(0), true));  // all at one moment, as after a release
     }
     double budget = rate;
     std::vector<int> inSecond(60);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -238,7 +238,8 @@
 TEST_CASE("late outcomes, unknown products and stale timers do no harm") {
     Rig rig;
     rig.endpoints(0, 0, 1);
-    rig.sender->ended(rig.now, SubmitEnd{TextIx(99u), EndpointIx(0u), End::delivered, true, {}, {}, {}, false});
+    rig.sender->ended(rig.now,
+                      SubmitEnd{TextIx(99u), EndpointIx(0u), End::delivered, true, {}, {}, {}, false});
     rig.sender->withdrawn(rig.now, TextIx(99u));
     rig.sender->woke(rig.now);
     Arrival odd{TextIx(rig.nextText++), DestinationIx(0u), ProductIx(), rig.now + Span::seconds(5), {}};
@@ -607,7 +608,8 @@
     };
     for (int ended = 0; ended < 12;) {
         if (rig.count.size() < 5) rig.text(0, 0);
-        for (const Submit& s : rig.run(Span::millis(50))) end(s, ended++ % 3 < 2 ? End::full : End::delivered, 100, 0);
+        for (const Submit& s : rig.run(Span::millis(50)))
+            end(s, ended++ % 3 < 2 ? End::full : End::delivered, 100, 0);
     }
     for (int i = 0; i < 40; ++i) rig.text(0, 0);
     size_t sent = 0;
