The operators' second address: bans, a drain with a way back, status

A ban is an input of the module: nothing new goes there whatever lists say; given back, the endpoint comes by a trial and its warm-up budget, or by the trickle among fellows. A drained sender says no at /up, its answers close, and it lets go who waits for a further request.

--- a/include/petrelpond/sender.hpp
+++ b/include/petrelpond/sender.hpp
@@ -148,6 +148,9 @@
     virtual void withdrawn(Instant now, TextIx text) = 0;
     virtual void listed(Instant now, ListScope scope, const std::vector<ListEntry>& entries) = 0;
     virtual void listFailed(Instant now) = 0;
+    // An operator takes an endpoint that is listed out of use, whatever lists say, or gives it back: it was
+    // restarted meanwhile. Ends with the endpoint's index.
+    virtual void banned(Instant, EndpointIx, bool) {}
     // Nothing is listed of it and no text is for it: its index becomes another's.
     virtual void forgotten(Instant, DestinationIx) {}
     virtual void leaving(Instant) {}  // the process ends then; what it holds comes back with its next life
--- a/src/index/roster.hpp
+++ b/src/index/roster.hpp
@@ -16,7 +16,8 @@
     ZoneIx zone;
     KindIx kind;
     uint32_t place = 0, next = kNone;  // next: of the same destination
-    bool usable = false, gone = false;
+    bool active = false, banned = false, gone = false;
+    bool usable() const { return active && !banned; }
 };
 struct DestinationSeed {
     uint32_t place = kNone, first = kNone;  // shared by its endpoints; the first of them
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -136,8 +136,7 @@
         if (phase != Phase::down) downAt = now, before = std::max(slice, phase == Phase::clear ? 0 : before);
         phase = Phase::down;
         // In step with the outage's age: all trials together stay under what a returning place can take.
-        double part = std::max(std::max(cold.multiple, 1.0) * cold.share * slice, 0.001);
-        double least = std::clamp(0.04 / part, 0.4, 6.0);
+        double part = coldPart(slice, cold), least = std::clamp(0.04 / part, 0.4, 6.0);
         double most = many ? std::max(least, 0.9 / part) : std::max(2.0, 0.4 / part);
         double step = many ? std::max(1.0, least) : 0.46;
         double pause = std::clamp(step * (now - downAt).inSeconds(), least, most);
@@ -146,6 +145,14 @@
         trialAt = now + std::max(chance.about(Span::seconds(pause)),
                                  wait + Span::seconds(chance.between(0, apart)));
     }
+    static double coldPart(double slice, const ColdRule& cold) {
+        return std::max(std::max(cold.multiple, 1.0) * cold.share * slice, 0.001);
+    }
+    // Known to be cold: its first call is a trial, and of many senders each has a moment of its own.
+    void restarted(Instant now, double slice, bool many, const ColdRule& cold, Chance& chance) {
+        before = std::max(slice, before), phase = Phase::down, downAt = now, deliveredAt = Instant::longAgo();
+        trialAt = now + Span::seconds(chance.between(0, many ? std::min(0.04 / coldPart(slice, cold), 6.0) : 0.1));
+    }
     void delivered(Instant now) {
         // Spoilt answers or resets in a row, while others are delivered and few fail in the long run.
         bool brief = now - deliveredAt < Span::seconds(1) && failingLong < 0.2;
@@ -322,14 +329,14 @@
     void listed(Instant, ListScope scope, const std::vector<ListEntry>& entries) override {
         if (scope != ListScope::old) listFailures_ = 0;
         bool whole = scope == ListScope::whole, all = scope != ListScope::changes;
-        auto unlist = [&](EndpointSeed& e) { e.usable = false, e.gone = e.gone || whole; };
+        auto unlist = [&](EndpointSeed& e) { e.active = false, e.gone = e.gone || whole; };
         for (uint32_t i = 0; all && i < endpoints_.size(); ++i) endpoints_.reseed(i, unlist);
         for (const ListEntry& entry : entries) {
             uint32_t ix = entry.endpoint.value;
             endpoints_.cover(ix);
             if (!endpoints_.seed(ix).destination.known()) place(entry);
-            bool usable = entry.state == Listed::active, gone = entry.state == Listed::gone;
-            endpoints_.reseed(ix, [&](EndpointSeed& e) { e.usable = usable, e.gone = gone; });
+            bool active = entry.state == Listed::active, gone = entry.state == Listed::gone;
+            endpoints_.reseed(ix, [&](EndpointSeed& e) { e.active = active, e.gone = gone; });
             auto relist = [&](PlaceSeed& p) { p.listedRate = entry.rate; };
             if (listRule_.ratesListed && entry.rate > 0) places_.reseed(endpoints_.seed(ix).place, relist);
             touch(entry.destination.value);
@@ -338,6 +345,23 @@
         for (uint32_t i = 0; all && i < endpoints_.size(); ++i) freeIfGone(i);
     }
 
+    // Given back it is cold, as what was restarted is, and no sender has seen a call fail there: a place with
+    // no other endpoint comes back by a trial and its budget, one among fellows by the trickle of one set aside.
+    void banned(Instant now, EndpointIx ix, bool out) override {
+        endpoints_.reseed(ix.value, [&](EndpointSeed& e) { e.banned = out; });
+        DestinationIx d = endpoints_.seed(ix.value).destination;
+        touch(d.value);
+        if (out || !d.known()) return;
+        Endpoint& e = endpoints_[ix.value];
+        Place& p = places_[e.is.place];
+        e.times = AnswerTimes(), e.misses = 0;
+        bool alone = true;
+        for (uint32_t i : destination(d).endpoints)
+            alone &= i == ix.value || endpoints_[i].is.place != e.is.place || !endpoints_[i].is.usable();
+        if (!alone) return setAside(now, e);
+        p.guard.restarted(now, p.slice(now, crew_.senders), crew_.senders > kFew, cold_, chance_);
+    }
+
     // The host gives the index to another name, which inherits nothing.
     void forgotten(Instant, DestinationIx d) override {
         destinations_.rest(d.value);
@@ -429,7 +453,7 @@
 
     void place(const ListEntry& entry) {
         uint32_t d = entry.destination.value;
-        EndpointSeed e{entry.destination, entry.zone, entry.kind, 0, kNone, false, false};
+        EndpointSeed e{entry.destination, entry.zone, entry.kind, 0, kNone};
         bool own = sort(e).kind.separateRoutes;
         destinations_.cover(d);
         e.place = destinations_.seed(d).place;
@@ -552,7 +576,7 @@
         for (uint32_t i : destination(at.is.destination).endpoints) {
             const Endpoint& f = endpoints_[i];
             double age = f.out.count() <= 0 ? 0 : (now - std::max(*f.out.live(), f.deliveredAt)).inSeconds();
-            lives |= &f != &at && f.is.place == at.is.place && f.is.usable && f.misses == 0 &&
+            lives |= &f != &at && f.is.place == at.is.place && f.is.usable() && f.misses == 0 &&
                      age < overdueAfter(p, load);
         }
         bool sure = ++at.misses > (e.end == End::unreachable ? 2 : 1) || e.end == End::timeout;
@@ -634,7 +658,7 @@
 
     // Room at an endpoint for one more call, zero if it may not have one.
     double roomAt(Instant now, const Endpoint& e) {
-        if (!e.is.usable) return 0;
+        if (!e.is.usable()) return 0;
         Place& p = places_[e.is.place];
         if (now < p.toldUntil) return blockedUntil(p.toldUntil);
         if (now < e.doorAt) return blockedUntil(e.doorAt);
@@ -877,11 +901,11 @@
         if (d.endpoints.size() < 2) return;
         for (uint32_t i : d.endpoints) {
             Endpoint& e = endpoints_[i];
-            if (!e.is.usable || e.trickle > 0) continue;
+            if (!e.is.usable() || e.trickle > 0) continue;
             fellows_.clear();
             for (uint32_t j : d.endpoints) {
                 const Endpoint& f = endpoints_[j];
-                if (j != i && f.is.usable && f.times.count > 0 && f.trickle <= 0)
+                if (j != i && f.is.usable() && f.times.count > 0 && f.trickle <= 0)
                     fellows_.push_back(f.times.high);
             }
             if (fellows_.empty()) continue;
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -40,6 +40,7 @@
     config.discovery = value->textOf("discovery");
     if (config.discovery.empty()) config.discovery = variable("LB_DISCOVERY");
     config.state = variable("LB_STATE", value->textOf("state"));
+    config.ops = variable("LB_OPS", value->textOf("ops"));
     config.seed = readSeed(value->member("seed"));
     if (const json::Value* limits = value->member("limits")) {
         auto limit = [&](const char* name, int64_t& into) {
--- a/src/program/config.hpp
+++ b/src/program/config.hpp
@@ -11,6 +11,7 @@
 
 struct Config {
     std::string name, listen, discovery, state;
+    std::string ops;  // host:port of the operators' address; empty: none
     uint64_t seed = 0;
     int64_t memoryMb = 192, sockets = 1024, diskMb = 3;
     // Of the store, for installations other than the platform's, whose folder needs no sync.
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -15,6 +15,7 @@
 #include "src/replica/shipper.hpp"
 #include "src/replica/standby.hpp"
 #include "src/routing/client_actor.hpp"
+#include "src/routing/operators_actor.hpp"
 #include "src/routing/platform_actors.hpp"
 #include "src/transport/thread.hpp"
 
@@ -93,11 +94,17 @@
         log.say(Level::error, "cannot listen at " + config.listen + ": " + problem);
         return 1;
     }
+    // An operators' address that can't be had is said, and the clients are served all the same.
+    Socket opsListener;
+    if (auto at = Address::parse(config.ops)) opsListener = listenAt(*at, problem = "no address");
+    if (!config.ops.empty() && !opsListener.open())
+        log.say(Level::error, "no calls by operators: cannot listen at " + config.ops + ": " + problem);
     // Descriptors: a few are the process's own, half of the rest the clients', half the endpoints'.
     Room room = readRoom(config.settings);
     auto free = static_cast<int>(config.sockets - 32);
     int linesMost = std::max(free / 2, 8);
     if (room.calls > 0) linesMost = std::max(std::min(linesMost, 3 * room.calls + 16), free / 3);
+    if (opsListener.open()) free -= OperatorsActor::kCallers;
     int clientsMost = std::max(free - linesMost, 8);
     // A quarter of the memory may lie in buffers. Clients and calls have pools of their own, so that clients
     // which never finish their requests keep no call from leaving.
@@ -130,8 +137,14 @@
                    inbox, log);
     Clients clients(std::move(listener), clientsMost, room.longestPause, clientBuffers, inbox, log);
 
+    ListedIds listed;
+    std::string damaged;
+    std::unique_ptr<operators::Ledger> ledger;
+    if (opsListener.open()) ledger = std::make_unique<operators::Ledger>(config.state, damaged);
+    if (!damaged.empty()) log.say(Level::error, damaged);
     ModuleActor::Ways ways;
     ways.inbox = inbox;
+    if (ledger) ways.listed = [&](std::set<std::string> ids) { listed.are(std::move(ids)); };
     ReportFields reported = readReportFields(config.settings);
     auto fieldName = [&, names = config.settings.list("report.fields")](int i) {
         return i < 0 ? std::string() : std::string(names[static_cast<size_t>(i)]);
@@ -169,12 +182,29 @@
     if (shipper) shipper->begin(store->epoch());
     ModuleActor module(config.settings, config.seed, std::move(store), ways);
     bool many = config.known.members.size() > 1000;
+    // Orders come before the list that they bear on.
+    auto hold = [&](const operators::Orders& orders) {
+        clients.drain(orders.drained);
+        inbox->postHeld(OrdersMail{orders.out});
+    };
+    std::unique_ptr<OperatorsActor> operators;
+    if (ledger) {
+        hold(ledger->orders());
+        auto whyNot = [&]() -> std::string {
+            if (!works) return "no store";
+            if (!listed.any()) return "no list of endpoints yet";
+            return clients.up() ? "" : "not up";
+        };
+        operators = std::make_unique<OperatorsActor>(
+            std::move(opsListener), OperatorsActor::Ways{ledger.get(), &listed, whyNot, hold, &log});
+    }
     inbox->postHeld(ListMail{std::move(config.known), true});
     config.known = MemberList();
 
     bool started = startThread([&] { module.run(); }) && startThread([&] { notices.run(); }) &&
                    startThread([&] { list.run(); }) && startThread([&] { clients.accept(); }) &&
                    startThread([&] { clients.attend(); });
+    if (operators) started = started && startThread([&] { operators->run(); });
     if (!started) {
         log.say(Level::error, "the machine gives no threads");
         return 1;
--- a/src/routing/client_actor.cpp
+++ b/src/routing/client_actor.cpp
@@ -140,7 +140,7 @@
             std::lock_guard lock(mutex_);
             asked_ = true;
         }
-        bool last = head.closes() || clients_.leaving_ || ending();
+        bool last = head.closes() || clients_.leaving_ || clients_.drained_ || ending();
         // One that was refused has given its buffer back, whatever lies behind it.
         if (!respond(head, {buffer_.data() + *end, length.value_or(0)}, last) || !buffer_) return false;
         std::memmove(buffer_.data(), buffer_.data() + whole, have_ - whole);
@@ -168,7 +168,7 @@
         }
         if (head.first == "GET") {
             if (path == "/up") {
-                bool up = clients_.ready_ && !clients_.leaving_;
+                bool up = clients_.up() && !clients_.drained_;
                 return answer(up ? 200 : 503, {}, up ? "up\n" : "not up\n", last);
             }
             if (path == "/alive") return answer(200, {}, "alive\n", last);
@@ -192,7 +192,7 @@
             return turnAway(clients_.busy_, last);
         }
         auto replies = box->drain(steadyNow() + kDeciding);
-        last = last || clients_.leaving_;
+        last = last || clients_.leaving_ || clients_.drained_;
         Reception r;  // nacked, where the module has not come to it
         if (!replies.empty()) r = replies.front();
         bool taken = r.what == Reception::What::taken;
@@ -341,7 +341,8 @@
     for (auto at = connections_.begin(); at != connections_.end();) {
         Connection& c = *at->second;
         if (c.rested(now)) waiting_.again(c.descriptor(), at->first);
-        if (!c.overdue(now)) {
+        // Of a drained sender who has asked before may go; a first request that is still to come is waited for.
+        if (!c.overdue(now) && !(drained_ && c.asked() && c.idle())) {
             ++at;
             continue;
         }
--- a/src/routing/client_actor.hpp
+++ b/src/routing/client_actor.hpp
@@ -24,6 +24,10 @@
     void accept();                     // until stopListening(); the caller's thread
     void attend();                     // to those that wait, for ever; the caller's thread
     void ready() { ready_ = true; }    // from now on, /up says so
+    // While drained /up says no; who still comes is served with a last answer, and who waits for a further
+    // request is let go.
+    void drain(bool drained) { drained_ = drained; }
+    bool up() const { return ready_ && !leaving_; }  // whether a text that came now would be read
     void leave() { leaving_ = true; }  // /up fails, and each answer is its connection's last
     void stopListening();
     void closeIdle();  // those that wait for a request, and those that dawdle over one
@@ -44,7 +48,7 @@
     Buffers& buffers_;
     std::shared_ptr<ModuleBox> module_;
     Report& report_;
-    std::atomic<bool> ready_ = false, leaving_ = false, stopped_ = false;
+    std::atomic<bool> ready_ = false, leaving_ = false, drained_ = false, stopped_ = false;
     std::atomic<int> open_ = 0;
     std::atomic<uint64_t> tickets_ = 0;
     Waiting waiting_;
--- a/src/routing/module_actor.cpp
+++ b/src/routing/module_actor.cpp
@@ -171,6 +171,8 @@
         listed(now, *list);
     } else if (auto* told = std::get_if<ToldMail>(&mail)) {
         for (const std::string& id : told->ids) keep(store_->over(id));
+    } else if (auto* orders = std::get_if<OrdersMail>(&mail)) {
+        ordered(now, orders->out);
     } else if (std::holds_alternative<SafeMail>(mail)) {
         return;  // each round looks
     } else if (auto* leaving = std::get_if<LeavingMail>(&mail)) {
@@ -366,8 +368,34 @@
     }
     ListScope scope = mail.old ? ListScope::old : mail.list.whole ? ListScope::whole : ListScope::changes;
     sender_->listed(now, scope, entries);
+    // A ban outlasts lists: it binds also one that was gone and is back, before anything is decided on it.
+    for (const Member& m : mail.list.members) {
+        if (m.state != Listed::gone && bans_.count(m.id) > 0) sender_->banned(now, names_.endpoints.find(m.id), true);
+    }
     for (const ListEntry& e : entries) freeIfGone(e.endpoint);
     for (uint32_t i = 0; mail.list.whole && i < places_.size(); ++i) freeIfGone(EndpointIx(i));
+    std::set<std::string> ids;
+    for (uint32_t i = 0; i < places_.size(); ++i) {
+        if (places_[i].destination.known() && !places_[i].gone) ids.insert(names_.endpoints.name(EndpointIx(i)));
+    }
+    ways_.listed(std::move(ids));
+}
+
+void ModuleActor::ordered(Instant now, const std::set<std::string>& out) {
+    auto tell = [&](const std::string& id, bool ban) {
+        EndpointIx ix = names_.endpoints.find(id);
+        if (!ix.known() || !places_.at(ix.value).destination.known()) return;
+        sender_->banned(now, ix, ban);
+        auto& actor = places_.at(ix.value).actor;
+        if (ban && actor) actor->holdBack(), actor->closeIdle();
+    };
+    auto before = std::exchange(bans_, out);
+    for (const std::string& id : out) {
+        if (before.count(id) == 0) tell(id, true);
+    }
+    for (const std::string& id : before) {
+        if (out.count(id) == 0) tell(id, false);
+    }
 }
 
 void ModuleActor::pull(Instant now) {
--- a/src/routing/module_actor.hpp
+++ b/src/routing/module_actor.hpp
@@ -49,13 +49,16 @@
 struct ToldMail {  // notices that the platform has
     std::vector<std::string> ids;
 };
+struct OrdersMail {  // endpoints that an operator has taken out, all of them
+    std::set<std::string> out;
+};
 struct SafeMail {};   // the store has got more of what was written safe
 struct LeavingMail {  // the process ends then; done sooner where nothing is held
     Instant by;
     std::function<void()> done;
 };
 using ModuleMail =
-    std::variant<ArrivedMail, WithdrawnMail, CallEnd, ListMail, ToldMail, SafeMail, LeavingMail>;
+    std::variant<ArrivedMail, WithdrawnMail, CallEnd, ListMail, ToldMail, OrdersMail, SafeMail, LeavingMail>;
 using ModuleBox = Mailbox<ModuleMail>;
 
 // A standby without which nothing is taken on, sent or answered; what it has kept is as safe as it gets.
@@ -74,6 +77,8 @@
         std::shared_ptr<ModuleBox> inbox;
         EndpointActor::Ways endpoints;
         std::function<void(Notice)> notify;
+        // The ids that are listed now, each time that they change.
+        std::function<void(std::set<std::string>)> listed = [](std::set<std::string>) {};
         std::function<void()> ready;  // what was open before the restart is with the module
         Report* report;
         Recording* recording = nullptr;      // where what comes and ends is recorded
@@ -108,6 +113,7 @@
     void tell(Instant now, const Row& row, const SubmitEnd& e, const CallEnd& call,
               const std::string& before);
     void listed(Instant now, const ListMail& mail);
+    void ordered(Instant now, const std::set<std::string>& out);
     void pull(Instant now);
     void receive(Instant now);
     void decide(Instant now, const Decision& decision);
@@ -153,6 +159,7 @@
     std::unordered_map<std::string, TextIx> texts_;
     std::unordered_map<uint32_t, Row> rows_;
     std::vector<Place> places_;
+    std::set<std::string> bans_;  // ids that an operator has taken out, listed or not
     std::vector<Users> users_;  // by destination
     // In the order of time: endpoints called last then, and destinations of which nothing was left then.
     std::deque<std::pair<Instant, EndpointIx>> used_;
--- a/src/routing/report.hpp
+++ b/src/routing/report.hpp
@@ -18,7 +18,8 @@
     X(callsCancelledUnsent) X(callsCancelled) X(connectionsOpened) X(submits) X(delivered) X(errors) \
     X(turnedAway) X(notSent) X(overElsewhere) X(nacked) X(undeliverable) X(noticesTold) \
     X(noticesOdd) X(listsRead) X(listsOdd) X(listCallsFailed) X(listCallsTurnedAway) X(storeCompacted) X(storeRefused) \
-    X(storeFailed) X(storeDamaged) X(endpointsFreed) X(destinationsFreed) X(configsReread) X(configsOdd)
+    X(storeFailed) X(storeDamaged) X(endpointsFreed) X(destinationsFreed) X(configsReread) X(configsOdd) \
+    X(operatorsAccepted) X(operatorsRefused)
 // clang-format on
 
 // The calls' ends stand in the order of Ending, transport/ending.hpp.
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -175,6 +175,11 @@
     return Connect::refused;
 }
 
+void neverWait(const Socket& socket) {
+    int flags = ::fcntl(socket.descriptor(), F_GETFL);
+    ::fcntl(socket.descriptor(), F_SETFL, flags | O_NONBLOCK);
+}
+
 Socket listenAt(const Address& at, std::string& problem) {
     sockaddr_in address;
     Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
--- a/src/transport/socket.hpp
+++ b/src/transport/socket.hpp
@@ -57,6 +57,8 @@
 Connect makeSocket(Socket& socket);
 Connect connectSocket(const Address& to, Span within, const Socket& socket);
 
+// For one thread that attends to many: accepts and receives there without waiting.
+void neverWait(const Socket& socket);
 Socket listenAt(const Address& at, std::string& problem);
 // Not open where nothing could be accepted; `lasting` tells that it will not get better.
 Socket acceptFrom(const Socket& listener, bool& lasting);
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -375,21 +375,27 @@
     return member("none-" + std::to_string(cell), "127.0.0.1:1", cell, "draining");
 }
 
+inline std::string freeAddress() {  // a port that is free just now
+    int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET, at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof at;
+    ::bind(fd, reinterpret_cast<sockaddr*>(&at), size);
+    getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+    ::close(fd);
+    return "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+}
+
 // The program under test, started as the operators start it.
 class Program {
   public:
-    Program(const std::string& platform, const std::string& members, int diskMb = 3, int sockets = 1024) {
+    Program(const std::string& platform, const std::string& members, int diskMb = 3, int sockets = 1024,
+            const std::string& opsAt = "")
+        : ops(opsAt) {
         char made[] = "/tmp/petrelpond-test-XXXXXX";
         folder_ = mkdtemp(made);
         std::filesystem::create_directory(folder_ + "/state");
-        int fd = ::socket(AF_INET, SOCK_STREAM, 0);  // a port that is free just now
-        sockaddr_in at{};
-        at.sin_family = AF_INET, at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof at;
-        ::bind(fd, reinterpret_cast<sockaddr*>(&at), size);
-        getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
-        ::close(fd);
-        address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+        address = freeAddress();
         rest_
             << "\",\"seed\":\"2a\",\"limits\":{\"memory_mb\":192,\"sockets\":" << sockets
             << ",\"disk_mb\":" << diskMb << "},\"known\":{\"revision\":1,\"complete\":true,\"members\":["
@@ -420,6 +426,7 @@
             setenv("LB_CONFIG", (folder_ + "/config.json").c_str(), 1);
             setenv("LB_STATE", (folder_ + "/state").c_str(), 1);
             for (const char* name : {"LB_NAME", "LB_LISTEN"}) unsetenv(name);
+            if (!ops.empty()) setenv("LB_OPS", ops.c_str(), 1);
             setenv("LB_DISCOVERY", "127.0.0.1:1", 1);  // what stands in the file goes over it
             std::freopen((folder_ + "/log").c_str(), "a", stderr);
             execl(PETRELPOND_PROGRAM, PETRELPOND_PROGRAM, nullptr);
@@ -481,7 +488,22 @@
     }
     std::string state() const { return folder_ + "/state"; }
 
-    std::string address;
+    // A call on the operators' address: its answer's line, and how long that took.
+    std::string order(const std::string& line, int* tookMs = nullptr) const {
+        auto began = std::chrono::steady_clock::now();
+        Socket socket;
+        if (makeSocket(socket) == Connect::up) connectSocket(*Address::parse(ops), Span::seconds(1), socket);
+        socket.waitAtMost(Span::seconds(4));
+        socket.sendAll(line);
+        std::string answer;
+        char part[256];
+        for (long got; (got = socket.receive(part, sizeof part)) > 0;) answer.append(part, static_cast<size_t>(got));
+        auto took = std::chrono::steady_clock::now() - began;
+        if (tookMs) *tookMs = static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
+        return answer;
+    }
+
+    std::string address, ops;
     bool up = false;
 
   private:
