Threads follow the calls out: one for all endpoints, none for a connection that lies idle

Counted meanwhile: 31,259 threads on a machine that gives 32,768, some 960 senders standing with 28 to 35 threads each (/proc/PID/status). At fault: Clients::serve closes a connection for which no thread is to be had, and EndpointActor has a thread for each endpoint and EndpointActor::Line one for each connection, idle ones too: some 20 of the 30.

Changed: all endpoints' actors share one thread and one order of due times; a call takes a thread for as long as it lasts; a client's request for which there is no thread waits 20 ms and is looked at again. PETRELPOND_THREADS bounds the threads of a process.

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -150,7 +150,9 @@
         return i < 0 ? std::string() : std::string(names[static_cast<size_t>(i)]);
     };
     Span connectWithin = Span::micros(config.settings.integer("limits.connectTimeout", 1500000));
-    ways.endpoints = {&buffers,
+    EndpointLoop endpoints;
+    ways.endpoints = {&endpoints,
+                      &buffers,
                       &lines,
                       &log,
                       {fieldName(reported.limit), fieldName(reported.left)},
@@ -201,7 +203,7 @@
     inbox->postHeld(ListMail{std::move(config.known), true});
     config.known = MemberList();
 
-    bool started = startThread([&] { module.run(); }) && startThread([&] { notices.run(); }) &&
+    bool started = startThread([&] { endpoints.run(); }) && startThread([&] { module.run(); }) && startThread([&] { notices.run(); }) &&
                    startThread([&] { list.run(); }) && startThread([&] { clients.accept(); }) &&
                    startThread([&] { clients.attend(); });
     if (operators) started = started && startThread([&] { operators->run(); });
@@ -259,6 +261,8 @@
     // Every thread would else have an arena of its own.
     mallopt(M_ARENA_MAX, 2);
     signal(SIGPIPE, SIG_IGN);
+    if (const char* most = std::getenv("PETRELPOND_THREADS"); most && std::atoi(most) > 0)
+        boundThreads(std::max(std::atoi(most), 16));
     Log log(std::cerr, levelFrom(std::getenv("PETRELPOND_LOG")));
     try {
         Config config = readConfig();
--- a/src/routing/client_actor.cpp
+++ b/src/routing/client_actor.cpp
@@ -22,6 +22,7 @@
 // Whoever asks for what can't be is answered at once each time, and its next request is read a little later.
 // Against clients that ask the same again and again at full speed, which takes the processor from the others.
 constexpr Span kFirstRest = Span::millis(50), kLongestRest = Span::millis(400);
+constexpr Span kNoThread = Span::millis(20);  // until a thread is asked for once more
 constexpr Span kDeciding = Span::seconds(5);  // the module answers in its next round
 // What nobody wants is read off so long, and no faster than so many bytes in so long.
 constexpr Span kReadingOff = Span::seconds(4);
@@ -79,6 +80,10 @@
         return doing_ == Doing::idle && restUntil_ > Instant::longAgo() && now >= restUntil_ &&
                (restUntil_ = Instant::longAgo(), true);
     }
+    void restFor(Span span) {
+        std::lock_guard lock(mutex_);
+        restUntil_ = steadyNow() + span;
+    }
     bool resting() {
         std::lock_guard lock(mutex_);
         return restUntil_ > steadyNow();
@@ -215,8 +220,7 @@
         clients_.report_.add(Count::requestsBad);
         if (!answer(400, {}, "", last) || last) return false;
         rest_ = rest_ > Span() ? std::min(rest_ * 2, kLongestRest) : kFirstRest;
-        std::lock_guard lock(mutex_);
-        restUntil_ = steadyNow() + rest_;
+        restFor(rest_);
         return true;
     }
 
@@ -321,7 +325,11 @@
         connection->wait();
         if (!connection->resting()) waiting_.again(connection->descriptor(), key);
     });
-    if (!started) forget(key);
+    if (started) return;
+    // A machine that has no thread to give now has one soon; closed, the client would lose what it asks.
+    std::lock_guard lock(mutex_);
+    report_.add(Count::clientsHeldUp);
+    connection->wait(), connection->restFor(kNoThread);
 }
 
 Clients::Held::iterator Clients::close(Held::iterator at) {
--- a/src/routing/endpoint_actor.cpp
+++ b/src/routing/endpoint_actor.cpp
@@ -17,25 +17,32 @@
 
 }  // namespace
 
-// One connection and its thread. The actor hands it a call, and may give that up at any time.
-class EndpointActor::Line {
+// One connection. The actor hands it a call, which has a thread until it ends, and may give that up at any time.
+class EndpointLoop::Line {
   public:
-    Line(const std::string& address, const Ways& ways) : address_(address), ways_(ways), jobs_(4) {}
+    Line(const std::string& address, const EndpointActor::Ways& ways) : address_(address), ways_(ways) {}
     ~Line() { ++ways_.lines->left; }
 
-    static bool start(const std::shared_ptr<Line>& line, const std::shared_ptr<EndpointActor>& actor) {
-        return startThread([line, actor] { line->run(actor, line); });
-    }
-    void carry(Call call) {
-        texts = call.texts, until = call.until, abandoned = false;
-        std::lock_guard lock(mutex_);
-        givenUp_ = Why::no, writing_ = false;
-        jobs_.postHeld(std::move(call));
-    }
-    void stop() {
-        Call none;
-        jobs_.postHeld(std::move(none));
+    // False where no thread is to be had: nothing of it has left.
+    static bool carry(const std::shared_ptr<Line>& line, const std::shared_ptr<EndpointActor>& actor, Call call) {
+        line->texts = call.texts, line->until = call.until, line->abandoned = false;
+        {
+            std::lock_guard lock(line->mutex_);
+            line->givenUp_ = Why::no, line->writing_ = false;
+        }
+        auto kept = std::make_shared<Call>(std::move(call));
+        return startThread([line, actor, kept] {
+            CallEnd end;
+            end.endpoint = actor->endpoint_, end.texts = kept->texts;
+            try {
+                end.ending = line->carryOut(*kept, end.answer, end.fresh);
+            } catch (const std::bad_alloc&) {  // it may have left
+                line->stop(), end.answer = {}, end.ending = Ending::brokeAfterSent;
+            }
+            actor->ways_.loop->mailbox_.postHeld({Mail::What::done, actor, {}, {}, line, std::move(end)});
+        });
     }
+    void stop() { drop(); }  // while no call is on it
     enum class Why { no, timeout, cancel };
     void giveUp(Why why) {
         std::lock_guard lock(mutex_);
@@ -61,20 +68,6 @@
     bool abandoned = false;
 
   private:
-    void run(const std::shared_ptr<EndpointActor>& actor, const std::shared_ptr<Line>& self) {
-        while (true) {
-            for (Call& call : jobs_.drain(Instant::never())) {
-                if (call.texts.empty()) return drop();
-                CallEnd end;
-                end.endpoint = actor->endpoint_;
-                end.texts = call.texts;
-                end.ending = carryOut(call, end.answer, end.fresh);
-                Mail mail{Mail::What::done, {}, {}, self, std::move(end)};
-                actor->mailbox_.postHeld(std::move(mail));
-            }
-        }
-    }
-
     bool mayWrite() {
         std::lock_guard lock(mutex_);
         return writing_ = givenUp_ == Why::no;
@@ -157,74 +150,68 @@
     }
 
     std::string address_;
-    const Ways ways_;
-    Mailbox<Call> jobs_;
-    std::mutex mutex_;  // of what follows; the socket is read and written by this line's thread alone
+    const EndpointActor::Ways ways_;
+    std::mutex mutex_;  // of what follows; the socket is read and written by the call's thread alone
     Socket socket_;
     int fd_ = -1;
     Why givenUp_ = Why::no;
     bool writing_ = false;
 };
 
-EndpointActor::EndpointActor(EndpointIx endpoint, const std::string& address, Ways ways)
-    : endpoint_(endpoint), address_(address), ways_(std::move(ways)) {}
-
-std::shared_ptr<EndpointActor> EndpointActor::start(EndpointIx endpoint, const std::string& address,
-                                                    Ways ways) {
-    std::shared_ptr<EndpointActor> actor(new EndpointActor(endpoint, address, std::move(ways)));
-    return startThread([actor] { actor->run(actor); }) ? actor : nullptr;
+void EndpointActor::post(Mail::What what, TextIx text) {
+    ways_.loop->mailbox_.postHeld({what, shared_from_this(), {}, text, nullptr, {}});
 }
-
 bool EndpointActor::call(Call call) {
-    return mailbox_.post({Mail::What::call, std::move(call), {}, nullptr, {}});
+    return ways_.loop->mailbox_.post({Mail::What::call, shared_from_this(), std::move(call), {}, nullptr, {}});
 }
-void EndpointActor::cancel(TextIx text) { mailbox_.postHeld({Mail::What::cancel, {}, text, nullptr, {}}); }
-void EndpointActor::closeIdle() { mailbox_.postHeld({Mail::What::closeIdle, {}, {}, nullptr, {}}); }
-void EndpointActor::holdBack() { mailbox_.postHeld({Mail::What::holdBack, {}, {}, nullptr, {}}); }
-void EndpointActor::retire() { mailbox_.postHeld({Mail::What::retire, {}, {}, nullptr, {}}); }
+void EndpointActor::cancel(TextIx text) { post(Mail::What::cancel, text); }
+void EndpointActor::closeIdle() { post(Mail::What::closeIdle); }
+void EndpointActor::holdBack() { post(Mail::What::holdBack); }
+void EndpointActor::retire() { post(Mail::What::retire); }
 
-void EndpointActor::run(std::shared_ptr<EndpointActor> self) {
-    while (!(retiring_ && busy_.empty())) {
-        for (Mail& mail : mailbox_.drain(nextDue())) {
-            switch (mail.what) {
-                case Mail::What::call:
-                    begin(std::move(mail.call), self);
-                    break;
-                case Mail::What::cancel:
-                    for (auto& line : busy_) {
-                        auto& texts = line->texts;
-                        if (std::find(texts.begin(), texts.end(), mail.text) != texts.end()) {
-                            line->giveUp(Line::Why::cancel);
-                        }
-                    }
-                    break;
-                case Mail::What::closeIdle:
-                    endIdle(true);
-                    break;
-                case Mail::What::holdBack:
-                    for (auto& line : busy_) line->giveUpUnsent();
-                    break;
-                case Mail::What::retire:
-                    retiring_ = true;
-                    for (auto& line : busy_) line->giveUpUnsent();
-                    endIdle(true);
-                    break;
-                case Mail::What::done:
-                    finish(mail);
-                    break;
-            }
-        }
+void EndpointLoop::run() {
+    std::set<std::shared_ptr<EndpointActor>> touched;
+    while (true) {
+        auto mails = mailbox_.drain(dues_.empty() ? Instant::never() : dues_.begin()->first);
+        touched.clear();
+        for (Mail& mail : mails) mail.to->take(mail), touched.insert(mail.to);
         Instant now = steadyNow();
-        for (auto& line : busy_) {
-            if (now < line->until || line->abandoned) continue;
-            line->abandoned = true;
-            line->giveUp(Line::Why::timeout);
+        for (auto at = dues_.begin(); at != dues_.end() && at->first <= now; ++at) touched.insert(at->second);
+        for (const auto& actor : touched) {
+            dues_.erase({actor->due_, actor});
+            actor->due_ = actor->settle(now);
+            if (actor->due_ < Instant::never()) dues_.insert({actor->due_, actor});
         }
-        endIdle(false);
     }
 }
 
-void EndpointActor::begin(Call call, const std::shared_ptr<EndpointActor>& self) {
+void EndpointActor::take(Mail& mail) {
+    switch (mail.what) {
+        case Mail::What::call:
+            return begin(std::move(mail.call));
+        case Mail::What::cancel:
+            for (auto& line : busy_) {
+                auto& texts = line->texts;
+                if (std::find(texts.begin(), texts.end(), mail.text) != texts.end()) {
+                    line->giveUp(Line::Why::cancel);
+                }
+            }
+            return;
+        case Mail::What::closeIdle:
+            return endIdle(true);
+        case Mail::What::holdBack:
+            for (auto& line : busy_) line->giveUpUnsent();
+            return;
+        case Mail::What::retire:
+            retiring_ = true;
+            for (auto& line : busy_) line->giveUpUnsent();
+            return endIdle(true);
+        case Mail::What::done:
+            return finish(mail);
+    }
+}
+
+void EndpointActor::begin(Call call) {
     ways_.report->add(Count::callsStarted);
     endIdle(false);
     std::shared_ptr<Line> line;
@@ -233,13 +220,15 @@
         idle_.pop_front();
     } else if (--ways_.lines->left >= 0) {
         line = std::make_shared<Line>(address_, ways_);
-        if (!Line::start(line, self)) line = nullptr;
     } else {
         ++ways_.lines->left;
     }
-    if (!line) return ways_.ended({endpoint_, std::move(call.texts), Ending::noMeans, {}, false});
+    auto texts = call.texts;
+    if (!line || !Line::carry(line, shared_from_this(), std::move(call))) {
+        if (line) idle_.push_front(line), endIdle(false);
+        return ways_.ended({endpoint_, std::move(texts), Ending::noMeans, {}, false});
+    }
     busy_.push_back(line);
-    line->carry(std::move(call));
 }
 
 void EndpointActor::finish(Mail& mail) {
@@ -264,14 +253,20 @@
     });
 }
 
-Instant EndpointActor::nextDue() const {
+Instant EndpointActor::settle(Instant now) {
     Instant due = Instant::never();
-    for (const auto& line : busy_) {
-        if (!line->abandoned) due = std::min(due, line->until);
+    for (auto& line : busy_) {
+        if (line->abandoned) continue;
+        if (now >= line->until) {
+            line->abandoned = true;
+            line->giveUp(Line::Why::timeout);
+        } else {
+            due = std::min(due, line->until);
+        }
     }
+    endIdle(false);
     // Idle connections are looked at now and then, as one that the endpoint has closed holds a descriptor.
-    if (!idle_.empty()) due = std::min(due, steadyNow() + Span::millis(250));
-    return due;
+    return idle_.empty() ? due : std::min(due, now + Span::millis(250));
 }
 
 }  // namespace petrelpond
--- a/src/routing/endpoint_actor.hpp
+++ b/src/routing/endpoint_actor.hpp
@@ -1,12 +1,15 @@
-// The actor of one endpoint: owner of the connections to it, each with a thread that carries one call at a
-// time. It connects, reuses, times out and calls off, and decides nothing.
+// The actors of the endpoints, all on one thread: each owns the connections to its endpoint. A call takes a
+// thread for as long as it lasts; a connection that lies idle has none. They connect, reuse, time out and call
+// off, and decide nothing.
 #pragma once
 
 #include <atomic>
 #include <functional>
 #include <list>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "petrelpond/sender.hpp"
@@ -37,9 +40,33 @@
     std::atomic<int> left;
 };
 
-class EndpointActor {
+class EndpointActor;
+
+// The thread that all endpoints share. With one for each, and one for each connection that lies idle, a sender
+// among thirty endpoints held thirty threads at rest, and a machine with hundreds of senders has no more to give.
+class EndpointLoop {
+  public:
+    void run();  // for ever; the caller's thread
+
+  private:
+    friend class EndpointActor;
+    class Line;
+    struct Mail {
+        enum class What { call, cancel, closeIdle, holdBack, retire, done } what;
+        std::shared_ptr<EndpointActor> to;
+        Call call;
+        TextIx text;
+        std::shared_ptr<Line> line;
+        CallEnd end;
+    };
+    Mailbox<Mail> mailbox_{4096};
+    std::set<std::pair<Instant, std::shared_ptr<EndpointActor>>> dues_;  // of each the next, if it has one
+};
+
+class EndpointActor : public std::enable_shared_from_this<EndpointActor> {
   public:
     struct Ways {  // what all endpoints share
+        EndpointLoop* loop;
         Buffers* buffers;
         Lines* lines;
         Report* report;
@@ -47,10 +74,10 @@
         Span connectWithin, idle;
         std::function<void(CallEnd)> ended;
     };
-    // Null where no thread is to be had.
-    static std::shared_ptr<EndpointActor> start(EndpointIx endpoint, const std::string& address, Ways ways);
+    EndpointActor(EndpointIx endpoint, const std::string& address, Ways ways)
+        : endpoint_(endpoint), address_(address), ways_(std::move(ways)) {}
 
-    // False where its mailbox is full: the call has not left.
+    // False where the mailbox is full: the call has not left.
     [[nodiscard]] bool call(Call call);
     void cancel(TextIx text);
     void closeIdle();
@@ -58,28 +85,24 @@
     void retire();    // ends once no call is out
 
   private:
-    class Line;
-    struct Mail {
-        enum class What { call, cancel, closeIdle, holdBack, retire, done } what;
-        Call call;
-        TextIx text;
-        std::shared_ptr<Line> line;
-        CallEnd end;
-    };
+    friend class EndpointLoop;
+    using Line = EndpointLoop::Line;
+    using Mail = EndpointLoop::Mail;
 
-    EndpointActor(EndpointIx endpoint, const std::string& address, Ways ways);
-    void run(std::shared_ptr<EndpointActor> self);
-    void begin(Call call, const std::shared_ptr<EndpointActor>& self);
+    void post(Mail::What what, TextIx text = TextIx());
+    // The loop's thread alone, as all that follows.
+    void take(Mail& mail);
+    void begin(Call call);
     void finish(Mail& mail);
     void endIdle(bool all);
-    Instant nextDue() const;
+    Instant settle(Instant now);  // ends what is due, and tells when to look again
 
     EndpointIx endpoint_;
     std::string address_;
     Ways ways_;
-    Mailbox<Mail> mailbox_{512};
     std::list<std::shared_ptr<Line>> busy_, idle_;  // idle: the last used first
     bool retiring_ = false;
+    Instant due_ = Instant::never();  // as it stands in the loop's order
 };
 
 }  // namespace petrelpond
--- a/src/routing/module_actor.cpp
+++ b/src/routing/module_actor.cpp
@@ -579,7 +579,8 @@
 std::shared_ptr<EndpointActor> ModuleActor::actorOf(EndpointIx endpoint) {
     if (endpoint.value >= places_.size()) return nullptr;
     Place& place = places_[endpoint.value];
-    if (!place.actor) place.actor = EndpointActor::start(endpoint, unpacked(place.address), ways_.endpoints);
+    if (!place.actor)
+        place.actor = std::make_shared<EndpointActor>(endpoint, unpacked(place.address), ways_.endpoints);
     return place.actor;
 }
 
--- a/src/transport/thread.hpp
+++ b/src/transport/thread.hpp
@@ -8,4 +8,7 @@
 // False where the machine gives no further thread; the body then never runs.
 [[nodiscard]] bool startThread(std::function<void()> body);
 
+// So many at once, and no more: for a process on a machine that has few to give. Without it there is no bound.
+void boundThreads(int most);
+
 }  // namespace petrelpond
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -426,6 +427,7 @@
             setenv("LB_CONFIG", (folder_ + "/config.json").c_str(), 1);
             setenv("LB_STATE", (folder_ + "/state").c_str(), 1);
             for (const char* name : {"LB_NAME", "LB_LISTEN"}) unsetenv(name);
+            for (const std::string& set : settings) putenv(strdup(set.c_str()));
             if (!ops.empty()) setenv("LB_OPS", ops.c_str(), 1);
             setenv("LB_DISCOVERY", "127.0.0.1:1", 1);  // what stands in the file goes over it
             std::freopen((folder_ + "/log").c_str(), "a", stderr);
@@ -504,6 +506,7 @@
     }
 
     std::string address, ops;
+    std::vector<std::string> settings;  // NAME=value, of the next start
     bool up = false;
 
   private:
--- a/tests/network_test.cpp
+++ b/tests/network_test.cpp
@@ -2,6 +2,7 @@
 #include "src/protocol/base64.hpp"
 #include "src/protocol/messages.hpp"
 #include "src/routing/endpoint_actor.hpp"
+#include "src/transport/thread.hpp"
 #include "src/routing/mailbox.hpp"
 #include "src/routing/outcome.hpp"
 #include "src/transport/buffers.hpp"
@@ -33,14 +34,20 @@
 struct Endpoint {
     explicit Endpoint(const std::string& address, Span connectWithin = Span::seconds(5), int most = 4) {
         lines->left = most;
-        EndpointActor::Ways ways{buffers.get(),
+        static std::shared_ptr<EndpointLoop> loop = [] {
+            auto made = std::make_shared<EndpointLoop>();
+            REQUIRE(startThread([made] { made->run(); }));
+            return made;
+        }();
+        EndpointActor::Ways ways{loop.get(),
+                                 buffers.get(),
                                  lines.get(),
                                  report.get(),
                                  {},
                                  connectWithin,
                                  Span::seconds(2),
                                  [box = ends](CallEnd e) { box->postHeld(std::move(e)); }};
-        actor = EndpointActor::start(EndpointIx(0u), address, ways);
+        actor = std::make_shared<EndpointActor>(EndpointIx(0u), address, ways);
     }
     void call(uint32_t text, Span time) {
         Call c;
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -534,3 +534,40 @@
     std::string rest;
     CHECK(readMessage(early, rest).find(" 202 ") != std::string::npos);
 }
+
+TEST_CASE("threads follow the calls that are out, not the endpoints or their idle connections") {
+    Platform platform;
+    std::deque<Peer> partners;
+    std::string members;
+    for (int i = 0; i < 30; ++i) {
+        partners.emplace_back([](const std::string&) { return ok(); });
+        members += (i > 0 ? "," : "") + member("e" + std::to_string(i), partners.back().address, i);
+    }
+    Program sender(platform.peer.address, members);
+    REQUIRE(sender.up);
+    for (int i = 0; i < 30; ++i) CHECK(sender.hand("t" + std::to_string(i), "status", i) == 202);
+    CHECK(eventually([&] { return sender.counter("delivered") == 30; }));
+    pause(100);
+    CHECK(sender.held("task") < 16);
+}
+
+TEST_CASE("a machine that has no thread to give closes on nobody and loses nothing") {
+    Platform platform;
+    Peer partner([](const std::string&) { return pause(50), ok(); });
+    Program sender(platform.peer.address, member("e1", partner.address, 7));
+    sender.stop(SIGKILL);
+    sender.settings = {"PETRELPOND_THREADS=16"};  // some ten are the process's own
+    sender.start();
+    REQUIRE(sender.up);
+    std::vector<Socket> clients;
+    for (int i = 0; i < 60; ++i) clients.push_back(sender.connect());
+    for (int i = 0; i < 60; ++i) clients[i].sendAll(Program::request("n" + std::to_string(i), "status", 7, 8000, "x"));
+    int taken = 0, answered = 0;
+    for (Socket& c : clients) {
+        std::string rest, answer = readMessage(c, rest);
+        answered += !answer.empty(), taken += answer.find(" 202 ") != std::string::npos;
+    }
+    CHECK(answered == 60);
+    CHECK(eventually([&] { return sender.counter("delivered") + sender.counter("nacked") >= taken; }, 8000));
+    CHECK(taken > 0);
+}
