--- a/include/petrelpond/sender.hpp
+++ b/include/petrelpond/sender.hpp
@@ -153,6 +153,12 @@
     virtual void banned(Instant, EndpointIx, bool) {}
     // Nothing is listed of it and no text is for it: its index becomes another's.
     virtual void forgotten(Instant, DestinationIx) {}
+    // Another process of this sender starts the calls, or does no longer: nothing is submitted meanwhile.
+    virtual void mayStart(Instant, bool) {}
+    // What was learned of an endpoint's place, for the process that takes over, in numbers that only a Sender reads;
+    // empty where nothing was.
+    virtual std::vector<double> learned(Instant, EndpointIx) { return {}; }
+    virtual void recall(Instant, EndpointIx, const std::vector<double>&) {}
     virtual void leaving(Instant) {}  // the process ends then; what it holds comes back with its next life
     virtual void woke(Instant) {}     // a timer fell due; next() sees to what that brings
     virtual std::optional<Decision> next(Instant now) = 0;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,5 +1,4 @@
-// petrelpond's decisions, all of them, behind include/petrelpond/sender.hpp: makeSender(), report each input
-// (they only update what is known), then call next() until it is empty. "Ours": not the source's (docs).
+// petrelpond's decisions, all of them, behind include/petrelpond/sender.hpp. "Ours": not the source's (docs).
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -50,8 +49,7 @@
         askAt = std::max(askAt, until + jitter(chance) + apart);
     }
     // A busy sender may use what idle ones leave, as its successes show; past its slice by small steps.
-    // Where the answer says what share of the limit is left, the slice is trusted by that at once: a thin one
-    // succeeds so seldom that it would climb for half a minute. Harm: what all see left, all take.
+    // A reported share that is left is trusted at once, as a thin slice climbs slowly. Harm: all take it.
     void succeeded(Instant now, double slice, double ceiling, double left) {
         delivered = true;
         if (!bound || now - raisedAt < Span::seconds(1)) return;
@@ -113,8 +111,8 @@
 
 enum class Phase { clear, down, returning };
 
-// Rule 4. Down, silent, hung, shut and failing places show as calls that end badly, with nothing delivered
-// meanwhile. While down, single trial calls; after the first success, a budget that grows as it warms.
+// Rule 4. A place that is down shows as calls that end badly, with nothing delivered meanwhile. While down,
+// single trial calls; after the first success, a budget that grows as it warms.
 struct ReturnGuard {
     Phase phase = Phase::clear;
     Instant trialAt;
@@ -135,7 +133,7 @@
         if (phase != Phase::down && !out) return;
         if (phase != Phase::down) downAt = now, before = std::max(slice, phase == Phase::clear ? 0 : before);
         phase = Phase::down;
-        // In step with the outage's age: all trials together stay under what a returning place can take.
+        // In step with the outage's age; all trials together stay under what a returning place can take.
         double part = coldPart(slice, cold), least = std::clamp(0.04 / part, 0.4, 6.0);
         double most = many ? std::max(least, 0.9 / part) : std::max(2.0, 0.4 / part);
         double step = many ? std::max(1.0, least) : 0.46;
@@ -151,10 +149,10 @@
     // Known to be cold: its first call is a trial, and of many senders each has a moment of its own.
     void restarted(Instant now, double slice, bool many, const ColdRule& cold, Chance& chance) {
         before = std::max(slice, before), phase = Phase::down, downAt = now, deliveredAt = Instant::longAgo();
-        trialAt = now + Span::seconds(chance.between(0, many ? std::min(0.04 / coldPart(slice, cold), 6.0) : 0.1));
+        double within = many ? std::min(0.04 / coldPart(slice, cold), 6.0) : 0.1;
+        trialAt = now + Span::seconds(chance.between(0, within));
     }
     void delivered(Instant now) {
-        // Spoilt answers or resets in a row, while others are delivered and few fail in the long run.
         bool brief = now - deliveredAt < Span::seconds(1) && failingLong < 0.2;
         deliveredAt = now, fullRounds = silent = 0, failing *= 0.75, failingLong *= 0.95;
         if (phase == Phase::down) phase = brief ? Phase::clear : Phase::returning, returnedAt = now;
@@ -175,7 +173,6 @@
     int fullRounds = 0, silent = 0;
 };
 
-// What outlives a silent place's rest where not all is well: a told wait, an outage, what limit was learned.
 struct Kept {
     ReturnGuard guard;
     Instant toldUntil;
@@ -186,7 +183,7 @@
     std::shared_ptr<const Kept> kept;
 };
 
-// What a limit, a pace and an outage belong to: a destination, or one route where routes are separate.
+// What a limit, a pace and an outage belong to: a destination, or one of its separate routes.
 struct Place {
     void woke() {
         if (is.kept) guard = is.kept->guard, toldUntil = is.kept->toldUntil, bucket.trust = is.kept->trust;
@@ -233,8 +230,8 @@
     Instant usedAt = Instant::longAgo();
 };
 
-// How long connections to a kind of endpoint lie idle: less where they die unseen, which breaks a call, and
-// where those of hundreds fill its table (the many start with two's). Creeps up. Harm: more handshakes.
+// How long connections to a kind of endpoint lie idle: less where they die unseen and where those of hundreds
+// fill its table (the many start with two's). Creeps up. Harm: more handshakes.
 struct IdleBound {
     IdleBound(Span idle, int senders)
         : span(senders > kFew ? idle * (2.0 / senders) : Span::seconds(300)), start(span) {}
@@ -278,7 +275,6 @@
         if (room.calls > 0) mostCredit_ = credit_ = room.calls;
     }
 
-    // One that was taken on before a restart brings what it has used up: forgotten, it would run twice.
     void arrived(Instant now, const Arrival& a) override {
         Text& text = texts_[a.text.value];
         text.arrival = a;
@@ -289,8 +285,7 @@
         if (inOrder(text)) order_.taken(*a.key, a.text);
         if (inOrder(text) && text.mayHaveRun) restKey(now, text);
         dues_.insert({a.validUntil - lastCall(), Falls::text, a.text.value});
-        // One destination's backlog may not fill a store that others need: past a quarter of a store that is
-        // half full, what earns less of its oldest and its newest is told now when to come back.
+        // Past a quarter of a store that is half full a backlog's oldest or newest goes, as it earns less.
         queue(now, text);
         auto& backlog = destination(a.destination).waiting;
         size_t most = room_.held > 0 ? room_.held : SIZE_MAX / 4;
@@ -345,8 +340,8 @@
         for (uint32_t i = 0; all && i < endpoints_.size(); ++i) freeIfGone(i);
     }
 
-    // Given back it is cold, as what was restarted is, and no sender has seen a call fail there: a place with
-    // no other endpoint comes back by a trial and its budget, one among fellows by the trickle of one set aside.
+    // Given back it is cold: a place with no other endpoint comes back by a trial and its budget, one among
+    // fellows by the trickle of one set aside. Harm: one that kept warm waits.
     void banned(Instant now, EndpointIx ix, bool out) override {
         endpoints_.reseed(ix.value, [&](EndpointSeed& e) { e.banned = out; });
         DestinationIx d = endpoints_.seed(ix.value).destination;
@@ -355,14 +350,12 @@
         Endpoint& e = endpoints_[ix.value];
         Place& p = places_[e.is.place];
         e.times = AnswerTimes(), e.misses = 0;
-        bool alone = true;
         for (uint32_t i : destination(d).endpoints)
-            alone &= i == ix.value || endpoints_[i].is.place != e.is.place || !endpoints_[i].is.usable();
-        if (!alone) return setAside(now, e);
+            if (i != ix.value && endpoints_[i].is.place == e.is.place && endpoints_[i].is.usable())
+                return setAside(now, e);
         p.guard.restarted(now, p.slice(now, crew_.senders), crew_.senders > kFew, cold_, chance_);
     }
 
-    // The host gives the index to another name, which inherits nothing.
     void forgotten(Instant, DestinationIx d) override {
         destinations_.rest(d.value);
         auto free = [&](DestinationSeed& seed) {
@@ -372,7 +365,7 @@
         destinations_.reseed(d.value, free);
     }
 
-    // All may break at one moment, hence the jitter; sooner than we are deemed told, so that drains are kept.
+    // Jittered, as all may break at once; sooner than we are deemed told, so that drains are kept.
     void listFailed(Instant now) override {
         if (!listRule_.onRequest) return;
         double pause = std::min(0.4 * std::pow(2, listFailures_++), 4.0);
@@ -381,6 +374,33 @@
     }
 
     void leaving(Instant by) override { leavesAt_ = by; }
+    void mayStart(Instant, bool may) override { mayStart_ = may; }
+
+    // Times from now. What the process that takes over has seen itself since stays where it is the worse.
+    std::vector<double> learned(Instant now, EndpointIx ix) override {
+        uint32_t at = ix.value < endpoints_.size() ? endpoints_.seed(ix.value).place : kNone;
+        if (at == kNone || (!places_.find(at) && !places_.seed(at).kept)) return {};
+        const Place& p = places_[at];
+        const Endpoint& e = endpoints_[ix.value];
+        auto from = [&](Instant t) { return std::max((t - now).inSeconds(), -1e6); };
+        const ReturnGuard& g = p.guard;
+        double paced = p.bucket.bound ? p.bucket.rate : 0, phase = static_cast<double>(g.phase);
+        return {from(p.toldUntil), phase, from(g.downAt), from(g.trialAt), from(g.returnedAt), g.before,
+                paced, p.bucket.trust, p.reportedRate, e.trickle};
+    }
+    void recall(Instant now, EndpointIx ix, const std::vector<double>& l) override {
+        if (l.size() != 10 || !endpoints_.seed(ix.value).destination.known()) return;
+        auto at = [&](size_t i) { return now + Span::seconds(l[i]); };
+        Endpoint& e = endpoints_[ix.value];
+        Place& p = places_[e.is.place];
+        p.toldUntil = std::max(p.toldUntil, at(0)), p.reportedRate = std::max(p.reportedRate, l[8]);
+        if (l[1] > 0 && p.guard.phase == Phase::clear)
+            p.guard.phase = l[1] < 2 ? Phase::down : Phase::returning, p.guard.downAt = at(2),
+            p.guard.trialAt = at(3), p.guard.returnedAt = at(4), p.guard.before = l[5];
+        if (l[6] > 0) p.bucket.bind(now, l[6], chance_), p.bucket.trust = std::min(p.bucket.trust, l[7]);
+        if (l[9] > 0 && e.trickle <= 0) e.trickle = l[9], e.trickleAt = now + Span::seconds(1 / l[9]);
+        touch(e.is.destination.value);
+    }
 
     std::optional<Decision> next(Instant now) override {
         if (armed_ <= now) armed_ = Instant::never();
@@ -402,7 +422,7 @@
         }
         if (now >= tickAt_) tick(now);
         if (auto nack = makeRoom(now)) return nack;
-        if (out_.empty()) startCall(now);
+        if (out_.empty() && mayStart_) startCall(now);
         if (!toAnswer_.empty()) return next(now);
         if (!out_.empty()) {
             Decision d = std::move(out_.front());
@@ -465,7 +485,6 @@
         places_.rest(ix), freePlaces_.give(ix);
         places_.reseed(ix, [](PlaceSeed& p) { p = {}; });
     }
-    // The host gives the index to another, which inherits no belief. What is known of the destination stays.
     void freeIfGone(uint32_t ix) {
         if (ix >= endpoints_.size()) return;
         const Endpoint* whole = endpoints_.find(ix);
@@ -475,8 +494,8 @@
         if (sort(e).kind.separateRoutes) freePlace(e.place);
     }
 
-    // Silent for a minute, a destination goes back to its seed; what is to outlive that is kept small. Harm:
-    // answer times are learned anew, and what a destination without a known rate was thought to take.
+    // Silent for a minute, a destination goes back to its seed. Harm: answer times are learned anew, and what
+    // one without a known rate was thought to take.
     void restIfStill(Instant now, uint32_t ix) {
         Destination* d = destinations_.find(ix);
         if (!d || !d->waiting.empty() || now - d->usedAt < Span::seconds(60)) return;
@@ -527,11 +546,10 @@
             if (silent && p.guard.phase == Phase::clear) hope_ *= 0.8;
         }
         if (!first || e.end == End::cancelled || e.end == End::notSent) return;
-        // A quick break of a connection that had lain idle is the connection's trouble, not the place's.
+        // A quick break of an idle connection is the connection's trouble, not the place's.
         if (e.end == End::reset && sort(at).idle.brokeAfter(text.started - at.idleAt)) return;
-        // Refused on a new connection, without the report that the place's answers carry and without a wait:
-        // its table of connections is full, which says nothing of its limit. Also catches a proxy's own
-        // refusals. Harm: a place too busy to report is found at the next refusal with a report.
+        // Refused on a new connection, without report and wait: its table of connections is full, which says
+        // nothing of its limit. Also a proxy's own. Harm: a place too busy to report is found at the next.
         if (e.end == End::full && e.fresh && e.wait <= Span() && !e.reportedLeft && p.reportedRate > 0) {
             // Until what lies idle there, the others' as this sender's own, has closed.
             double pause = std::max(usualTime_, sort(at).idle.span.inSeconds());
@@ -539,7 +557,6 @@
             at.noneHadAt = now, sort(at).idle.noneHad(links_.idle, true);
             return;
         }
-        // A cut call took at least so long; left out, a place that slowed would go on being cut.
         for (AnswerTimes* times : {&p.times, &at.times})
             if (e.end == End::delivered || (e.end == End::timeout && at.out.answered < text.started))
                 times->add((now - text.started) * (1 / load), e.end == End::delivered);
@@ -550,7 +567,6 @@
             p.out.late = at.out.late = Span::seconds(overdueAfter(p, 1));
             for (auto* out : {&p.out, &at.out}) out->answered = std::max(out->answered, text.started);
             p.served.add(now);
-            // Each delivery pays for one further submit somewhere.
             credit_ = std::min(credit_ + 1, mostCredit_);
             parking_.release(Row::pay, 1);
             if (p.bucket.pacedSince(text.started)) sort(at).pace = std::min(sort(at).pace * 1.25, 0.5);
@@ -571,8 +587,7 @@
             at.noneHadAt = now, sort(at).idle.noneHad(links_.idle, false);
             at.reach = std::max(1.0, 0.7 * (at.out.count() + 1));
         }
-        // An endpoint that misses while a fellow lives (its calls are not overdue) is its own trouble.
-        bool lives = false;
+        bool lives = false;  // a fellow, with no call overdue: then a miss is the endpoint's own trouble
         for (uint32_t i : destination(at.is.destination).endpoints) {
             const Endpoint& f = endpoints_[i];
             double age = f.out.count() <= 0 ? 0 : (now - std::max(*f.out.live(), f.deliveredAt)).inSeconds();
@@ -601,7 +616,7 @@
                now + lastCall() < t.firstMayHaveRun + t.product->memory;
     }
 
-    // Rule 2's word on a nack: it promises that nothing took effect that a repeat would double.
+    // A nack promises that nothing took effect that a repeat would double.
     static bool mayNack(const Text& t) { return !t.mayHaveRun || t.product->effect == Effect::resendable; }
     Decision answer(Instant now, Text& t) {
         Decision d = Undeliverable{t.arrival.text};
@@ -679,7 +694,6 @@
         room = std::max(room, 1.0);
         // A connection that lies idle is room at hand: it saves a handshake, and a place in a full table.
         bool idle = e.out.starts.empty() && now - e.usedAt < std::min(sort(e).idle.span, links_.idle);
-        // The fewer slots are left, the more counts how long a call holds one: ours, beside the odds by room.
         double tight = room_.calls > 0 ? static_cast<double>(callsOut_) / room_.calls : 0;
         room *= std::pow(usualTime_ / std::max(e.times.mean(0, usualTime_), 0.001), 6 * tight);
         return crew_.senders > kFew && idle ? room * 3 : room;
@@ -691,8 +705,7 @@
         double cap = p.guard.budget(now, slice, crew_.senders > kFew, cold_);
         if (p.bucket.ready(now, cap, chance_) || p.guard.phase == Phase::down) return true;
         blockedUntil(p.bucket.askAt);
-        // A text whose turn comes after its time is answered now; its program may find a freer sender.
-        if (sort(e).kind.separateRoutes) return false;
+            if (sort(e).kind.separateRoutes) return false;
         Destination& d = destination(e.is.destination);
         size_t held = d.waiting.size(),
                fresh = d.checkedFor == p.bucket.askAt ? std::min(d.unchecked, held) : held;
@@ -704,7 +717,7 @@
 
     double blockedUntil(Instant at) { return blocked_ = std::min(blocked_, at), 0; }
 
-    // The longer a destination's calls take, the fewer of the free slots it gets: none hung or slow gets all.
+    // Slow destinations get fewer of the free slots: none that is hung gets all.
     bool slotFor(const Destination& d, double takes) {
         if (room_.calls <= 0) return true;
         int free = room_.calls - callsOut_;
@@ -725,9 +738,8 @@
         return best;
     }
 
-    // Only destinations about which something changed are looked at; what can't go now is parked until what
-    // it waits for: an instant, a slot, a delivery that pays for its next try, a key. Of many that could go
-    // so many are compared at a time, in turn (ours): the rest lose a round at most.
+    // Only destinations about which something changed are looked at; what can't go now is parked. Of many
+    // that could go so many are compared at a time, in turn (ours): the rest lose a round.
     void startCall(Instant now) {
         bool full = room_.calls > 0 && callsOut_ >= room_.calls;
         if (full) parking_.release(Row::slot, kCompared);
@@ -844,7 +856,7 @@
         if (e.trickle > 0) e.trickleAt = now + chance_.about(Span::seconds(1 / e.trickle));
     }
 
-    // Cutting a text that may be sent again buys a retry. Bounded, as time-outs raise what they are set by.
+    // Cutting what may be sent again buys a retry. Bounded, as time-outs raise what they are set by.
     Span timeout(Instant now, const Text& t, const Place& p, double load) const {
         if (t.product->effect == Effect::onceOnly) return Span();
         double sla = t.product->sla.inSeconds();
@@ -853,8 +865,8 @@
         return Span::seconds(cut);
     }
 
-    // A full store turns new texts away whatever they earn: before that, the one that will earn least once
-    // the backlog has gone makes room, told when to come back. Harms where that would have cleared sooner.
+    // Before the store is full, the text that will earn least once the backlog has gone makes room, told when
+    // to come back. Harms where that would have cleared sooner.
     std::optional<Decision> makeRoom(Instant now) {
         int spare = room_.held - static_cast<int>(texts_.size());
         if (room_.held <= 0 || spare >= 2 + room_.held / 20) return std::nullopt;
@@ -954,6 +966,7 @@
     std::vector<EndpointIx> toClose_;
     Instant tickAt_ = Instant::longAgo(), armed_ = Instant::never(), askListAt_ = Instant::never();
     Instant leavesAt_ = Instant::never();
+    bool mayStart_ = true;
     double usualTime_ = 0.3, hope_ = 1, mostCredit_ = 256, credit_ = 256, bestScore_ = 0;
     size_t sweepAt_ = 0;
     int callsOut_ = 0, listFailures_ = 0;
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -40,6 +40,11 @@
     config.discovery = value->textOf("discovery");
     if (config.discovery.empty()) config.discovery = variable("LB_DISCOVERY");
     config.state = variable("LB_STATE", value->textOf("state"));
+    // Anything but a number is told as a descriptor that does not listen.
+    if (std::string fd = variable("LB_FD"); !fd.empty()) {
+        auto [end, error] = std::from_chars(fd.data(), fd.data() + fd.size(), config.listener);
+        if (error != std::errc() || end != fd.data() + fd.size() || config.listener < 0) config.listener = 1 << 30;
+    }
     config.ops = variable("LB_OPS", value->textOf("ops"));
     config.seed = readSeed(value->member("seed"));
     if (const json::Value* limits = value->member("limits")) {
--- a/src/program/config.hpp
+++ b/src/program/config.hpp
@@ -11,6 +11,7 @@
 
 struct Config {
     std::string name, listen, discovery, state;
+    int listener = -1;  // a listening socket that the platform has and this process inherits; -1: none
     std::string ops;  // host:port of the operators' address; empty: none
     uint64_t seed = 0;
     int64_t memoryMb = 192, sockets = 1024, diskMb = 3;
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -4,12 +4,18 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <atomic>
+#include <cerrno>
 #include <cstdlib>
+#include <filesystem>
 #include <iostream>
+#include <map>
+#include <mutex>
 #include <random>
 #include <thread>
 
 #include "src/program/config.hpp"
+#include "src/program/generations.hpp"
 #include "src/program/log.hpp"
 #include "src/program/store_tool.hpp"
 #include "src/replica/shipper.hpp"
@@ -25,6 +31,7 @@
 
 // After a SIGTERM the kill comes no sooner than 3.7 s later, and new connections come for up to 0.4 s.
 constexpr Span kWatch = Span::seconds(2), kMustAskIn = Span::seconds(5);
+constexpr int kForSuccessor = 40;  // descriptors that a process beside this one needs for its start
 constexpr Span kAccepting = Span::millis(700), kLeaving = Span::millis(3400);
 
 Level levelFrom(const char* word) {
@@ -55,12 +62,14 @@
     }
 }
 
-std::unique_ptr<Store> openStore(const Config& config, std::shared_ptr<ModuleBox> inbox, Log& log,
-                                 replica::Shipper* shipper) {
+// own: new texts go there; of the others only ends are written, each safe by itself where that is asked for.
+std::unique_ptr<Store> openStore(const Config& config, const std::string& folder, bool own,
+                                 std::shared_ptr<ModuleBox> inbox, Log& log, replica::Shipper* shipper) {
     Store::Options options;
     options.most = config.diskMb * 1000000;
-    options.durability = config.durability, options.gatherFor = config.gatherFor;
-    options.reserve = config.reserve;
+    bool grouped = config.durability == Durability::grouped;
+    options.durability = grouped && !own ? Durability::each : config.durability, options.gatherFor = config.gatherFor;
+    options.reserve = config.reserve && own;
     options.onSafe = [inbox] { inbox->postHeld(SafeMail{}); };
     options.say = [&log](bool warning, const std::string& words) {
         log.say(warning ? Level::warning : Level::info, words);
@@ -75,18 +84,131 @@
     if (replica::marked(config.state)) {
         problem = config.state + " is a standby's: promote it first, petrelpond store promote";
     } else {
-        disk = store::realDisk(config.state, true, problem);
+        // Whoever looks whether it is held has it for a moment.
+        for (int i = 0; i < 5 && !disk; ++i) {
+            if (i > 0) std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            disk = store::realDisk(folder, true, problem);
+        }
+        if (disk) generations::Notes::forget(folder);
     }
     if (!disk) log.say(Level::error, problem);
     return std::make_unique<Store>(std::move(disk), std::move(options));
 }
 
+// Waits for the processes before this one, and brings over what they leave. On a thread of its own.
+class Succession {
+  public:
+    Succession(const Config& config, std::vector<succession::Number> awaits, std::shared_ptr<ModuleBox> inbox,
+               Log& log)
+        : config_(config), heir_(awaits), inbox_(std::move(inbox)), log_(log) {
+        for (auto n : awaits) tails_.emplace(n, generations::Tail(generations::folderOf(config.state, n)));
+    }
+    // serve: nobody else does from now on; alone: nobody else is there.
+    void run(const std::function<void()>& serve, const std::function<void()>& alone) {
+        bool serves = false;
+        for (int round = 0; !heir_.complete(); ++round) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            if (round % 10 == 0) sizeElsewhere();
+            for (auto at = tails_.begin(); at != tails_.end();) {
+                auto number = at->first;
+                HeritageMail mail;
+                mail.number = number;
+                // Locked first, read then: what it wrote last is read in any case.
+                std::string folder = generations::folderOf(config_.state, number), problem;
+                auto disk = store::realDisk(folder, true, problem);
+                bool gone = disk || !std::filesystem::exists(folder);
+                for (succession::Line& line : at->second.more()) {
+                    if (line.what == succession::Line::What::handed) heir_.handed(number);
+                    if (line.what == succession::Line::What::learned) mail.learned.push_back(std::move(line));
+                }
+                if (gone) heir_.gone(number);
+                if (disk) {
+                    disk = nullptr;
+                    mail.store = openStore(config_, folder, false, inbox_, log_, nullptr);
+                    if (!mail.store->works()) log_.say(Level::error, "nothing can be taken over from " + folder);
+                    log_.say(Level::info, folder + " is taken over, " + std::to_string(mail.store->texts().size()) +
+                                              " texts open");
+                }
+                {
+                    std::lock_guard lock(mutex_);
+                    at = gone ? tails_.erase(at) : std::next(at);
+                }
+                if (gone) sizeElsewhere();
+                mail.mayStart = heir_.serves(), mail.last = heir_.complete();
+                bool says = gone || !mail.learned.empty() || mail.mayStart != serves;
+                if (says) inbox_->postHeld(std::move(mail));
+                if (heir_.serves() && !std::exchange(serves, heir_.serves())) serve();
+            }
+        }
+        alone();
+    }
+    // Not with another process any more, if it ever was.
+    bool holds(succession::Number number) {
+        std::lock_guard lock(mutex_);
+        return tails_.count(number) == 0;
+    }
+    int64_t bytesElsewhere() const { return elsewhere_; }
+
+  private:
+    void sizeElsewhere() {
+        int64_t sum = 0;
+        for (const auto& [number, tail] : tails_) {
+            sum += generations::bytesOf(generations::folderOf(config_.state, number));
+        }
+        elsewhere_ = sum;
+    }
+    const Config& config_;
+    succession::Heir heir_;
+    std::shared_ptr<ModuleBox> inbox_;
+    Log& log_;
+    std::mutex mutex_;  // of the map's shape, which this object's thread alone changes
+    std::map<succession::Number, generations::Tail> tails_;
+    std::atomic<int64_t> elsewhere_ = 0;
+};
+
+// The successor stands and waits: what is out ends, and all else is its.
+void handOver(Clients& clients, ModuleActor& module, ModuleBox& inbox, std::vector<generations::Notes>& notes,
+              Log& log) {
+    Instant told = steadyNow();
+    succession::Leaver leaver(told);
+    clients.handOver();
+    auto done = std::make_shared<std::atomic<bool>>(false);
+    auto put = [&notes](const std::string& lines) {
+        for (generations::Notes& each : notes) each.put(lines);
+    };
+    inbox.postHeld(HandOverMail{put, [done] { *done = true; }});
+    while (true) {
+        succession::Leaver::Sight sight;
+        sight.accepts = clients.accepting(), sight.starts = !*done;
+        sight.calls = module.callsOut(), sight.clients = clients.wanted();
+        auto step = leaver.next(steadyNow(), sight);
+        if (step == succession::Leaver::Step::end) break;
+        if (step == succession::Leaver::Step::handOver) {
+            put(succession::handedLine());
+            log.say(Level::info, "handed over, " + std::to_string(sight.calls) + " calls are out, " +
+                                     std::to_string(sight.clients) + " clients are served");
+        }
+        clients.letGo();
+        sleepUntil(steadyNow() + Span::millis(5));
+    }
+    auto took = (steadyNow() - told).inMicros() / 1000;
+    log.say(Level::info, "ended " + std::to_string(took) + " ms after it was told, with " +
+                             std::to_string(module.callsOut()) + " calls out and " +
+                             std::to_string(clients.wanted()) + " clients");
+}
+
 int serveUntilTold(Config& config, Log& log, const sigset_t& signals) {
     auto listenAddress = Address::parse(config.listen);
     std::string problem = "no address";
     Socket listener;
+    bool shared = false;
+    if (config.listener >= 0) {
+        listener = inheritedListener(config.listener, problem);
+        shared = listener.open();
+        if (!shared) log.say(Level::error, "LB_FD: " + problem + "; listening at " + config.listen + " instead");
+    }
     // The address may still be held by an earlier life that is just going.
-    for (int i = 0; i < 30 && listenAddress && !listener.open(); ++i) {
+    for (int i = 0; i < 30 && !shared && listenAddress && !listener.open(); ++i) {
         if (i > 0) std::this_thread::sleep_for(std::chrono::milliseconds(100));
         listener = listenAt(*listenAddress, problem);
     }
@@ -105,6 +227,7 @@
     int linesMost = std::max(free / 2, 8);
     if (room.calls > 0) linesMost = std::max(std::min(linesMost, 3 * room.calls + 16), free / 3);
     if (opsListener.open()) free -= OperatorsActor::kCallers;
+    if (shared) free -= kForSuccessor;
     int clientsMost = std::max(free - linesMost, 8);
     // A quarter of the memory may lie in buffers. Clients and calls have pools of their own, so that clients
     // which never finish their requests keep no call from leaving.
@@ -113,7 +236,10 @@
     int forCalls = pool / 2;
     if (room.calls > 0) forCalls = std::min(forCalls, room.calls + 4);
     Buffers buffers(static_cast<size_t>(forCalls)), clientBuffers(static_cast<size_t>(pool - forCalls));
-    Lines lines{linesMost};
+    // Both processes of a sender that is being replaced have its descriptors together.
+    auto start = succession::startOf(generations::found(config.state), shared && config.replica.empty());
+    int share = start.awaits.empty() ? 1 : 2;
+    Lines lines{linesMost / share};
 
     auto inbox = std::make_shared<ModuleBox>(4096);
     std::unique_ptr<replica::Shipper> shipper;
@@ -125,8 +251,19 @@
         options.wake = [inbox] { inbox->postHeld(SafeMail{}); };
         shipper = std::make_unique<replica::Shipper>(std::move(options));
     }
-    auto store = openStore(config, inbox, log, shipper.get());
-    bool works = store->works();
+    while (start.makes && !start.refused && !generations::make(config.state, start.own) && errno == EEXIST) ++start.own;
+    std::string own = generations::folderOf(config.state, start.own);
+    auto store = openStore(config, own, true, inbox, log, shipper.get());
+    bool works = store->works() && !start.refused;
+    ModuleActor::Stock stock;
+    stock.store = std::move(store), stock.own = start.own, stock.heir = succession::Heir(start.awaits);
+    for (auto number : start.takes) {
+        std::shared_ptr<Store> taken =
+            openStore(config, generations::folderOf(config.state, number), false, inbox, log, nullptr);
+        works = works && taken->works();
+        stock.taken.emplace(number, std::move(taken));
+    }
+    Succession before(config, start.awaits, inbox, log);
     if (!works) log.say(Level::error, "no store in " + config.state + ": nothing can be taken on");
     NoticeActor notices(config.discovery, buffers, inbox, log);
     // A watch is kept short, so that one whose connection died unseen is soon replaced.
@@ -136,7 +273,7 @@
                  mustAskIn > Span() ? mustAskIn : kMustAskIn, kWatch);
     ListActor list(config.discovery, config.known.revision, !config.known.members.empty(), plan, buffers,
                    inbox, log);
-    Clients clients(std::move(listener), clientsMost, room.longestPause, clientBuffers, inbox, log);
+    Clients clients(std::move(listener), shared, clientsMost / share, room.longestPause, clientBuffers, inbox, log);
 
     ListedIds listed;
     std::string damaged;
@@ -167,6 +304,15 @@
         log.say(Level::info, config.name + " is up");
     };
     ways.report = &log;
+    ways.emptied = [&](succession::Number number, std::shared_ptr<Store> emptied) {
+        bool began = startThread([&, number, gone = std::move(emptied)]() mutable {
+            generations::remove(config.state, number);
+            gone = nullptr;
+        });
+        if (!began) log.say(Level::warning, "generation " + std::to_string(number) + " is empty and stays");
+    };
+    ways.diskMost = config.diskMb * 1000000;
+    ways.elsewhere = [&before] { return before.bytesElsewhere(); };
     std::unique_ptr<Recording> recording;
     if (const char* path = std::getenv("PETRELPOND_RECORD"); path && *path) {
         const char* most = std::getenv("PETRELPOND_RECORD_MB");
@@ -182,8 +328,8 @@
                                  std::to_string(now.fordblks / 1000) + " kB free between");
     };
     ways.standby = shipper.get();
-    if (shipper) shipper->begin(store->epoch());
-    ModuleActor module(config.settings, config.seed, std::move(store), ways);
+    if (shipper) shipper->begin(stock.store->epoch());
+    ModuleActor module(config.settings, config.seed, std::move(stock), ways);
     bool many = config.known.members.size() > 1000;
     // Orders come before the list that they bear on.
     auto hold = [&](const operators::Orders& orders) {
@@ -205,8 +351,20 @@
     config.known = MemberList();
 
     bool started = startThread([&] { endpoints.run(); }) && startThread([&] { module.run(); }) && startThread([&] { notices.run(); }) &&
-                   startThread([&] { list.run(); }) && startThread([&] { clients.accept(); }) &&
-                   startThread([&] { clients.attend(); });
+                   startThread([&] { list.run(); }) && startThread([&] { clients.attend(); });
+    auto serve = [&] {
+        if (!startThread([&] { clients.accept(); })) log.say(Level::error, "no thread to accept with");
+    };
+    if (start.awaits.empty()) {
+        serve();
+    } else {
+        auto alone = [&] {
+            clients.allow(clientsMost), lines.left += linesMost - linesMost / share;
+            log.say(Level::info, config.name + " has taken over");
+        };
+        log.say(Level::info, "waiting for the process before this one");
+        started = started && startThread([&, alone] { before.run(serve, alone); });
+    }
     if (operators) started = started && startThread([&] { operators->run(); });
     if (!started) {
         log.say(Level::error, "the machine gives no threads");
@@ -222,6 +380,18 @@
     }
     Instant told = steadyNow();
     log.say(Level::info, config.name + " is leaving");
+    if (shared && generations::newerHeld(config.state, start.own)) {
+        // In each generation that is ours by now: the successor awaits them one by one.
+        std::vector<generations::Notes> notes;
+        for (const auto& f : generations::found(config.state)) {
+            if (f.number <= start.own && before.holds(f.number))
+                notes.emplace_back(generations::folderOf(config.state, f.number));
+        }
+        handOver(clients, module, *inbox, notes, log);
+        log.say(Level::info, std::string("counters\n").append(log.counters()));
+        std::cerr.flush();
+        std::_Exit(0);
+    }
     clients.leave();
     Mailbox<bool> left(1);
     inbox->postHeld(LeavingMail{told + kLeaving, nullptr});
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -117,6 +117,16 @@
     return longest;
 }
 
+std::set<std::string> readOrdered(const Settings& set) {
+    Names names;
+    std::set<std::string> ordered;
+    auto products = readProducts(set, names);
+    for (size_t i = 0; i < products.size(); ++i) {
+        if (products[i].inOrder) ordered.insert(names.products.name(ProductIx(i)));
+    }
+    return ordered;
+}
+
 Room readRoom(const Settings& set) {
     return {static_cast<int>(set.integer("domain.maxCalls")),
             static_cast<int>(set.integer("limits.mostHeld")),
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -59,6 +60,7 @@
 
 std::vector<Kind> readKinds(const Settings& set, Names& names);
 Room readRoom(const Settings& set);
+std::set<std::string> readOrdered(const Settings& set);  // products whose keys keep their order
 Span readLongestValidity(const Settings& set);  // of all products
 Links readLinks(const Settings& set);
 ListRule readListRule(const Settings& set);
--- a/src/routing/client_actor.cpp
+++ b/src/routing/client_actor.cpp
@@ -1,6 +1,7 @@
 #include "src/routing/client_actor.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <thread>
 #include <tuple>
@@ -145,7 +146,7 @@
             std::lock_guard lock(mutex_);
             asked_ = true;
         }
-        bool last = head.closes() || clients_.leaving_ || clients_.drained_ || ending();
+        bool last = head.closes() || clients_.lasts() || ending();
         // One that was refused has given its buffer back, whatever lies behind it.
         if (!respond(head, {buffer_.data() + *end, length.value_or(0)}, last) || !buffer_) return false;
         std::memmove(buffer_.data(), buffer_.data() + whole, have_ - whole);
@@ -173,7 +174,7 @@
         }
         if (head.first == "GET") {
             if (path == "/up") {
-                bool up = clients_.up() && !clients_.drained_;
+                bool up = clients_.ready_ && !clients_.leaving_ && !clients_.drained_;
                 return answer(up ? 200 : 503, {}, up ? "up\n" : "not up\n", last);
             }
             if (path == "/alive") return answer(200, {}, "alive\n", last);
@@ -197,7 +198,7 @@
             return turnAway(clients_.busy_, last);
         }
         auto replies = box->drain(steadyNow() + kDeciding);
-        last = last || clients_.leaving_ || clients_.drained_;
+        last = last || clients_.lasts();
         Reception r;  // nacked, where the module has not come to it
         if (!replies.empty()) r = replies.front();
         bool taken = r.what == Reception::What::taken;
@@ -264,7 +265,20 @@
     Instant since_, restUntil_ = Instant::longAgo();
 };
 
+int Clients::wanted() {
+    std::lock_guard lock(mutex_);
+    return static_cast<int>(std::count_if(connections_.begin(), connections_.end(), [](const auto& one) {
+        return !one.second->asked() || !one.second->idle();
+    }));
+}
+
 void Clients::accept() {
+    accepting_ = true;
+    acceptUntilStopped();
+    accepting_ = false;
+}
+
+void Clients::acceptUntilStopped() {
     while (!stopped_) {
         // At the bound nobody is accepted, as one turned away might have its request cut off unread: others
         // make room, and new ones wait in the kernel's queue.
@@ -274,9 +288,11 @@
             std::this_thread::sleep_for(std::chrono::milliseconds(5));
             continue;
         }
+        if (shared_ && !comes(listener_, wake_)) return;
         bool lasting = false;
         Socket socket = acceptFrom(listener_, lasting);
         if (lasting) return;
+        if (shared_ && !socket.open() && errno == EAGAIN) continue;  // another process was quicker
         if (!socket.open()) {
             // Out of descriptors or memory for now.
             std::this_thread::sleep_for(std::chrono::milliseconds(20));
@@ -350,7 +366,7 @@
         Connection& c = *at->second;
         if (c.rested(now)) waiting_.again(c.descriptor(), at->first);
         // Of a drained sender who has asked before may go; a first request that is still to come is waited for.
-        if (!c.overdue(now) && !(drained_ && c.asked() && c.idle())) {
+        if (!c.overdue(now) && !((drained_ || handing_) && c.asked() && c.idle())) {
             ++at;
             continue;
         }
@@ -361,7 +377,7 @@
 
 void Clients::stopListening() {
     stopped_ = true;
-    shutDown(listener_.descriptor());
+    shared_ ? wake_.now() : shutDown(listener_.descriptor());
 }
 
 // Requests that do not come to an end go first, then connections that have waited longest for a further one,
--- a/src/routing/module_actor.cpp
+++ b/src/routing/module_actor.cpp
@@ -39,8 +39,9 @@
 
 }  // namespace
 
-ModuleActor::ModuleActor(const Settings& settings, uint64_t seed, std::unique_ptr<Store> store, Ways ways)
-    : sender_(readSender(settings, seed, names_)), store_(std::move(store)), ways_(std::move(ways)) {
+ModuleActor::ModuleActor(const Settings& settings, uint64_t seed, Stock stock, Ways ways)
+    : sender_(readSender(settings, seed, names_)), store_(std::move(stock.store)), own_(stock.own),
+      taken_(std::move(stock.taken)), heir_(stock.heir), ordered_(readOrdered(settings)), ways_(std::move(ways)) {
     Names unused;
     kinds_ = readKinds(settings, unused);
     busy_ = readRoom(settings).longestPause;
@@ -49,7 +50,9 @@
 
 void ModuleActor::run() {
     Instant now = steadyNow();
-    resume(now);
+    sender_->mayStart(now, heir_.serves());
+    for (auto& [number, store] : taken_) resume(now, number, *store);
+    resume(now, own_, *store_);
     keep(true);  // counts what the store found at its start
     pull(now);
     ways_.ready();
@@ -69,22 +72,36 @@
     while (!timers_.empty() && *timers_.begin() <= now) timers_.erase(timers_.begin());
     if (due) sender_->woke(now);
     for (ModuleMail& m : mail) take(now, m);
+    if (!behind_.empty()) inTurn(now);
+    if (shares_ || !taken_.empty() || !heir_.complete()) shareRoom();
     release();
     pull(now);
     rest(now);
+    if (!taken_.empty()) dropEmptied();
     // A process that leaves ends without a word to this one.
     if (ways_.recording) left_ ? ways_.recording->flush() : ways_.recording->flushIfDue(now);
     if (left_ && rows_.empty()) std::exchange(left_, nullptr)();
 }
 
-// What an earlier life of this process took on and has not brought to its end.
-void ModuleActor::resume(Instant now) {
-    std::vector<std::pair<std::string, Store::Text>> open(store_->texts().begin(), store_->texts().end());
+// What an earlier life of this process, or the process before it, took on and has not brought to its end.
+void ModuleActor::resume(Instant now, succession::Number number, Store& store) {
+    std::vector<std::pair<std::string, Store::Text>> open(store.texts().begin(), store.texts().end());
     std::sort(open.begin(), open.end(),
               [](const auto& a, const auto& b) { return a.second.serial < b.second.serial; });
     int64_t unixNow = unixMicros();
     auto instant = [&](int64_t at) { return now + Span::micros(at - unixNow); };
     for (auto& [id, text] : open) {
+        // Handed in here too, under the id of another's: the one that is not known to have left goes.
+        if (auto twice = texts_.find(id); twice != texts_.end()) {
+            Row& here = rows_.at(twice->second.value);
+            if (here.submits > 0 || text.final != Store::Final::none) {
+                keep(store.over(id));
+                continue;
+            }
+            sender_->withdrawn(now, twice->second);
+            if (here.reply) here.reply->postHeld({Reception::What::taken, Span()});
+            here.over = true, keep(store_->over(id)), drop(twice->second);
+        }
         if (text.final != Store::Final::none) {
             Notice notice{id, text.final == Store::Final::nacked, Span::micros(text.pause)};
             whenSafe([this, notice] { ways_.notify(notice); });
@@ -92,8 +109,8 @@
         }
         // A call that was out when the process ended may have run.
         if (text.out) {
-            keep(store_->ended(id, true));
-            text = store_->texts().at(id);
+            keep(store.ended(id, true));
+            text = store.texts().at(id);
         }
         TextIx index = freshText();
         Row& row = rows_[index.value];
@@ -110,11 +127,83 @@
         if (!text.key.empty()) a.key = std::hash<std::string>()(text.key);
         if (text.mayHaveRun) a.mayHaveRunSince = instant(text.firstMayHaveRun);
         if (text.mayHaveRun) a.ranIn = names_.zones.admit(text.ranIn);
-        sender_->arrived(now, a);
+        arrive(now, a, number);
         ways_.report->add(Count::textsResumed);
     }
 }
 
+Store& ModuleActor::holding(const std::string& id) {
+    for (auto& [number, store] : taken_) {
+        if (store->texts().count(id) > 0) return *store;
+    }
+    return *store_;
+}
+
+// A text in order whose elders are still with another process waits for them, and for its own time.
+void ModuleActor::arrive(Instant now, const Arrival& a, succession::Number number) {
+    bool waits = a.key && !heir_.inTurn(number) && ordered_.count(rows_.at(a.text.value).product) > 0;
+    if (!waits) return sender_->arrived(now, a);
+    behind_.push_back({a, number});
+    timers_.insert(a.validUntil - kLeeway * 0.1);
+}
+
+void ModuleActor::inTurn(Instant now) {
+    auto ready = std::stable_partition(behind_.begin(), behind_.end(), [&](const Behind& b) {
+        return !heir_.inTurn(b.number) && now < b.arrival.validUntil - kLeeway * 0.1;
+    });
+    // Of the eldest first; the partition keeps the order in which those of one generation were taken on.
+    std::stable_sort(ready, behind_.end(), [](const Behind& a, const Behind& b) { return a.number < b.number; });
+    for (auto at = ready; at != behind_.end(); ++at) sender_->arrived(now, at->arrival);
+    behind_.erase(ready, behind_.end());
+}
+
+void ModuleActor::handOver(Instant now, HandOverMail& mail) {
+    sender_->mayStart(now, false);
+    std::string lines;
+    for (uint32_t i = 0; i < places_.size(); ++i) {
+        if (places_[i].actor) places_[i].actor->holdBack();
+        auto numbers = places_[i].destination.known() ? sender_->learned(now, EndpointIx(i)) : std::vector<double>();
+        if (!numbers.empty()) lines += succession::learnedLine(names_.endpoints.name(EndpointIx(i)), numbers);
+    }
+    mail.put(lines);
+    teach_ = mail.put;
+    mail.done();
+}
+
+void ModuleActor::inherit(Instant now, HeritageMail& mail) {
+    for (const succession::Line& line : mail.learned) {
+        EndpointIx ix = names_.endpoints.find(line.endpoint);
+        if (!ix.known() || !places_.at(ix.value).destination.known()) continue;
+        sender_->recall(now, ix, line.numbers);
+        holdBack(ix);  // what has not left yet must not run into a wait that is told here
+    }
+    if (mail.store) {
+        heir_.gone(mail.number);
+        taken_[mail.number] = mail.store;
+        resume(now, mail.number, *mail.store);
+    }
+    if (mail.last) heir_ = succession::Heir{{}};
+    sender_->mayStart(now, mail.mayStart && !teach_);
+}
+
+// All generations together keep to the disk's bound; what others hold is not to be had.
+void ModuleActor::shareRoom() {
+    int64_t others = ways_.elsewhere ? ways_.elsewhere() : 0;
+    for (const auto& [number, store] : taken_) others += store->size();
+    shares_ = others > 0;
+    store_->limit(std::max<int64_t>(ways_.diskMost - others, 64 * 1024));
+}
+
+// A generation of which nothing is left goes, on a thread of its own: its upkeep may be at work.
+void ModuleActor::dropEmptied() {
+    std::erase_if(taken_, [&](auto& one) {
+        auto& [number, store] = one;
+        if (!store->texts().empty() || store->owed() > 0 || heir_.awaits(number)) return false;
+        ways_.emptied(number, std::move(store));
+        return true;
+    });
+}
+
 // What tells others of a record goes out once that is as safe as was asked for; never: it will not be.
 void ModuleActor::whenSafe(std::function<void()> go, std::function<void()> never) {
     if (!mayServe() && waiting_.empty()) {
@@ -133,6 +222,9 @@
 void ModuleActor::release() {
     if (ways_.standby) ways_.standby->feed(*store_);
     if (store_->owed() > 0) store_->payOwed();  // also where nothing else is written
+    for (auto& [number, store] : taken_) {
+        if (store->owed() > 0) store->payOwed();
+    }
     while (!waiting_.empty() && waiting_.front().record <= safe() && mayServe()) {
         auto next = std::move(waiting_.front());
         waiting_.pop_front();
@@ -164,15 +256,19 @@
         TextIx text = found->second;
         sender_->withdrawn(now, text);
         record(now, rows_.at(text.value), "withdrawn");
-        keep(store_->over(w->id));
+        keep(holding(w->id).over(w->id));
         rows_[text.value].over = true;
         if (!rows_[text.value].out) drop(text);
     } else if (auto* list = std::get_if<ListMail>(&mail)) {
         listed(now, *list);
     } else if (auto* told = std::get_if<ToldMail>(&mail)) {
-        for (const std::string& id : told->ids) keep(store_->over(id));
+        for (const std::string& id : told->ids) keep(holding(id).over(id));
     } else if (auto* orders = std::get_if<OrdersMail>(&mail)) {
         ordered(now, orders->out);
+    } else if (auto* over = std::get_if<HandOverMail>(&mail)) {
+        handOver(now, *over);
+    } else if (auto* heritage = std::get_if<HeritageMail>(&mail)) {
+        inherit(now, *heritage);
     } else if (std::holds_alternative<SafeMail>(mail)) {
         return;  // each round looks
     } else if (auto* leaving = std::get_if<LeavingMail>(&mail)) {
@@ -185,7 +281,7 @@
     ways_.report->add(Count::textsIn);
     // The same request once more: its first one was read after all, and stands unless it was withdrawn.
     auto known = texts_.find(mail.text.id);
-    if (known != texts_.end() || store_->texts().count(mail.text.id) > 0) {
+    if (known != texts_.end() || holding(mail.text.id).texts().count(mail.text.id) > 0) {
         bool over = known != texts_.end() && rows_.at(known->second.value).over;
         if (known != texts_.end()) rows_.at(known->second.value).ticket = 0;
         ways_.report->add(Count::textsAgain);
@@ -221,7 +317,7 @@
     Arrival a;
     a.text = index, a.destination = destination, a.product = product, a.validUntil = row.validUntil;
     if (!mail.text.key.empty()) a.key = std::hash<std::string>()(mail.text.key);
-    sender_->arrived(now, a);
+    arrive(now, a, own_);
 }
 
 void ModuleActor::ended(Instant now, CallEnd& call) {
@@ -255,16 +351,19 @@
                           : outcome.end == End::notSent ? Count::notSent
                                                         : Count::errors);
         if (outcome.over) {
-            if (!row.over) record(now, row, "delivered"), keep(store_->over(row.id));
+            if (!row.over) record(now, row, "delivered"), keep(holding(row.id).over(row.id));
             row.over = true;
         } else if (!row.over) {
             bool mayHaveRun = outcome.end == End::error || outcome.end == End::reset ||
                               outcome.end == End::timeout || outcome.end == End::cancelled;
-            keep(store_->ended(row.id, mayHaveRun));
+            keep(holding(row.id).ended(row.id, mayHaveRun));
         }
         bool tells = ways_.report->says(Level::debug);
         std::string before = tells ? sender_->belief(now, call.endpoint) : std::string();
         sender_->ended(now, e);
+        if (teach_ && e.end != End::delivered) {
+            teach_(succession::learnedLine(names_.endpoints.name(call.endpoint), sender_->learned(now, call.endpoint)));
+        }
         if (tells) tell(now, row, e, call, before);
         if (row.over) drop(call.texts[i]);
     }
@@ -446,7 +545,7 @@
     if (const auto* submit = std::get_if<Submit>(&decision)) {
         Row& row = rows_.at(submit->text.value);
         row.out = true, ++row.submits, row.sentAt = now;
-        if (!row.parcel.body && !(row.parcel.body = store_->body(row.id))) {
+        if (!row.parcel.body && !(row.parcel.body = holding(row.id).body(row.id))) {
             row.parcel.body = std::make_shared<const std::string>(), row.spoilt = true;
         }
         Instant until = row.validUntil;
@@ -492,7 +591,7 @@
         ways_.report->add(nacked ? Count::textsRefused : Count::textsFailedAtOnce);
         row.reply->postHeld({nacked ? Reception::What::nacked : Reception::What::undeliverable, pause});
     } else {
-        keep(store_->final(row.id, final, pause.inMicros()));
+        keep(holding(row.id).final(row.id, final, pause.inMicros()));
         whenSafe([this, id = row.id, final, pause] {
             ways_.notify({id, final == Store::Final::nacked, pause});
         });
@@ -532,7 +631,7 @@
         row.at = endpoint;
         if (row.spoilt && !row.over) lost(steadyNow(), ix);
         // What could not be written down must not leave: after a restart it would be sent again.
-        if (row.over || !store_->begun(row.id, at, names_.zones.name(places_.at(endpoint.value).zone))) {
+        if (row.over || !holding(row.id).begun(row.id, at, names_.zones.name(places_.at(endpoint.value).zone))) {
             if (!row.over) keep(false);
             unsent.push_back(ix);
             continue;
@@ -595,6 +694,7 @@
     auto row = rows_.find(text.value);
     if (row == rows_.end()) return;
     texts_.erase(row->second.id);
+    std::erase_if(behind_, [&](const Behind& b) { return b.arrival.text == text; });
     DestinationIx destination = row->second.destination;
     rows_.erase(row);
     freeTexts_.push_back(text.value);
--- a/src/routing/module_actor.hpp
+++ b/src/routing/module_actor.hpp
@@ -21,6 +21,7 @@
 #include "src/routing/recording.hpp"
 #include "src/routing/report.hpp"
 #include "src/store/store.hpp"
+#include "src/succession/succession.hpp"
 
 namespace petrelpond {
 
@@ -52,13 +53,25 @@
 struct OrdersMail {  // endpoints that an operator has taken out, all of them
     std::set<std::string> out;
 };
+struct HandOverMail {  // another process takes over: no call starts from now on
+    std::function<void(const std::string& lines)> put;  // what was learned, now and with each end that teaches
+    std::function<void()> done;                         // all of it is put
+};
+struct HeritageMail {  // from the process before this one
+    std::vector<succession::Line> learned;
+    bool mayStart = false;  // nobody else starts calls
+    succession::Number number = 0;
+    std::shared_ptr<Store> store;  // of that generation, once that process has ended
+    bool last = false;             // nothing more comes
+};
 struct SafeMail {};   // the store has got more of what was written safe
 struct LeavingMail {  // the process ends then; done sooner where nothing is held
     Instant by;
     std::function<void()> done;
 };
 using ModuleMail =
-    std::variant<ArrivedMail, WithdrawnMail, CallEnd, ListMail, ToldMail, OrdersMail, SafeMail, LeavingMail>;
+    std::variant<ArrivedMail, WithdrawnMail, CallEnd, ListMail, ToldMail, OrdersMail, HandOverMail,
+                 HeritageMail, SafeMail, LeavingMail>;
 using ModuleBox = Mailbox<ModuleMail>;
 
 // A standby without which nothing is taken on, sent or answered; what it has kept is as safe as it gets.
@@ -79,13 +92,26 @@
         std::function<void(Notice)> notify;
         // The ids that are listed now, each time that they change.
         std::function<void(std::set<std::string>)> listed = [](std::set<std::string>) {};
+        // A store taken over in which nothing is open any more; not called on the last owner's thread to wait.
+        std::function<void(succession::Number, std::shared_ptr<Store>)> emptied;
+        int64_t diskMost = 0;  // bytes that the stores of all generations may take together
+        std::function<int64_t()> elsewhere;  // bytes of those that another process still holds
         std::function<void()> ready;  // what was open before the restart is with the module
         Report* report;
         Recording* recording = nullptr;      // where what comes and ends is recorded
         std::function<void()> tidy = [] {};  // much was given back
         StandbyLink* standby = nullptr;
     };
-    ModuleActor(const Settings& settings, uint64_t seed, std::unique_ptr<Store> store, Ways ways);
+    using Stores = std::map<succession::Number, std::shared_ptr<Store>>;
+    // own: the store that new texts go to; others hold what is still open of earlier generations.
+    struct Stock {
+        std::unique_ptr<Store> store;
+        succession::Number own = 0;
+        Stores taken;
+        succession::Heir heir{{}};
+    };
+    ModuleActor(const Settings& settings, uint64_t seed, Stock stock, Ways ways);
+    int callsOut() const { return callsOut_; }
     // Rounds, for ever; the first takes up what the store holds.
     void run();
 
@@ -106,7 +132,14 @@
     };
     void record(Instant now, const Row& row, const char* end);
 
-    void resume(Instant now);
+    void resume(Instant now, succession::Number number, Store& store);
+    Store& holding(const std::string& id);
+    void inherit(Instant now, HeritageMail& mail);
+    void handOver(Instant now, HandOverMail& mail);
+    void arrive(Instant now, const Arrival& a, succession::Number number);
+    void inTurn(Instant now);
+    void dropEmptied();
+    void shareRoom();
     void take(Instant now, ModuleMail& mail);
     void arrived(Instant now, ArrivedMail& mail);
     void ended(Instant now, CallEnd& end);
@@ -155,6 +188,17 @@
     Span busy_, longestValidity_;
     std::unique_ptr<Sender> sender_;
     std::unique_ptr<Store> store_;
+    succession::Number own_ = 0;
+    Stores taken_;  // of earlier generations
+    succession::Heir heir_{{}};
+    std::set<std::string> ordered_;  // products whose keys keep their order
+    struct Behind {
+        Arrival arrival;
+        succession::Number number;
+    };
+    std::vector<Behind> behind_;  // texts in order, taken on here, behind what is still to come over
+    bool shares_ = false;  // the own store's room was less than all
+    std::function<void(const std::string&)> teach_;  // once it has handed over
     Ways ways_;
     std::unordered_map<std::string, TextIx> texts_;
     std::unordered_map<uint32_t, Row> rows_;
@@ -172,7 +216,7 @@
     std::set<Instant> timers_;
     std::function<void()> left_;
     uint32_t nextText_ = 0;
-    int callsOut_ = 0;
+    std::atomic<int> callsOut_ = 0;
     long compactions_ = 0, damages_ = 0;
     struct Waiting {
         uint64_t record = 0;
--- a/src/store/keeper.hpp
+++ b/src/store/keeper.hpp
@@ -2,6 +2,7 @@
 // done about each kind of damage. No files, no clocks, no threads.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -42,6 +43,8 @@
     // most: bytes that all files together may take. reserve: whether room is set aside on the disk itself.
     explicit Keeper(int64_t most, bool reserve = false) : most_(most), reserve_(reserve) {}
 
+    // Others have a part of the room, or have given it back.
+    void limit(int64_t most) { most_ = most; }
     // Bytes that a text may come to need until its end is written, whatever becomes of it.
     static int64_t lifeOf(size_t idBytes, size_t bodyBytes);
     int64_t segmentBytes() const;
@@ -55,7 +58,7 @@
     static Remedy remedyFor(DamageKind kind);
 
   private:
-    int64_t most_;
+    std::atomic<int64_t> most_;
     bool reserve_;
 };
 
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -93,6 +93,7 @@
     std::vector<std::string> wholeOf(const std::string& id);
     [[nodiscard]] bool raiseEpoch(uint64_t epoch);  // holds, synced, once it is true
 
+    void limit(int64_t most) { keeper_.limit(most); }  // bytes of all files from now on
     uint64_t last() const { return sequence_ - 1; }  // the sequence of the last record written
     uint64_t safe() const;                           // up to which they are kept, by the durability asked for
     int64_t size() const { return total_; }          // bytes on the disk, in whole blocks
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <time.h>
@@ -180,6 +181,36 @@
     ::fcntl(socket.descriptor(), F_SETFL, flags | O_NONBLOCK);
 }
 
+Wake::Wake() : fd_(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {}
+Wake::~Wake() {
+    if (fd_ >= 0) ::close(fd_);
+}
+void Wake::now() const {
+    uint64_t one = 1;
+    while (::write(fd_, &one, sizeof one) < 0 && errno == EINTR) {
+    }
+}
+
+bool comes(const Socket& listener, const Wake& wake) {
+    pollfd both[2] = {{listener.descriptor(), POLLIN, 0}, {wake.fd_, POLLIN, 0}};
+    while (::poll(both, 2, -1) < 0 && errno == EINTR) {
+    }
+    return both[1].revents == 0;
+}
+
+Socket inheritedListener(int fd, std::string& problem) {
+    int listens = 0;
+    socklen_t size = sizeof listens;
+    if (fd < 0 || getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0) {
+        problem = "descriptor " + std::to_string(fd) + " is no listening socket";
+        return Socket();
+    }
+    ::fcntl(fd, F_SETFD, FD_CLOEXEC);
+    Socket socket(fd);
+    neverWait(socket);
+    return socket;
+}
+
 Socket listenAt(const Address& at, std::string& problem) {
     sockaddr_in address;
     Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
--- a/src/transport/socket.hpp
+++ b/src/transport/socket.hpp
@@ -59,6 +59,24 @@
 
 // For one thread that attends to many: accepts and receives there without waiting.
 void neverWait(const Socket& socket);
+// Ends another thread's comes(), also one that begins later.
+class Wake {
+  public:
+    Wake();
+    ~Wake();
+    Wake(const Wake&) = delete;
+    Wake& operator=(const Wake&) = delete;
+    void now() const;
+
+  private:
+    friend bool comes(const Socket& listener, const Wake& wake);
+    int fd_;
+};
+// Waits until a connection may be accepted there; false once woken. For a listener that other processes have
+// too, which must be neither shut down nor waited in for good.
+bool comes(const Socket& listener, const Wake& wake);
+// A listening socket that the process was started with. Not open where that is none.
+Socket inheritedListener(int fd, std::string& problem);
 Socket listenAt(const Address& at, std::string& problem);
 // Not open where nothing could be accepted; `lasting` tells that it will not get better.
 Socket acceptFrom(const Socket& listener, bool& lasting);
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -428,6 +428,7 @@
             setenv("LB_STATE", (folder_ + "/state").c_str(), 1);
             for (const char* name : {"LB_NAME", "LB_LISTEN"}) unsetenv(name);
             for (const std::string& set : settings) putenv(strdup(set.c_str()));
+            if (inherits >= 0) dup2(inherits, 77), setenv("LB_FD", "77", 1);
             if (!ops.empty()) setenv("LB_OPS", ops.c_str(), 1);
             setenv("LB_DISCOVERY", "127.0.0.1:1", 1);  // what stands in the file goes over it
             std::freopen((folder_ + "/log").c_str(), "a", stderr);
@@ -436,6 +437,14 @@
         }
         up = eventually([&] { return get("/up").find(" 200 ") != std::string::npos; }, 10000);
     }
+    // Starts the program once more beside the one that runs, which it returns; this is the new one from now on.
+    pid_t beside(const std::string& opsAt) {
+        pid_t old = std::exchange(pid_, 0);
+        ops = opsAt;
+        start();
+        return old;
+    }
+    void take(pid_t pid, const std::string& opsAt) { pid_ = pid, ops = opsAt; }
     // Its exit code; minus the signal that ended it.
     int stop(int signal) {
         ::kill(pid_, signal);
@@ -506,6 +515,7 @@
     }
 
     std::string address, ops;
+    int inherits = -1;  // a listener that the next start is given
     std::vector<std::string> settings;  // NAME=value, of the next start
     bool up = false;
 
