With all slots out a call long overtaken at its endpoint is given up before its SLA time

Ruled out: pacing (places clear, 0.9 of limits left), descriptors (61 of 384), refusals (36), processor (0.07 of 0.2). At fault: freeSlot waits for the SLA time until hope_ has fallen below 0.3, which takes six calls that were seen to their end.

Changed: a call over twice overdue, while calls begun well after it were answered at the same endpoint, may be given up when a slot is wanted. A test of the module with one silent call among answered ones. Harm: a call that is slow alone, and would have answered; a once-only one is then undeliverable.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -80,7 +80,6 @@
         bound = true, rate = base, tokens = base < 0.5 ? chance.between(0, 1) : 0;
         refilledAt = raisedAt = boundAt = now;
     }
-    // Shrinks with the interval: the source's span would halve the rate at a fast destination.
     Span jitter(Chance& chance) const {
         return Span::seconds(chance.between(0.05, 0.25) * std::min(1.0, rate > 0 ? 1 / rate : 1.0));
     }
@@ -138,7 +137,6 @@
         double most = many ? std::max(least, 0.9 / part) : std::max(2.0, 0.4 / part);
         double step = many ? std::max(1.0, least) : 0.46;
         double pause = std::clamp(step * (now - downAt).inSeconds(), least, most);
-        // A told wait ends for all who were told at one moment.
         double apart = wait > Span() ? std::min(2 * std::max(now - downAt, wait).inSeconds(), 1 / part) : 0;
         trialAt = now + std::max(chance.about(Span::seconds(pause)),
                                  wait + Span::seconds(chance.between(0, apart)));
@@ -163,7 +161,6 @@
         double warmed = cold.warmUp > Span() ? (now - returnedAt).inSeconds() / cold.warmUp.inSeconds() : 1;
         if (warmed >= 1) phase = Phase::clear;
         double share = cold.share + (1 - cold.share) * std::min(warmed, 1.0);
-        // Where a turn is longer than the outage was, one call each in that time is in sum the place's rate.
         double turn = many ? 1 / std::max(0.5, (returnedAt - downAt).inSeconds()) : 0;
         return 0.9 * std::max(cold.multiple, 1.0) * share * std::max(slice, turn);
     }
@@ -802,9 +799,9 @@
         return std::max(1.2 * p.times.slowest * load, 3 * usualTime_);
     }
 
-    // All slots are out and a text could go: the call most overdue, past its SLA time and several high answer
-    // times, is given up, against hung places whose once-only calls keep slots to the end; before its SLA
-    // time where overdue calls were mostly never answered. Harms a call that would still have answered.
+    // All slots are out and a text could go: the call most overdue, past its SLA time, is given up, against
+    // hung places and silent connections; sooner where overdue calls were mostly never answered, or it is
+    // long overdue and calls begun long after it were answered there. Harms one that would still have answered.
     void freeSlot(Instant now) {
         if (!room_.cancel) return;
         const Text* stuck = nullptr;
@@ -813,10 +810,13 @@
             const Text& t = texts_.at(ix.value);
             if (t.givenUp) return;
             double age = (now - t.started).inSeconds();
-            const Place& p = places_[endpoints_[t.at.value].is.place];
+            const Endpoint& e = endpoints_[t.at.value];
+            const Place& p = places_[e.is.place];
+            double after = overdueAfter(p, calls_[t.call].load);
+            bool overtaken = age > 2 * after && e.out.answered > t.started + Span::seconds(after);
             double overdue = age / (p.times.high * calls_[t.call].texts + 0.001);
             bool dear = t.product->effect == Effect::onceOnly, kept = dear && p.guard.phase == Phase::down;
-            bool hopeless = hope_ < 0.3 && !kept && age > overdueAfter(p, calls_[t.call].load);
+            bool hopeless = (overtaken || hope_ < 0.3) && !kept && age > after;
             if (hopeless) overdue = dear ? 7 : 100;
             if (overdue > most && (hopeless || age > t.product->sla.inSeconds())) most = overdue, stuck = &t;
         }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -627,3 +627,38 @@
     CHECK(sentAfterReturn(0.9) >= 7);  // 4 a second each, for 3 s
     CHECK(sentAfterReturn(0) <= 5);
 }
+
+TEST_CASE("with all slots out a call that was long overtaken at its endpoint is given up, though none was lost before") {
+    Set set;
+    set.room.calls = 4, set.room.held = 0;
+    Rig rig(set);
+    rig.endpoints(0, 0, 1);
+    std::deque<std::pair<Instant, Submit>> out;
+    std::optional<Submit> silent;
+    Instant silentSince, givenUp = Instant::never();
+    int answered = 0;
+    // One call is never answered, all others take 100 ms, and there is always a text that could go.
+    for (int i = 0; i < 1200 && givenUp == Instant::never(); ++i) {
+        rig.now = rig.now + Span::millis(5);
+        if (i % 4 == 0) rig.text(0, 2), rig.text(0, 2);
+        while (!out.empty() && out.front().first <= rig.now) {
+            rig.end(out.front().second, End::delivered);
+            out.pop_front(), ++answered;
+        }
+        rig.pull();
+        for (const Submit& s : rig.submits) {
+            bool thisOne = answered > 60 && !silent;
+            if (thisOne) silent = s, silentSince = rig.now;
+            if (!thisOne) out.emplace_back(rig.now + Span::millis(100), s);
+        }
+        for (const Decision& d : rig.others) {
+            const auto* c = std::get_if<CancelSubmit>(&d);
+            if (!c) continue;
+            CHECK(silent);
+            CHECK(c->text == silent->text);
+            givenUp = rig.now;
+        }
+    }
+    CHECK((givenUp - silentSince).inSeconds() > 0.5);  // not at once: it may be slow
+    CHECK((givenUp - silentSince).inSeconds() < 2.5);  // and well before its SLA time of 3 s
+}
