--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -801,7 +801,7 @@
 
     // All slots are out and a text could go: the call most overdue, past its SLA time, is given up, against
     // hung places and silent connections; sooner where overdue calls were mostly never answered, or it is
-    // long overdue and calls begun long after it were answered there. Harms one that would still have answered.
+    // long overdue and calls begun long after it were answered there. Harms one that would still answer.
     void freeSlot(Instant now) {
         if (!room_.cancel) return;
         const Text* stuck = nullptr;
