Senders that know who is there, by SWIM with Lifeguard; faults between processes

Need: the operators care most about how many processes work together when some fail; senders knew nothing of each other, and nothing could be broken between them. Now: src/crew (messages, a core without I/O), src/crewroom (its sockets, one thread), `petrelpond members`, counters and status; off unless the configuration names a crew. fleet: Links (what becomes of a message, by schedule, seed and direction), a relay on sockets for each ordered pair, [crew] and [[link]] in scenarios, the crew in simulated time, random schedules against three invariants, and plays of real processes. The module is untouched.

--- a/fleet/main.cpp
+++ b/fleet/main.cpp
@@ -12,6 +12,8 @@
 
 #include "fleet/compare.hpp"
 #include "fleet/costs.hpp"
+#include "fleet/crew_measure.hpp"
+#include "fleet/crew_search.hpp"
 #include "fleet/false_sender.hpp"
 #include "fleet/model.hpp"
 #include "fleet/report.hpp"
@@ -262,6 +264,66 @@
     return 0;
 }
 
+struct CrewOptions {
+    std::vector<int> members = {3, 10, 30, 100, 300};
+    std::vector<double> loss = {0, 0.1, 0.3};
+    int kills = 5;
+    double quiet = 120;
+    long steps = 100000000;
+};
+
+int crewMeasure(const Options& o, const CrewOptions& c) {
+    std::vector<CrewFigures> all;
+    for (double loss : c.loss) {
+        for (int members : c.members) {
+            CrewMeasure m;
+            m.members = members, m.loss = loss, m.kills = c.kills, m.quiet = Span::seconds(c.quiet), m.seed = std::max<uint64_t>(o.seed, 1);
+            if (!o.quiet) progressLine(std::to_string(members) + " members, loss " + std::to_string(loss));
+            all.push_back(measureCrew(m));
+        }
+    }
+    if (!o.quiet) progressOver();
+    std::cout << crewTable(all);
+    if (o.html.empty()) return 0;
+    std::ofstream page(o.html);
+    page << crewPage(all);
+    page.close();
+    if (!page) throw std::runtime_error(o.html + ": can't be written");
+    return 0;
+}
+
+int crewPlay(const Options& o, const CrewOptions& c) {
+    std::vector<CrewFigures> all;
+    for (double loss : c.loss) {
+        for (int members : c.members) {
+            Folder folder(o.keep);
+            CrewMeasure m;
+            m.members = members, m.loss = loss, m.kills = c.kills, m.quiet = Span::seconds(c.quiet), m.seed = std::max<uint64_t>(o.seed, 1);
+            Command sender;
+            sender.program = o.sender;
+            all.push_back(measureCrewPlay(m, sender, folder.path()));
+        }
+    }
+    std::cout << crewTable(all);
+    return 0;
+}
+
+int crewSearch(const Options& o, const CrewOptions& c) {
+    CrewSearch search;
+    search.steps = c.steps, search.firstSeed = std::max<uint64_t>(o.seed, 1);
+    CrewFindings found = searchCrew(search);
+    for (const std::string& v : found.violations) std::cout << v << "\n";
+    std::vector<double> agreed = found.agreedAfter;
+    std::sort(agreed.begin(), agreed.end());
+    std::cout << found.steps << " steps in " << found.schedules << " schedules, " << found.violations.size() << " findings";
+    if (!agreed.empty()) {
+        std::cout << std::fixed << std::setprecision(1) << "; all views alike after the last fault: median " << medianOf(agreed)
+                  << " s, 99th percentile " << agreed[agreed.size() * 99 / 100] << " s, most " << agreed.back() << " s";
+    }
+    std::cout << "\n";
+    return found.violations.empty() ? 0 : kBroken;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -330,6 +392,24 @@
     auto* own = app.add_subcommand("self", "what the stand-ins can send and answer with no sender between");
     own->add_option("--connections", o.connections, "")->capture_default_str()->check(CLI::Range(1, 8000));
     own->add_option("--seconds", o.seconds, "")->capture_default_str()->check(CLI::Range(0.1, 60.0));
+    CrewOptions c;
+    auto* crewed = app.add_subcommand("crew", "members of a crew alone: how soon they find who has gone, and what it costs");
+    crewed->require_subcommand(1);
+    auto sizes = [&](CLI::App* s) {
+        s->add_option("--members", c.members, "sizes of the crew")->delimiter(',')->check(CLI::Range(2, 1000));
+        s->add_option("--loss", c.loss, "shares of datagrams lost")->delimiter(',')->check(CLI::Range(0.0, 0.9));
+        s->add_option("--kills", c.kills, "members killed, one after the other")->check(CLI::Range(1, 100));
+        s->add_option("--quiet-seconds", c.quiet, "watched for false deaths first")->check(CLI::Range(0.0, 86400.0));
+        seeds(s);
+    };
+    auto* crewTimes = crewed->add_subcommand("measure", "in simulated time");
+    sizes(crewTimes), outputs(crewTimes);
+    crewTimes->add_flag("-q,--quiet", o.quiet, "no progress");
+    auto* crewReal = crewed->add_subcommand("play", "with processes of the program");
+    sizes(crewReal), sockets(crewReal);
+    auto* crewTries = crewed->add_subcommand("search", "random schedules of faults, held against what must hold");
+    seeds(crewTries);
+    crewTries->add_option("--steps", c.steps, "inputs and due moments, all schedules together")->check(CLI::Range(1L, 100000000000L));
     auto* lies = app.add_subcommand("false-sender", "a sender that breaks a rule on purpose, by LB_CONFIG");
     lies->add_option("--breaks", o.breaks, "what")->check(CLI::IsMember(falsehoods()));
     try {
@@ -355,6 +435,9 @@
         if (*pair) return compareTwo(o);
         if (*page) return report(o);
         if (*own) return self(o);
+        if (*crewTimes) return crewMeasure(o, c);
+        if (*crewReal) return crewPlay(o, c);
+        if (*crewTries) return crewSearch(o, c);
         return runFalseSender(o.breaks);
     } catch (const WrongScenario& wrong) {
         std::cerr << wrong.what() << "\n";
--- a/fleet/net.cpp
+++ b/fleet/net.cpp
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/epoll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -295,6 +296,15 @@
     return ntohl(at.sin_addr.s_addr);
 }
 
+void closeNow(Bound& bound) { ::close(std::exchange(bound.fd, -1)); }
+
+void raiseDescriptors() {
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 int connectTo(const std::string& address) {
     size_t colon = address.rfind(':');
     sockaddr_in at = addressOf(address.substr(0, colon), atoi(address.c_str() + colon + 1));
@@ -305,6 +315,41 @@
     return -1;
 }
 
+void askLine(Loop& loop, const std::string& address, std::string line, Span within,
+             std::function<void(std::optional<std::string>)> told) {
+    struct Asking {
+        int fd = -1;
+        std::string in;
+        Loop::Timer timer;
+    };
+    auto asking = std::make_shared<Asking>();
+    asking->fd = connectTo(address);
+    auto done = [&loop, asking, told](bool whole) {
+        if (asking->fd < 0) return;
+        loop.forget(asking->fd);
+        ::close(std::exchange(asking->fd, -1));
+        loop.cancel(asking->timer);
+        told(whole ? std::optional(asking->in) : std::nullopt);
+    };
+    if (asking->fd < 0) return told(std::nullopt);
+    asking->timer = loop.at(loop.now() + within, [done] { done(false); });
+    loop.watch(asking->fd, EPOLLOUT, [&loop, asking, done, line = line + "\n"](uint32_t events) {
+        if (events & EPOLLERR) return done(false);
+        if (events & EPOLLOUT) {
+            // A line goes into an empty buffer whole.
+            if (::send(asking->fd, line.data(), line.size(), MSG_NOSIGNAL) < 0) return done(false);
+            return loop.change(asking->fd, EPOLLIN);
+        }
+        char part[16 * 1024];
+        ssize_t got = ::recv(asking->fd, part, sizeof part, 0);
+        if (got < 0 && errno == EAGAIN) return;
+        if (got <= 0) return done(false);
+        asking->in.append(part, static_cast<size_t>(got));
+        if (asking->in.size() > kMostMessage) return done(false);
+        if (asking->in.back() == '\n') asking->in.pop_back(), done(true);
+    });
+}
+
 std::string request(std::string_view method, std::string_view target, std::string_view fields,
                     std::string_view body) {
     std::string out;
--- a/fleet/net.hpp
+++ b/fleet/net.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +41,7 @@
     // How late timers were served: the judge's own lateness.
     double lateAt(double quantile) const;
     void forgetLateness() { late_.clear(); }
+    void forgetTimers() { timers_.clear(); }
 
   private:
     struct Entry {
@@ -106,11 +108,17 @@
 Bound listenOn(const std::string& host, int port, int backlog = 1024);
 // Listens for all of 127.0.0.0/8 at one port, and only for what comes through the loopback device.
 Bound listenOnLoopback(int backlog = 4096);
+void closeNow(Bound& bound);  // one that no loop watches
+void raiseDescriptors();      // to the machine's bound
 int acceptOne(int listener);
 // The address of ours that the other side connected to, in host order.
 uint32_t localHost(int fd);
 int connectTo(const std::string& address);  // begun, non-blocking; -1 where there is no descriptor
 
+// One line said there; what comes back up to its end, or nothing where none came in time. Told once.
+void askLine(Loop& loop, const std::string& address, std::string line, Span within,
+             std::function<void(std::optional<std::string>)> told);
+
 std::string request(std::string_view method, std::string_view target, std::string_view fields,
                     std::string_view body);
 std::string response(int status, std::string_view fields, std::string_view body);
--- a/fleet/process.cpp
+++ b/fleet/process.cpp
@@ -103,6 +103,11 @@
     writeConfig();
 }
 
+void SenderProcess::loseFolder() {
+    std::filesystem::remove_all(folder_ + "/state");
+    std::filesystem::create_directories(folder_ + "/state");
+}
+
 void SenderProcess::moveDiscovery(const std::string& discovery) {
     discovery_ = discovery;
     writeConfig();
@@ -120,6 +125,7 @@
          {{"memory_mb", scenario_.memoryMb}, {"sockets", scenario_.sockets}, {"disk_mb", scenario_.diskMb}}},
         {"known", {{"revision", revision_}, {"complete", true}, {"members", json::parse(members_)}}},
         {"settings", settingsOf(scenario_)}};
+    if (!crew_.empty()) config["crew"] = json::parse(crew_), config["ops"] = ops_;
     std::string path = folder_ + "/config.json";
     std::ofstream(path + ".new") << config.dump();
     std::filesystem::rename(path + ".new", path);
--- a/fleet/process.hpp
+++ b/fleet/process.hpp
@@ -28,6 +28,10 @@
     // `members`: the list as last known, a JSON array.
     void configure(const std::string& listen, const std::string& discovery, const std::string& members,
                    int64_t revision);
+    // Before configure(): the crew's part of the configuration, a JSON object, and an operators' address.
+    void joinCrew(std::string crew, std::string ops) { crew_ = std::move(crew), ops_ = std::move(ops); }
+    const std::string& ops() const { return ops_; }
+    void loseFolder();  // while it does not run
     void moveDiscovery(const std::string& discovery);
     void start();
     void kill();  // at once, and waits for its end
@@ -42,7 +46,7 @@
     void writeConfig() const;
     const Scenario& scenario_;
     int number_;
-    std::string folder_, listen_, discovery_, members_ = "[]";
+    std::string folder_, listen_, discovery_, members_ = "[]", crew_, ops_;
     int64_t revision_ = 0;
     Command command_;
     pid_t pid_ = -1;
--- a/fleet/report.cpp
+++ b/fleet/report.cpp
@@ -23,6 +23,8 @@
     return out;
 }
 
+}  // namespace
+
 std::string shown(double v) {
     std::ostringstream out;
     if (std::abs(v) >= 100 || v == std::floor(v))
@@ -32,15 +34,9 @@
     return out.str();
 }
 
-struct Curve {
-    std::string name;
-    std::vector<double> values;
-    bool dashed = false;
-    int colour = 0;
-};
-
 // Values by second, a grid of round numbers, names at the lower edge.
-std::string plot(const std::string& title, const std::string& unit, const std::vector<Curve>& curves) {
+std::string plot(const std::string& title, const std::string& unit, const std::vector<Curve>& curves,
+                 const std::vector<std::string>& names, const std::string& along) {
     constexpr double W = 560, H = 230, L = 52, R = 12, T = 30, B = 46;
     double most = 0;
     size_t n = 2;
@@ -69,10 +65,10 @@
     size_t every = std::max<size_t>(1, (n - 1 + 7) / 8);
     for (size_t i = 0; i < n; i += every) {
         svg << "<text class='a' x='" << x(static_cast<double>(i)) << "' y='" << H - B + 15
-            << "' text-anchor='middle'>" << i << "</text>";
+            << "' text-anchor='middle'>" << (i < names.size() ? safe(names[i]) : std::to_string(i)) << "</text>";
     }
     svg << "<text class='a' x='" << W - R << "' y='" << H - B + 28
-        << "' text-anchor='end'>seconds</text><text class='a' x='" << W - R << "' y='16' text-anchor='end'>"
+        << "' text-anchor='end'>" << safe(along) << "</text><text class='a' x='" << W - R << "' y='16' text-anchor='end'>"
         << safe(unit) << "</text>";
     double at = L;
     for (size_t k = 0; k < curves.size(); ++k) {
@@ -92,6 +88,8 @@
     return svg.str();
 }
 
+namespace {
+
 std::string quantilePlot(const RunResult& r) {
     constexpr double W = 560, L = 110, R = 20, T = 34, row = 30;
     double H = T + row * static_cast<double>(r.products.size()) + 34;
@@ -132,6 +130,43 @@
     return svg.str();
 }
 
+// Who could hear whom between the senders: a square for each stretch of seconds in which that was the same. A row
+// hears the columns that are filled.
+std::string linkSquares(const RunResult& r) {
+    struct Stretch {
+        size_t from = 0, to = 0;
+    };
+    std::vector<Stretch> stretches;
+    for (size_t i = 0; i < r.series.size(); ++i) {
+        if (r.series[i].hears.empty()) continue;
+        bool same = !stretches.empty() && r.series[stretches.back().from].hears == r.series[i].hears;
+        if (!same) stretches.push_back({i, i});
+        stretches.back().to = i;
+    }
+    if (stretches.empty()) return "";
+    auto n = static_cast<size_t>(std::lround(std::sqrt(static_cast<double>(r.series[stretches[0].from].hears.size()))));
+    double cell = std::clamp(110.0 / static_cast<double>(n), 2.0, 14.0), side = cell * static_cast<double>(n);
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(1) << "<h3>Who could hear whom between the senders</h3><div class='links'>";
+    for (const Stretch& s : stretches) {
+        const std::string& hears = r.series[s.from].hears;
+        out << "<figure><svg viewBox='0 0 " << side << ' ' << side << "' style='width:" << side << "px'><title>seconds " << s.from
+            << " to " << s.to + 1 << "</title>";
+        for (size_t a = 0; a < n; ++a) {
+            for (size_t b = 0; b < n; ++b) {
+                // The row hears what the column says: the link is from b to a.
+                bool good = hears[b * n + a] == '1';
+                out << "<rect x='" << cell * static_cast<double>(b) << "' y='" << cell * static_cast<double>(a) << "' width='"
+                    << cell - 0.5 << "' height='" << cell - 0.5 << "' fill='" << (a == b ? "#1d2733" : good ? "#9cc5a1" : "#d98880")
+                    << "'><title>" << a << (good ? " hears " : " does not hear ") << b << "</title></rect>";
+            }
+        }
+        out << "</svg><figcaption>" << s.from << " to " << s.to + 1 << " s</figcaption></figure>";
+    }
+    out << "</div>";
+    return out.str();
+}
+
 std::string runSection(const RunResult& r) {
     std::ostringstream out;
     out << std::fixed << std::setprecision(1);
@@ -194,7 +229,18 @@
              {"limit", series([g](auto& s) { return g < s.groupLimits.size() ? s.groupLimits[g] : 0; }), true,
               5}});
     }
-    out << "</div>";
+    std::string links = linkSquares(r);
+    if (!links.empty()) {
+        std::vector<Curve> views;
+        for (size_t v = 0; v < std::min<size_t>(r.senders.size(), 8); ++v) {
+            views.push_back({"sender " + std::to_string(v), series([v](auto& s) {
+                                 return v < s.believed.size() ? std::max(0.0, static_cast<double>(s.believed[v])) : 0;
+                             }),
+                             false, static_cast<int>(v)});
+        }
+        out << plot("Members that each sender believes to be there", "members", views);
+    }
+    out << "</div>" << links;
     if (!r.senders.empty()) {
         out << std::setprecision(2)
             << "<table><tr><th>sender<th>CPU seconds<th>most memory MB<th>most threads<th>most "
@@ -213,9 +259,10 @@
 
 }  // namespace
 
-std::string reportPage(const std::vector<RunResult>& runs) {
-    std::ostringstream out;
-    out << "<!doctype html><html lang='en'><meta charset='utf-8'><meta name='viewport' "
+namespace {
+
+std::string pageHead() {
+    return "<!doctype html><html lang='en'><meta charset='utf-8'><meta name='viewport' "
            "content='width=device-width'><title>petrelfleet</title><style>"
            "body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:1180px;padding:0 "
            "1em;color:#1d2733}"
@@ -226,9 +273,22 @@
            ".plots{display:grid;grid-template-columns:repeat(auto-fit,minmax(430px,1fr));gap:1.2em}"
            "svg{width:100%;background:#fbfcfd;border:1px solid "
            "#e3e9ee;border-radius:4px}.t{font-size:14px;font-weight:600}.a{font-size:11px;fill:#5f6b76}"
+           ".links{display:flex;flex-wrap:wrap;gap:1em}figure{margin:0}figcaption{font-size:.8em;color:#5f6b76}"
            ".g{stroke:#e3e9ee}.good{color:#2f6d33}.bad{color:#a3272f;font-weight:600}.big{font-size:1.1em}</"
-           "style>"
-           "<h1>petrelfleet: "
+           "style>";
+}
+
+}  // namespace
+
+std::string plotPage(const std::string& title, const std::vector<std::string>& plots) {
+    std::string out = pageHead() + "<h1>" + safe(title) + "</h1><div class='plots'>";
+    for (const std::string& p : plots) out += p;
+    return out + "</div></html>\n";
+}
+
+std::string reportPage(const std::vector<RunResult>& runs) {
+    std::ostringstream out;
+    out << pageHead() << "<h1>petrelfleet: "
         << runs.size() << (runs.size() == 1 ? " run" : " runs") << " among stand-in partners</h1>";
     for (const RunResult& r : runs) out << runSection(r);
     out << "</html>\n";
--- a/fleet/result.cpp
+++ b/fleet/result.cpp
@@ -159,7 +159,9 @@
                                  {"open", s.open},
                                  {"out", s.out},
                                  {"group_calls", s.groupCalls},
-                                 {"group_limits", s.groupLimits}});
+                                 {"group_limits", s.groupLimits},
+                                 {"hears", s.hears},
+                                 {"believed", s.believed}});
     }
     out["senders"] = json::array();
     for (const SenderResult& s : r.senders) {
@@ -201,7 +203,7 @@
     for (const auto& s : v.at("series")) {
         r.series.push_back({s.at("possible"), s.at("made"), s.at("arrivals"), s.at("calls"),
                             s.at("refused_calls"), s.at("open"), s.at("out"), s.at("group_calls"),
-                            s.at("group_limits")});
+                            s.at("group_limits"), s.value("hears", ""), s.value("believed", std::vector<int>())});
     }
     for (const auto& s : v.at("senders")) {
         r.senders.push_back({s.at("cpu_seconds"), s.at("memory_mb"), s.at("threads"), s.at("descriptors"),
--- a/fleet/result.hpp
+++ b/fleet/result.hpp
@@ -45,6 +45,8 @@
     long arrivals = 0, calls = 0, refusedCalls = 0, open = 0, out = 0;
     std::vector<long> groupCalls;     // by group
     std::vector<double> groupLimits;  // calls a second that they could take, all destinations together
+    std::string hears;                // of links between senders: row by row who could hear whom, 1 or 0; empty: none
+    std::vector<int> believed;        // by sender: how many of the crew it held to be there; -1: it gave no answer
 };
 
 struct SenderResult {
--- a/fleet/scenario.cpp
+++ b/fleet/scenario.cpp
@@ -37,6 +37,9 @@
                                           "sender_stop",
                                           "sender_restart"};
 
+constexpr std::string_view kLinks[] = {"loss",   "delay", "twice", "reorder", "spoil",     "narrow",
+                                       "stall", "half_close", "reset", "cut",     "partition", "chain"};
+
 size_t distance(std::string_view a, std::string_view b) {
     std::vector<size_t> row(b.size() + 1);
     for (size_t j = 0; j <= b.size(); ++j) row[j] = j;
@@ -128,6 +131,26 @@
         for (const toml::node& item : *node->as_array()) out.push_back(item.as_table());
         return out;
     }
+    // Numbers of senders: a list, or "all".
+    std::vector<int> senders(const std::string& key, int count) {
+        const toml::node* node = find(key);
+        if (!node || node->value<std::string>().value_or("") == "all") return {};
+        return numbers(node, key, count);
+    }
+    std::vector<std::vector<int>> sides(const std::string& key, int count) {
+        std::vector<std::vector<int>> out;
+        const toml::node* node = find(key);
+        if (!node) return wrong(nullptr, key, "is missing"), out;
+        if (!node->is_array()) return wrong(node, key, "must be a list of lists of senders"), out;
+        std::set<int> seen;
+        for (const toml::node& side : *node->as_array()) {
+            out.push_back(numbers(&side, key, count));
+            for (int s : out.back()) {
+                if (!seen.insert(s).second) wrong(&side, key, "has sender " + std::to_string(s) + " on two sides");
+            }
+        }
+        return out;
+    }
     const toml::table& table(const std::string& key) {
         static const toml::table none;
         const toml::node* node = find(key);
@@ -147,6 +170,19 @@
     }
 
   private:
+    std::vector<int> numbers(const toml::node* node, const std::string& key, int count) {
+        std::vector<int> out;
+        bool fine = node->is_array();
+        if (fine) {
+            for (const toml::node& item : *node->as_array()) {
+                auto value = item.value<int64_t>();
+                fine = fine && item.is_integer() && value && *value >= 0 && *value < count;
+                if (fine) out.push_back(static_cast<int>(*value));
+            }
+        }
+        if (!fine || out.empty()) wrong(node, key, "must be a list of senders, 0 to " + std::to_string(count - 1));
+        return out;
+    }
     static std::string shown(double v) {
         std::string s = std::to_string(v);
         s.erase(s.find_last_not_of('0') + 1);
@@ -255,6 +291,7 @@
     f.part = part.number("part", 1, 0, 1);
     if (atSenders(f.what)) {
         f.sender = part.whole("sender", -1, 0, s.senders - 1);
+        if (f.what == Trouble::senderKill) f.folderLost = part.flag("folder_lost", false);
     } else if (!atDirectory(f.what)) {
         f.group = part.word("group", namesOf(s.groups), 0, true);
         int most = s.groups.empty() ? 1 : s.groups[static_cast<size_t>(f.group)].endpoints;
@@ -266,6 +303,44 @@
     return f;
 }
 
+LinkFault readLink(Part part, const Scenario& s) {
+    using Kind = LinkFault::Kind;
+    LinkFault f;
+    f.what = static_cast<Kind>(part.word("kind", {std::begin(kLinks), std::end(kLinks)}, 0, true));
+    f.at = part.seconds("at", Span());
+    f.lasts = part.seconds("for", Span::seconds(1));
+    if (f.at > s.lasts) part.wrong(part.find("at"), "at", "lies behind the end of the run");
+    if (f.what == Kind::partition || f.what == Kind::chain) {
+        f.sides = part.sides("sides", s.senders);
+        part.done();
+        return f;
+    }
+    f.from = part.senders("from", s.senders), f.to = part.senders("to", s.senders);
+    f.both = part.flag("both", false);
+    bool shared = f.what <= Kind::spoil;
+    if (shared) f.share = part.number("share", 1, 0, 1);
+    if (f.what == Kind::delay || f.what == Kind::reorder) {
+        f.value = part.millis("value_ms", Span::millis(100));
+        f.spread = part.millis("p99_ms", f.value);
+        if (f.spread < f.value) part.wrong(part.find("p99_ms"), "p99_ms", "must be no less than value_ms");
+    }
+    if (f.what == Kind::narrow) f.bytesPerSecond = part.number("bytes_per_second", 10000, 1, 1e9);
+    part.done();
+    return f;
+}
+
+CrewPlan readCrew(Part part) {
+    CrewPlan c;
+    c.on = true;
+    c.round = part.millis("round_ms", c.round), c.ackWithin = part.millis("ack_ms", c.ackWithin);
+    if (c.ackWithin <= Span() || c.ackWithin >= c.round)
+        part.wrong(part.find("ack_ms"), "ack_ms", "must be above 0 and below round_ms");
+    c.exchangeEvery = part.millis("exchange_ms", c.exchangeEvery), c.seekEvery = part.millis("seek_ms", c.seekEvery);
+    c.seeds = part.whole("seeds", 3, 0, 64);
+    part.done();
+    return c;
+}
+
 void readTo(const toml::table& root, Scenario& s, std::vector<Mistake>& mistakes) {
     Part top(root, "", mistakes);
     s.name = top.text("name", s.name);
@@ -277,7 +352,7 @@
     s.recording = run.text("recording", "");
     run.done();
     Part senders(top.table("senders"), "senders.", mistakes);
-    s.senders = senders.whole("count", 2, 1, 64);
+    s.senders = senders.whole("count", 2, 1, 240);
     s.callsOut = senders.whole("calls_out", 64, 1, 10000);
     s.held = senders.whole("held", 1000, 1, 1000000);
     s.submits = senders.whole("submits", 6, 1, 100);
@@ -308,6 +383,9 @@
     if (s.groups.empty()) top.wrong(nullptr, "group", "at least one is needed");
     each("traffic", [&](Part p) { s.flows.push_back(readFlow(p, s)); });
     each("fault", [&](Part p) { s.faults.push_back(readFault(p, s)); });
+    if (top.find("crew")) s.crew = readCrew(Part(top.table("crew"), "crew.", mistakes));
+    each("link", [&](Part p) { s.links.push_back(readLink(p, s)); });
+    if (!s.links.empty() && !s.crew.on) top.wrong(top.find("link"), "link", "needs [crew]: without it senders have no links");
     auto twice = [&](const char* what, std::vector<std::string> names) {
         std::sort(names.begin(), names.end());
         auto at = std::adjacent_find(names.begin(), names.end());
@@ -322,6 +400,7 @@
 
 }  // namespace
 
+std::string_view wordOf(LinkFault::Kind what) { return kLinks[static_cast<size_t>(what)]; }
 std::string_view wordOf(Trouble what) { return kTroubles[static_cast<size_t>(what)]; }
 bool atSenders(Trouble what) { return what >= Trouble::senderKill; }
 bool atDirectory(Trouble what) { return what >= Trouble::directorySilent && !atSenders(what); }
--- a/fleet/scenario.hpp
+++ b/fleet/scenario.hpp
@@ -93,6 +93,29 @@
     double share = 1;   // of the calls that it strikes
     Span value;         // stall: added to each answer; full: the told wait
     int sender = -1;    // -1: the share `part` of them
+    bool folderLost = false;  // sender_kill: it comes back without what it had written down
+};
+
+// What strikes messages between two senders, each direction on its own.
+struct LinkFault {
+    enum class Kind { loss, delay, twice, reorder, spoil, narrow, stall, halfClose, reset, cut, partition, chain };
+    Kind what = Kind::loss;
+    Span at, lasts;
+    std::vector<int> from, to;  // senders; empty: all
+    bool both = false;          // the other direction too
+    double share = 1;           // of the datagrams that it strikes
+    Span value, spread;         // delay, reorder: the median and the 99th percentile of what is added
+    double bytesPerSecond = 0;  // narrow
+    std::vector<std::vector<int>> sides;  // partition: who hear each other; whoever is in none hears nobody
+};
+std::string_view wordOf(LinkFault::Kind what);
+
+// Links between the senders, and what they are told of each other; off unless the scenario has [crew].
+struct CrewPlan {
+    bool on = false;
+    Span round = Span::millis(500), ackWithin = Span::millis(200), exchangeEvery = Span::seconds(20),
+         seekEvery = Span::seconds(3);
+    int seeds = 3;  // of the others, that each is told at its start; 0: all
 };
 
 // What sockets add, for the model; `petrelfleet costs` measures it. Unless a scenario says otherwise, what it
@@ -119,6 +142,8 @@
     std::vector<Group> groups;
     std::vector<Flow> flows;
     std::vector<Fault> faults;
+    CrewPlan crew;
+    std::vector<LinkFault> links;
     std::string recording;  // a sender's recording of arrivals, taken instead of flows
     Model model;
 
--- a/fleet/stage.cpp
+++ b/fleet/stage.cpp
@@ -2,10 +2,10 @@
 
 #include <signal.h>
 #include <sys/epoll.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <sstream>
 
 namespace petrelpond::fleet {
@@ -40,12 +40,6 @@
     uint32_t at = endpoint + 1;
     return 127u << 24 | static_cast<uint32_t>(10 + sender) << 16 | (at >> 8) << 8 | (at & 255);
 }
-void raiseDescriptors() {
-    rlimit limit{};
-    getrlimit(RLIMIT_NOFILE, &limit);
-    limit.rlim_cur = limit.rlim_max;
-    setrlimit(RLIMIT_NOFILE, &limit);
-}
 
 // ---- the run
 
@@ -63,6 +57,7 @@
         second.groupLimits[world_.groupIndex(world_.firstOf(d))] += world_.capability(loop_.now(), d);
     }
     for (Sender& s : senders_) s.process->measure();
+    if (crew_) lookAtCrew(ix);
     if (options_.progress) {
         std::ostringstream words;
         words << ix << "/" << (scenario_.lasts + scenario_.settle).inSeconds() << " s: " << planned
@@ -73,6 +68,27 @@
     loop_.at(Instant() + Span::seconds(static_cast<double>(ix) + 1), [this] { everySecond(); });
 }
 
+// Who could hear whom in this second, and how many of the others each sender believed to be there.
+void Stage::lookAtCrew(size_t ix) {
+    for (int a = 0; a < scenario_.senders; ++a) {
+        for (int b = 0; b < scenario_.senders; ++b) {
+            series_[ix].hears += a == b || !crew_->links().cutOrStalled(loop_.now(), a, b) ? '1' : '0';
+        }
+    }
+    series_[ix].believed.assign(static_cast<size_t>(scenario_.senders), -1);
+    for (int s = 0; s < scenario_.senders; ++s) {
+        if (!senders_[static_cast<size_t>(s)].up) continue;
+        askLine(loop_, crew_->ops(s), "members", Span::millis(900), [this, s, ix](std::optional<std::string> line) {
+            if (!line || !line->starts_with("SUCCESS ")) return;
+            auto body = nlohmann::json::parse(line->substr(8), nullptr, false);
+            if (!body.is_object()) return;
+            int there = 0;
+            for (const auto& m : body["members"]) there += m.value("state", "") == "alive" || m.value("state", "") == "doubted";
+            series_[ix].believed[static_cast<size_t>(s)] = there;
+        });
+    }
+}
+
 // The shortest way there and back: a request that touches neither the store nor the module.
 void Stage::ping() {
     if (!pinging_ || !pinging_->open()) {
@@ -109,6 +125,8 @@
     series_.resize(seconds);
     for (SecondOf& s : series_)
         s.groupCalls.resize(scenario_.groups.size()), s.groupLimits.resize(scenario_.groups.size());
+    if (scenario_.crew.on)
+        crew_ = std::make_unique<CrewLinks>(loop_, scenario_.crew, scenario_.links, scenario_.senders, seed_);
     for (int s = 0; s < scenario_.senders; ++s) {
         Sender& sender = senders_[static_cast<size_t>(s)];
         listenFor(s);
@@ -123,6 +141,7 @@
         for (uint32_t e = 0; e < world_.endpoints(); ++e) {
             members += (e == 0 ? "" : ",") + memberOf(s, {1, e, 0, Listed::active});
         }
+        if (crew_) sender.process->joinCrew(crew_->configOf(s), crew_->ops(s));
         sender.process->configure(sender.listen, sender.directory.address, "[" + members + "]", 1);
         startSender(s);
     }
@@ -132,6 +151,7 @@
     loop_.forgetLateness();
     loop_.zeroNow();
     // Timers set before the start were of the earlier zero: none matters but the polls, which are over.
+    if (crew_) crew_->begin();
     if (auto at = world_.nextChange()) loop_.at(*at, [this] { happenings(); });
     loop_.at(Instant(), [this] { everySecond(); });
     if (options_.samples) loop_.at(Instant() + Span::millis(100), [this] { ping(); });
--- a/fleet/stage_inside.hpp
+++ b/fleet/stage_inside.hpp
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "fleet/crew_links.hpp"
 #include "fleet/net.hpp"
 #include "fleet/stage.hpp"
 #include "fleet/world.hpp"
@@ -25,7 +26,6 @@
 std::string hostText(uint32_t host);
 // Each sender meets each endpoint at an address of its own, so that the stand-ins know who calls whom.
 uint32_t hostOf(int sender, uint32_t endpoint);
-void raiseDescriptors();
 
 class Stage {
   public:
@@ -123,6 +123,7 @@
     void textEnded(RequestNo request);
 
     void everySecond();
+    void lookAtCrew(size_t second);
     void ping();
     RunResult sum();
 
@@ -142,6 +143,7 @@
     bool ownListeners_ = true, directorySilent_ = false, directoryOld_ = false, begun_ = false;
     std::vector<size_t> textOf_;   // by request
     std::vector<Instant> sentAt_;  // by request, where samples are taken
+    std::unique_ptr<CrewLinks> crew_;  // where the senders have links
     std::shared_ptr<Conn> pinging_;
     Instant pingedAt_;
     std::vector<SecondOf> series_;
--- a/fleet/stage_senders.cpp
+++ b/fleet/stage_senders.cpp
@@ -81,6 +81,7 @@
     };
     if (h.trouble == Trouble::senderKill) {
         if (h.begins) return down();
+        if (h.folderLost) sender.process->loseFolder();
         return startSender(s);
     }
     // A planned restart: told, killed 3.7 s later, started again 0.6 s after that; `for` lengthens the pause.
--- a/fleet/world.cpp
+++ b/fleet/world.cpp
@@ -63,7 +63,7 @@
 void World::apply(Instant now, const Change& change) {
     const Fault& f = scenario_.faults[change.fault];
     Happening h;
-    h.trouble = f.what, h.begins = change.begins, h.lasts = f.lasts;
+    h.trouble = f.what, h.begins = change.begins, h.lasts = f.lasts, h.folderLost = f.folderLost;
     if (atSenders(f.what)) {
         h.what = Happening::What::sender;
         int share = static_cast<int>(std::lround(f.part * scenario_.senders));
--- a/fleet/world.hpp
+++ b/fleet/world.hpp
@@ -48,7 +48,7 @@
     Standing standing = Standing::up;
     int generation = 0, sender = 0;
     Trouble trouble = Trouble::hang;
-    bool begins = true;
+    bool begins = true, folderLost = false;
     Span lasts;
 };
 
--- a/src/operators/call.cpp
+++ b/src/operators/call.cpp
@@ -16,7 +16,8 @@
                            {"maint-on", Call::Verb::outOn, true},
                            {"maint-off", Call::Verb::outOff, true},
                            {"standby", Call::Verb::standby, false},
-                           {"active", Call::Verb::active, false}};
+                           {"active", Call::Verb::active, false},
+                           {"members", Call::Verb::members, false}};
 
 }  // namespace
 
@@ -46,7 +47,7 @@
         return true;
     }
     return no("no such call: " + std::string(words[0].substr(0, 40)) +
-              "; known are status, maint-on ID, maint-off ID, standby, active");
+              "; known are status, maint-on ID, maint-off ID, standby, active, members");
 }
 
 }  // namespace petrelpond::operators
--- a/src/operators/call.hpp
+++ b/src/operators/call.hpp
@@ -10,7 +10,7 @@
 constexpr size_t kMostLine = 512;  // bytes, its end counted
 
 struct Call {
-    enum class Verb { status, outOn, outOff, standby, active } verb = Verb::status;
+    enum class Verb { status, outOn, outOff, standby, active, members } verb = Verb::status;
     std::string endpoint;  // of outOn and outOff
 };
 
--- a/src/operators/ledger.cpp
+++ b/src/operators/ledger.cpp
@@ -8,46 +8,19 @@
 #include <cerrno>
 #include <chrono>
 #include <cstdio>
-#include <cstring>
 #include <thread>
 
+#include "src/files/whole.hpp"
+
 namespace petrelpond::operators {
 
 namespace {
 
 // With a dot, so that the store leaves them alone.
-constexpr const char *kName = "/.orders", *kNew = "/.orders.new", *kLock = "/.orders.lock",
+constexpr const char *kName = "/.orders", *kLock = "/.orders.lock",
                      *kOdd = "/.orders.damaged";
 constexpr size_t kMost = 4 * 1024 * 1024;
 
-bool readAll(const std::string& path, std::string& into) {
-    int fd = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
-    if (fd < 0) return false;
-    char part[4096];
-    ssize_t got = 0;
-    while (into.size() < kMost && ((got = ::read(fd, part, sizeof part)) > 0 || (got < 0 && errno == EINTR))) {
-        if (got > 0) into.append(part, static_cast<size_t>(got));
-    }
-    ::close(fd);
-    return got == 0;
-}
-
-std::string writeAll(const std::string& path, std::string_view bytes) {
-    int fd = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-    if (fd < 0) return std::strerror(errno);
-    std::string problem;
-    while (!bytes.empty() && problem.empty()) {
-        ssize_t put = ::write(fd, bytes.data(), bytes.size());
-        if (put < 0 && errno == EINTR) continue;
-        if (put <= 0) problem = std::strerror(put < 0 ? errno : ENOSPC);
-        if (put > 0) bytes.remove_prefix(static_cast<size_t>(put));
-    }
-    // A rename over what was good must not come to the disk before the bytes do.
-    if (problem.empty() && ::fdatasync(fd) != 0) problem = std::strerror(errno);
-    ::close(fd);
-    return problem;
-}
-
 }  // namespace
 
 Ledger::Ledger(std::string folder, std::string& damaged) : folder_(std::move(folder)) {
@@ -82,13 +55,10 @@
     if (stamp() != seen_ && readNow(now)) orders_ = now;
     Answer answer = decide(now);
     if (answer.change) {
-        std::string problem = writeAll(folder_ + kNew, written(*answer.change));
-        if (problem.empty() && std::rename((folder_ + kNew).c_str(), (folder_ + kName).c_str()) != 0)
-            problem = std::strerror(errno);
+        std::string problem = files::replaceWhole(folder_ + kName, written(*answer.change));
         if (problem.empty()) {
             orders_ = *answer.change, seen_ = stamp();
         } else {
-            ::unlink((folder_ + kNew).c_str());
             answer = {false, "not written down, nothing has changed: " + problem, std::nullopt};
         }
     }
@@ -110,7 +80,7 @@
 // No file is no order.
 bool Ledger::readNow(Orders& into) const {
     std::string bytes;
-    if (!readAll(folder_ + kName, bytes)) {
+    if (!files::readWhole(folder_ + kName, bytes, kMost)) {
         struct stat is {};
         if (::stat((folder_ + kName).c_str(), &is) == 0) return false;
         return into = {}, true;
--- a/src/operators/orders.cpp
+++ b/src/operators/orders.cpp
@@ -32,8 +32,12 @@
             if (!facts.serves) return {false, facts.whyNot, std::nullopt};
             std::string words = now.drained ? "drained" : "serving";
             if (!now.out.empty()) words += ", " + std::to_string(now.out.size()) + " endpoints out";
+            if (!facts.crew.empty()) words += ", " + facts.crew;
             return done(std::move(words));
         }
+        case Call::Verb::members:
+            if (facts.members.empty()) return {false, "this sender is told of no crew", std::nullopt};
+            return done(facts.members);
         case Call::Verb::outOn:
         case Call::Verb::outOff: {
             bool isOut = now.out.count(call.endpoint) > 0;
--- a/src/operators/orders.hpp
+++ b/src/operators/orders.hpp
@@ -20,6 +20,7 @@
     bool serves = false;
     std::string whyNot;  // where it does not serve
     bool listed = false;  // the endpoint that the call names is
+    std::string crew{}, members{};  // how many of the crew are there, and who, in one line each; empty: no crew
 };
 
 struct Answer {
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -1,5 +1,6 @@
 #include "src/program/config.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
@@ -25,6 +26,53 @@
     return seed;
 }
 
+// Links between the senders. All mistakes are told by their place in the file.
+void readCrew(const json::Value& value, Config& config) {
+    auto wrong = [](const std::string& where, const std::string& what) { throw Malformed("crew" + where + " " + what); };
+    if (value.type != json::Value::Type::object) wrong("", "must be an object");
+    crew::Settings& c = config.crew;
+    auto text = [&](const char* name, bool needed) {
+        const json::Value* v = value.member(name);
+        if (!v && needed) wrong(std::string(".") + name, "is missing");
+        if (v && v->type != json::Value::Type::string) wrong(std::string(".") + name, "must be a string");
+        return v ? v->text : std::string();
+    };
+    auto address = [&](const std::string& where, const std::string& at) {
+        if (!crew::goodAddress(at)) wrong(where, "is no address of four numbers and a port: '" + at + "'");
+        return at;
+    };
+    c.crew = text("name", true), c.name = config.name;
+    if (!crew::goodName(c.crew)) wrong(".name", "must be 1 to 64 letters, digits, dots, dashes or underlines: '" + c.crew + "'");
+    if (!crew::goodName(c.name)) wrong("", "needs a sender's name of 1 to 64 letters, digits, dots, dashes or underlines, not '" + c.name + "'");
+    config.crewListen = address(".listen", text("listen", true));
+    std::string announced = text("announce", false);
+    c.address = announced.empty() ? config.crewListen : address(".announce", announced);
+    if (const json::Value* seeds = value.member("seeds")) {
+        if (seeds->type != json::Value::Type::array) wrong(".seeds", "must be a list of addresses");
+        for (size_t i = 0; i < seeds->items.size(); ++i)
+            c.seeds.push_back(address(".seeds[" + std::to_string(i) + "]", seeds->items[i].text));
+    }
+    if (const json::Value* routes = value.member("routes")) {
+        if (routes->type != json::Value::Type::object) wrong(".routes", "must be an object of names and addresses");
+        for (const auto& [name, at] : routes->members) c.routes[name] = address(".routes." + name, at.text);
+    }
+    auto millis = [&](const char* name, Span& into, int64_t least, int64_t most) {
+        const json::Value* v = value.member(name);
+        if (!v) return;
+        bool fine = v->type == json::Value::Type::number && v->number >= static_cast<double>(least) && v->number <= static_cast<double>(most);
+        if (!fine) wrong(std::string(".") + name, "must be a number from " + std::to_string(least) + " to " + std::to_string(most));
+        into = Span::millis(static_cast<int64_t>(v->number));
+    };
+    millis("round_ms", c.round, 50, 60000), millis("ack_ms", c.ackWithin, 10, 30000);
+    millis("spread_ms", c.spreadEvery, 20, 10000), millis("exchange_ms", c.exchangeEvery, 500, 3600000);
+    millis("seek_ms", c.seekEvery, 200, 3600000);
+    if (c.ackWithin >= c.round) wrong(".ack_ms", "must be below crew.round_ms, " + std::to_string(c.round.inMicros() / 1000));
+    static const char* known[] = {"name", "listen", "announce", "seeds", "routes", "round_ms", "ack_ms", "spread_ms", "exchange_ms", "seek_ms"};
+    for (const auto& [name, member] : value.members) {
+        if (std::find(std::begin(known), std::end(known), name) == std::end(known)) wrong("." + name, "is not known");
+    }
+}
+
 }  // namespace
 
 Config readConfig() {
@@ -81,6 +129,7 @@
     if (!config.replica.empty() && !Address::parse(config.replica)) {
         throw Malformed("PETRELPOND_REPLICA is no address: '" + config.replica + "'");
     }
+    if (const json::Value* crew = value->member("crew")) readCrew(*crew, config);
     if (config.listen.empty() || config.discovery.empty() || config.state.empty()) {
         throw Malformed("LB_LISTEN, LB_DISCOVERY and LB_STATE must be given");
     }
--- a/src/program/config.hpp
+++ b/src/program/config.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 
+#include "src/crew/members.hpp"
 #include "src/protocol/messages.hpp"
 #include "src/store/store.hpp"
 
@@ -22,6 +23,8 @@
     std::string replica;  // host:port of the standby without which nothing is taken on; empty: none
     MemberList known;
     Settings settings;
+    std::string crewListen;  // host:port; empty: no crew
+    crew::Settings crew;
 };
 
 // Reads the file that LB_CONFIG names; the other variables go over what stands in it, but for discovery: its
--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -27,7 +27,7 @@
     for (int i = 0; i < static_cast<int>(Count::kinds); ++i) {
         lines += std::string(names[i]) + " " + std::to_string(counts_[i].load()) + "\n";
     }
-    return lines;
+    return more_ ? lines + more_() : lines;
 }
 
 }  // namespace petrelpond
--- a/src/program/log.hpp
+++ b/src/program/log.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <iosfwd>
 #include <mutex>
 
@@ -16,10 +17,12 @@
     bool says(Level level) const override { return level >= least_; }
     void say(Level level, std::string_view words) override;
     std::string counters() const override;  // a line each
+    void countersToo(std::function<std::string()> more) { more_ = std::move(more); }  // before threads begin
 
   private:
     std::ostream& out_;
     const Level least_;
+    std::function<std::string()> more_;
     std::mutex mutex_;
     std::atomic<long> counts_[static_cast<int>(Count::kinds)] = {};
 };
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -11,6 +11,7 @@
 
 #include "src/program/config.hpp"
 #include "src/program/log.hpp"
+#include "src/program/members_tool.hpp"
 #include "src/program/serving.hpp"
 #include "src/program/store_tool.hpp"
 #include "src/replica/standby.hpp"
@@ -36,9 +37,10 @@
         if (words[0] == "store") return storeTool({words.begin() + 1, words.end()}, std::cout, std::cerr);
         if (words[0] == "standby")
             return standbyProgram({words.begin() + 1, words.end()}, std::cout, std::cerr);
+        if (words[0] == "members") return membersTool({words.begin() + 1, words.end()}, std::cout, std::cerr);
         std::cerr << "petrelpond: no such command: " << words[0]
                   << "\nIt takes its configuration from LB_CONFIG; `petrelpond store` looks at a store, "
-                     "`petrelpond standby` keeps a copy of another's.\n";
+                     "`petrelpond standby` keeps a copy of another's, `petrelpond members` shows a crew.\n";
         return 2;
     }
     // First of all, as a SIGHUP would else end the process; threads take the mask over.
--- a/src/program/serving.cpp
+++ b/src/program/serving.cpp
@@ -6,10 +6,12 @@
 #include <cerrno>
 #include <cstdlib>
 #include <filesystem>
+#include <functional>
 #include <iostream>
 #include <random>
 #include <thread>
 
+#include "src/crewroom/room.hpp"
 #include "src/program/taking_over.hpp"
 #include "src/routing/operators_actor.hpp"
 #include "src/routing/platform_actors.hpp"
@@ -71,6 +73,7 @@
     int linesMost = std::max(free / 2, 8);
     if (room.calls > 0) linesMost = std::max(std::min(linesMost, 3 * room.calls + 16), free / 3);
     if (opsListener.open()) free -= OperatorsActor::kCallers;
+    if (!config.crewListen.empty()) free -= CrewRoom::kDescriptors;
     if (shared) free -= kForSuccessor;
     int clientsMost = std::max(free - linesMost, 8);
     // A quarter of the memory may lie in buffers. Clients and calls have pools of their own, so that clients
@@ -175,8 +178,25 @@
     if (shipper) shipper->begin(stock.store->epoch());
     ModuleActor module(config.settings, config.seed, std::move(stock), ways);
     bool many = config.known.members.size() > 1000;
+    // Without peers in the configuration there is no socket, thread or byte of it.
+    std::unique_ptr<CrewRoom> crew;
+    if (!config.crewListen.empty()) {
+        auto seed = static_cast<uint32_t>(config.seed * 2654435761u + std::hash<std::string>()(config.name));
+        crew = std::make_unique<CrewRoom>(config.crew, config.crewListen, config.state, seed, log);
+        crew->publish(CrewRoom::kStanding, "serving");
+        log.countersToo([&crew] { return crew->counters(); });
+    }
+    auto aboutCrew = [&crew](operators::Facts& facts) {
+        if (!crew) return;
+        CrewRoom::Snapshot now = crew->snapshot();
+        auto lives = [](const crew::Seen& m) { return m.state <= crew::State::doubted; };
+        facts.crew = "of the crew " + std::to_string(std::count_if(now.members.begin(), now.members.end(), lives)) +
+                     " there, " + std::string(wordOf(now.phase));
+        facts.members = crew->asJson();
+    };
     // Orders come before the list that they bear on.
     auto hold = [&](const operators::Orders& orders) {
+        if (crew) crew->publish(CrewRoom::kStanding, orders.drained ? "drained" : "serving");
         clients.drain(orders.drained);
         inbox->postHeld(OrdersMail{orders.out});
     };
@@ -189,7 +209,7 @@
             return clients.up() ? "" : "not up";
         };
         operators = std::make_unique<OperatorsActor>(
-            std::move(opsListener), OperatorsActor::Ways{ledger.get(), &listed, whyNot, hold, &log});
+            std::move(opsListener), OperatorsActor::Ways{ledger.get(), &listed, whyNot, hold, &log, aboutCrew});
     }
     inbox->postHeld(ListMail{std::move(config.known), true});
     config.known = MemberList();
@@ -210,6 +230,7 @@
         started = started && startThread([&, alone] { before.run(serve, alone); });
     }
     if (operators) started = started && startThread([&] { operators->run(); });
+    if (crew) started = started && startThread([&] { crew->run(); });
     if (!started) {
         log.say(Level::error, "the machine gives no threads");
         return 1;
@@ -231,11 +252,14 @@
             if (f.number <= start.own && before.holds(f.number))
                 notes.emplace_back(generations::folderOf(config.state, f.number));
         }
+        // Without a word to the crew: this sender stays, and its next process speaks at this address.
+        if (crew) crew->release();
         handOver(clients, module, *inbox, notes, log);
         log.say(Level::info, std::string("counters\n").append(log.counters()));
         std::cerr.flush();
         std::_Exit(0);
     }
+    if (crew) crew->publish(CrewRoom::kStanding, "leaving");
     clients.leave();
     Mailbox<bool> left(1);
     inbox->postHeld(LeavingMail{told + kLeaving, nullptr});
@@ -249,6 +273,8 @@
     inbox->postHeld(LeavingMail{told + kLeaving, [&] { left.postHeld(true); }});
     left.drain(told + kLeaving);
     clients.closeIdle();
+    if (crew) crew->leave();
+    for (int i = 0; crew && !crew->over() && i < 20; ++i) sleepUntil(steadyNow() + Span::millis(5));
     log.say(Level::info, std::string("counters\n").append(log.counters()));
     std::cerr.flush();
     // The actors' threads are still at work on all of this, so nothing is taken down under them.
--- a/src/routing/operators_actor.cpp
+++ b/src/routing/operators_actor.cpp
@@ -89,11 +89,12 @@
     operators::Facts facts;
     facts.whyNot = ways_.whyNot(), facts.serves = facts.whyNot.empty();
     facts.listed = ways_.listed->has(call.endpoint);
+    if (ways_.crew) ways_.crew(facts);
     operators::Answer got = ways_.ledger->act(
         [&](const operators::Orders& now) { return operators::answerTo(call, now, facts); });
     if (got.change) ways_.hold(*got.change);
     if (!got.yes) ways_.report->add(Count::operatorsRefused);
-    if (call.verb != operators::Call::Verb::status) {
+    if (call.verb != operators::Call::Verb::status && call.verb != operators::Call::Verb::members) {
         ways_.report->say(Level::info, "operator: " + std::string(line) + ": " + got.words);
     }
     answer(c, got.yes, got.words);
--- a/src/routing/operators_actor.hpp
+++ b/src/routing/operators_actor.hpp
@@ -45,6 +45,7 @@
         std::function<std::string()> whyNot;  // why the process does not serve; empty: it does
         std::function<void(const operators::Orders&)> hold;  // from now on
         Report* report;
+        std::function<void(operators::Facts&)> crew;  // fills in what is known of it; may be empty
     };
     OperatorsActor(Socket listener, Ways ways);
     void run();  // for ever; the caller's thread
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -1,8 +1,6 @@
 #include "src/transport/socket.hpp"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/eventfd.h>
@@ -16,6 +14,8 @@
 #include <charconv>
 #include <cstring>
 
+#include "src/transport/sockaddr.hpp"
+
 namespace petrelpond {
 
 namespace {
@@ -26,13 +26,6 @@
     return {static_cast<time_t>(us / 1000000), static_cast<suseconds_t>(us % 1000000)};
 }
 
-bool asSockaddr(const Address& address, sockaddr_in& out) {
-    std::memset(&out, 0, sizeof out);
-    out.sin_family = AF_INET;
-    out.sin_port = htons(static_cast<uint16_t>(address.port));
-    return inet_pton(AF_INET, address.host.c_str(), &out.sin_addr) == 1;
-}
-
 int64_t clockMicros() {
     timespec t;
     clock_gettime(CLOCK_MONOTONIC, &t);
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -391,8 +391,8 @@
 class Program {
   public:
     Program(const std::string& platform, const std::string& members, int diskMb = 3, int sockets = 1024,
-            const std::string& opsAt = "")
-        : ops(opsAt) {
+            const std::string& opsAt = "", const std::string& crewOf = "")
+        : ops(opsAt), crew(crewOf) {
         char made[] = "/tmp/petrelpond-test-XXXXXX";
         folder_ = mkdtemp(made);
         std::filesystem::create_directory(folder_ + "/state");
@@ -414,7 +414,8 @@
     }
     void configure(const std::string& platform) const {
         std::ofstream(folder_ + "/config.json")
-            << "{\"name\":\"t\",\"listen\":\"" << address << "\",\"discovery\":\"" << platform << rest_.str();
+            << "{\"name\":\"" << name << "\",\"listen\":\"" << address << "\","
+            << (crew.empty() ? "" : "\"crew\":" + crew + ",") << "\"discovery\":\"" << platform << rest_.str();
     }
     ~Program() {
         if (pid_ > 0) stop(SIGKILL);
@@ -514,7 +515,8 @@
         return answer;
     }
 
-    std::string address, ops;
+    std::string address, ops, name = "t";
+    std::string crew;  // of the configuration, a JSON object; empty: none
     int inherits = -1;  // a listener that the next start is given
     std::vector<std::string> settings;  // NAME=value, of the next start
     bool up = false;
