What troubles do to the fleet as it is: a table of harm beside an all-knowing queue

`petrelfleet harm` plays scenarios at several numbers of senders and sizes of surge, in the model or with processes, beside one all-knowing queue and bucket for each destination, and says calls and calls in vain a text, revenue, and after how many seconds service is back.

--- a/fleet/main.cpp
+++ b/fleet/main.cpp
@@ -15,7 +15,9 @@
 #include "fleet/crew_measure.hpp"
 #include "fleet/crew_search.hpp"
 #include "fleet/false_sender.hpp"
+#include "fleet/harm.hpp"
 #include "fleet/model.hpp"
+#include "fleet/oracle.hpp"
 #include "fleet/report.hpp"
 #include "fleet/scenario.hpp"
 #include "fleet/stage.hpp"
@@ -324,6 +326,45 @@
     return found.violations.empty() ? 0 : kBroken;
 }
 
+struct HarmOptions {
+    std::vector<std::string> files;
+    std::vector<int> senders = {0};
+    std::vector<double> surges = {0};
+    int runs = 3;
+    bool model = false;
+};
+
+int harm(const Options& o, const HarmOptions& h) {
+    std::vector<HarmRow> rows;
+    std::vector<RunResult> all;
+    for (const std::string& file : h.files) {
+        for (double surge : h.surges) {
+            for (int senders : h.senders) {
+                Scenario s = withSize(readScenarioFile(file), senders, surge);
+                HarmRow row{s.name, s.senders, surge > 0 ? surge : 1, triggerOf(s), {}, {}};
+                uint64_t first = o.seed > 0 ? o.seed : s.seed;
+                if (h.model) row.runs = modelRuns(s, first, h.runs, false);
+                for (int k = 0; k < h.runs; ++k) {
+                    uint64_t seed = first + static_cast<uint64_t>(k);
+                    if (!h.model) row.runs.push_back(runOnSockets(o, s, seed));
+                    row.best.push_back(playOracle(s, seed));
+                }
+                all.insert(all.end(), row.runs.begin(), row.runs.end());
+                for (const RunResult& r : row.runs) {
+                    if (!r.voidBecause.empty()) std::cout << s.name << ", " << s.senders << " senders, seed " << r.seed << ": VOID, " << r.voidBecause << "\n";
+                    if (!r.breaches.empty()) std::cout << s.name << ", " << s.senders << " senders, seed " << r.seed << ": A RULE BROKEN\n";
+                }
+                rows.push_back(std::move(row));
+                if (!o.quiet) progressLine(s.name + ", " + std::to_string(s.senders) + " senders");
+            }
+        }
+    }
+    if (!o.quiet) progressOver();
+    keepResults(o, all);
+    std::cout << harmTable(rows);
+    return verdict(all);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -392,6 +433,14 @@
     auto* own = app.add_subcommand("self", "what the stand-ins can send and answer with no sender between");
     own->add_option("--connections", o.connections, "")->capture_default_str()->check(CLI::Range(1, 8000));
     own->add_option("--seconds", o.seconds, "")->capture_default_str()->check(CLI::Range(0.1, 60.0));
+    HarmOptions h;
+    auto* harms = app.add_subcommand("harm", "what troubles do to the fleet as a whole, beside an all-knowing queue");
+    harms->add_option("scenarios", h.files, "scenario files (TOML)")->required();
+    harms->add_option("--senders", h.senders, "in place of each scenario's number")->delimiter(',')->check(CLI::Range(1, 2000));
+    harms->add_option("--surges", h.surges, "in place of the size of its surges")->delimiter(',')->check(CLI::Range(0.01, 1000.0));
+    harms->add_option("-n,--runs", h.runs, "seeds of each")->capture_default_str()->check(CLI::Range(1, 1000));
+    harms->add_flag("--model", h.model, "in simulated time, not on sockets");
+    seeds(harms), sockets(harms), outputs(harms);
     CrewOptions c;
     auto* crewed = app.add_subcommand("crew", "members of a crew alone: how soon they find who has gone, and what it costs");
     crewed->require_subcommand(1);
@@ -435,6 +484,7 @@
         if (*pair) return compareTwo(o);
         if (*page) return report(o);
         if (*own) return self(o);
+        if (*harms) return harm(o, h);
         if (*crewTimes) return crewMeasure(o, c);
         if (*crewReal) return crewPlay(o, c);
         if (*crewTries) return crewSearch(o, c);
--- a/tests/crewplay/play_test.cpp
+++ b/tests/crewplay/play_test.cpp
@@ -3,8 +3,11 @@
 
 #include <catch2/catch.hpp>
 #include <filesystem>
+#include <nlohmann/json.hpp>
 
 #include "fleet/crew_stage.hpp"
+#include "fleet/report.hpp"
+#include "fleet/stage.hpp"
 
 using namespace petrelpond;
 using namespace petrelpond::fleet;
@@ -147,3 +150,23 @@
     CHECK(back >= 0);
     CHECK(back <= 36);
 }
+
+TEST_CASE("a scenario with links: its texts go on, and the run says who could hear whom and who believed what") {
+    Play crew(5);
+    StageOptions options;
+    options.sender = crew.play.sender, options.folder = crew.play.folder;
+    Scenario s = readScenarioFile(PETRELPOND_SCENARIOS "/crew-partition.toml");
+    RunResult r = playOnSockets(s, s.seed, options);
+    INFO(r.voidBecause);
+    for (const Breach& b : r.breaches) FAIL_CHECK(b.words);
+    CHECK(r.service() > 0.9);
+    REQUIRE(r.series.size() > 12);
+    CHECK(r.series[1].hears == std::string(25, '1'));
+    CHECK(r.series[5].hears == "1110011100111000001100011");
+    CHECK(r.series[11].hears == std::string(25, '1'));
+    CHECK(r.series[1].believed[0] == 5);
+    CHECK(r.series[9].believed[0] == 3);
+    CHECK(r.senders[4].starts == 2);
+    CHECK(reportPage({r}).find("Who could hear whom") != std::string::npos);
+    CHECK(fromJson(toJson(r)).series[5].hears == r.series[5].hears);
+}
