--- a/fleet/scenario.cpp
+++ b/fleet/scenario.cpp
@@ -352,7 +352,7 @@
     s.recording = run.text("recording", "");
     run.done();
     Part senders(top.table("senders"), "senders.", mistakes);
-    s.senders = senders.whole("count", 2, 1, 240);
+    s.senders = senders.whole("count", 2, 1, 1000);
     s.callsOut = senders.whole("calls_out", 64, 1, 10000);
     s.held = senders.whole("held", 1000, 1, 1000000);
     s.submits = senders.whole("submits", 6, 1, 100);
--- a/fleet/stage.cpp
+++ b/fleet/stage.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr int kListenersMost = 4000;
+constexpr int kListenersMost = 4000, kSendersMost = 240;  // these by the form of the partners' addresses
 constexpr double kVoidLateMs = 50;  // the rules' own slack: later than that the judge is no judge
 
 }  // namespace
@@ -109,6 +109,10 @@
 RunResult Stage::play() {
     raiseDescriptors();
     signal(SIGPIPE, SIG_IGN);
+    if (scenario_.senders > kSendersMost) {
+        throw std::runtime_error(std::to_string(scenario_.senders) + " senders on sockets; " + std::to_string(kSendersMost) +
+                                 " at most, more in the model");
+    }
     ownListeners_ = scenario_.endpoints() * scenario_.senders <= kListenersMost;
     for (const Fault& f : scenario_.faults) {
         bool needs = f.what == Trouble::down || f.what == Trouble::vanish || f.what == Trouble::go;
--- a/tests/crew_program_test.cpp
+++ b/tests/crew_program_test.cpp
@@ -129,15 +129,15 @@
     Socket from = datagramsAt(Address{"127.0.0.1", 0}, why);
     crew::Message m;
     m.crew = "other", m.from = "x";
-    for (int i = 0; i < 20; ++i) {
+    // A few at a time, each lot read before the next: a socket's room is bounded, and what overflows it is lost.
+    for (int i = 1; i <= 20; ++i) {
         sendDatagram(from, *Address::parse(at), "noise");
         sendDatagram(from, *Address::parse(at), crew::encode(m));
         sendDatagram(from, *Address::parse(at), std::string(5000, 'x'));
         sendDatagram(from, *Address::parse(at), crew::sealed(std::string(1000, '\x81')));
+        CHECK(eventually([&] { return one.counter("crew.unreadable.header") == 2 * i && one.counter("crew.unreadable.form") == i; }));
     }
-    CHECK(eventually([&] { return one.counter("crew.unreadable.header") == 40; }));
     CHECK(one.counter("crew.unreadable.crew") == 20);
-    CHECK(one.counter("crew.unreadable.form") == 20);
     // More streams than it has room for, silent ones, half a frame, a frame that is too long.
     std::vector<Socket> streams(40);
     for (size_t i = 0; i < streams.size(); ++i) {
