--- a/fleet/net.cpp
+++ b/fleet/net.cpp
@@ -296,6 +296,11 @@
     return ntohl(at.sin_addr.s_addr);
 }
 
+std::string hostText(uint32_t host) {
+    return std::to_string(host >> 24) + "." + std::to_string(host >> 16 & 255) + "." +
+           std::to_string(host >> 8 & 255) + "." + std::to_string(host & 255);
+}
+
 void closeNow(Bound& bound) { ::close(std::exchange(bound.fd, -1)); }
 
 void raiseDescriptors() {
--- a/fleet/net.hpp
+++ b/fleet/net.hpp
@@ -110,6 +110,7 @@
 Bound listenOnLoopback(int backlog = 4096);
 void closeNow(Bound& bound);  // one that no loop watches
 void raiseDescriptors();      // to the machine's bound
+std::string hostText(uint32_t host);  // four numbers, of one in host order
 int acceptOne(int listener);
 // The address of ours that the other side connected to, in host order.
 uint32_t localHost(int fd);
--- a/fleet/relay.cpp
+++ b/fleet/relay.cpp
@@ -27,13 +27,6 @@
     from = static_cast<int>(host >> 13 & 1023), to = static_cast<int>(host >> 3 & 1023);
     return from < senders && to < senders && from != to;
 }
-std::string hostText(uint32_t host) {
-    in_addr a{htonl(host)};
-    char text[INET_ADDRSTRLEN] = "";
-    inet_ntop(AF_INET, &a, text, sizeof text);
-    return text;
-}
-
 constexpr size_t kPendingMost = 256 * 1024;
 constexpr int kBufferBytes = 4 * 1024 * 1024;
 
--- a/fleet/stage.cpp
+++ b/fleet/stage.cpp
@@ -32,10 +32,6 @@
     body.resize(static_cast<size_t>(size), static_cast<char>('a' + no % 26));
     return body;
 }
-std::string hostText(uint32_t host) {
-    return std::to_string(host >> 24) + "." + std::to_string(host >> 16 & 255) + "." +
-           std::to_string(host >> 8 & 255) + "." + std::to_string(host & 255);
-}
 uint32_t hostOf(int sender, uint32_t endpoint) {
     uint32_t at = endpoint + 1;
     return 127u << 24 | static_cast<uint32_t>(10 + sender) << 16 | (at >> 8) << 8 | (at & 255);
--- a/fleet/stage_inside.hpp
+++ b/fleet/stage_inside.hpp
@@ -23,7 +23,6 @@
 std::string idFor(RequestNo no);
 std::optional<RequestNo> requestFrom(std::string_view id);
 std::string bodyFor(RequestNo no, int size);
-std::string hostText(uint32_t host);
 // Each sender meets each endpoint at an address of its own, so that the stand-ins know who calls whom.
 uint32_t hostOf(int sender, uint32_t endpoint);
 
--- a/tests/crew/members_test.cpp
+++ b/tests/crew/members_test.cpp
@@ -175,9 +175,7 @@
     for (int m = 0; m < 7; ++m) CHECK(w.core(m)->count(crew::Counted::deaths) == 0);
 }
 
-TEST_CASE("an address that now belongs to another crew answers nothing there") {
-    // Of two crews none reads what the other says: decode refuses it, so nothing comes to the core at all. Here: one
-    // that answers under another name is not the one who was meant.
+TEST_CASE("who stands at a member's address under another name does not answer for it") {
     World w(of(4));
     w.all();
     w.until(5);
--- a/tests/crew/message_test.cpp
+++ b/tests/crew/message_test.cpp
@@ -24,9 +24,6 @@
     return decode(bytes, crew, m);
 }
 
-// With a right check sum, as anybody can make one.
-std::string forged(const std::string& body) { return sealed(body); }
-
 }  // namespace
 
 TEST_CASE("a message is read as it was written, and takes no more room than is reckoned") {
@@ -109,11 +106,11 @@
 }
 
 TEST_CASE("arrays in arrays, as deep as a datagram holds, cost no stack") {
-    CHECK(why(forged(std::string(kDatagram - 20, '\x81'))) == Unreadable::form);
-    CHECK(why(forged(std::string(kTable - 20, '\x81'))) == Unreadable::form);
-    CHECK(why(forged(std::string(400, '\x9f'))) == Unreadable::form);   // without lengths
-    CHECK(why(forged("\x9b\xff\xff\xff\xff\xff\xff\xff\xff")) == Unreadable::form);  // a length that is none
-    CHECK(why(forged("\x5b\x7f\xff\xff\xff\xff\xff\xff\xff")) == Unreadable::form);
+    CHECK(why(sealed(std::string(kDatagram - 20, '\x81'))) == Unreadable::form);
+    CHECK(why(sealed(std::string(kTable - 20, '\x81'))) == Unreadable::form);
+    CHECK(why(sealed(std::string(400, '\x9f'))) == Unreadable::form);   // without lengths
+    CHECK(why(sealed("\x9b\xff\xff\xff\xff\xff\xff\xff\xff")) == Unreadable::form);  // a length that is none
+    CHECK(why(sealed("\x5b\x7f\xff\xff\xff\xff\xff\xff\xff")) == Unreadable::form);
 }
 
 // So many by PETRELPOND_FUZZ, for long runs; each has a right check sum, so that the form is what is tried.
@@ -148,7 +145,7 @@
             }
         }
         Message m;
-        if (decode(forged(body), "harbour", m) != Unreadable::none) continue;
+        if (decode(sealed(body), "harbour", m) != Unreadable::none) continue;
         ++read;
         Message again;
         if (decode(encode(m), "harbour", again) != Unreadable::none) FAIL_CHECK("read, but not as written, at " << i);
--- a/tests/crew_program_test.cpp
+++ b/tests/crew_program_test.cpp
@@ -158,7 +158,6 @@
     auto said = [&](const std::string& crewOf) {
         Program one(platform.peer.address, member("e1", freeAddress(), 7), 3, 1024, "", "");
         one.stop(SIGKILL);
-        size_t before = one.log().size();
         one.crew = crewOf;
         one.configure(platform.peer.address);
         std::string folder = one.state().substr(0, one.state().rfind('/'));
@@ -169,7 +168,6 @@
         out << std::ifstream(folder + "/log2").rdbuf();
         std::string line = out.str();
         CHECK(std::count(line.begin(), line.end(), '\n') == 1);
-        CHECK(before <= one.log().size());
         return line;
     };
     CHECK(said("7").find("crew must be an object") != std::string::npos);
