A wait for a token lasts a microsecond at least: a shorter one stopped the sender for ever

Bucket::succeeded raises a bound rate by a quarter a second, up to 1e9 where no limit is known; clumps hold the bucket, so that it is not let go after 10 s. Past a million a second (1 - tokens) / pace and its jitter come to less than a microsecond, which Span::seconds cuts to nothing: askAt = now, the module asks to be woken at once and looks again in the same instant, whose tokens don't grow.

Ruled out: the time between a client's last byte and the sender's clock, notices without a buffer (11 calls out, 15 buffers), closing across a request, stops for the processor (2 to 8 ms at a time), threads: the stuck senders had all of these idle.

A wait is a microsecond at least, and a rate that climbed past 100,000 a second lets its bucket go. The test plays such a place for 150 s in simulated time: without the first it ends in a wake-up due at once, without the second it is still held. Every pull of the tests' rig fails now on a wake-up that is due at once, where it would have gone on for ever.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -58,19 +58,19 @@
         rate = std::min(rate * (rate < slice * trust ? 1.25 : 1.05), std::max(ceiling, 1.0));
         raisedAt = now;
     }
-    // The caller takes the token. A cap from outside (a cold place's budget) paces by the same bucket.
+    // The caller takes the token; a cap from outside (a cold place's) paces by it. A wait is a microsecond
+    // or more: one that came to none was looked for in the same instant for ever. A rate that climbed past
+    // 100,000, as no limit is known, holds nothing back. Harm: a limit beyond that is not kept.
     bool ready(Instant now, double cap, Chance& chance) {
-        if (bound && now - std::max(heldAt, askAt) > Span::seconds(10)) *this = Bucket();
+        if (bound && (rate > 1e5 || now - std::max(heldAt, askAt) > Span::seconds(10))) *this = Bucket();
         if (!bound && cap <= 0) return true;
         double pace = bound ? rate : cap;
         if (cap > 0) pace = std::min(pace, cap);
         if (now < askAt) return false;
-        tokens = std::min(1.0, tokens + (now - refilledAt).inSeconds() * pace);
-        refilledAt = now;
+        tokens = std::min(1.0, tokens + (now - refilledAt).inSeconds() * pace), refilledAt = now;
         if (tokens >= 1) return true;
-        askAt = now + Span::seconds((1 - tokens) / pace) + jitter(chance);
-        heldAt = now;
-        return false;
+        askAt = now + std::max(Span::seconds((1 - tokens) / pace) + jitter(chance), Span::micros(1));
+        return heldAt = now, false;
     }
 
     // A refusal does not say where in its turn a sender was: with a thin slice it may be anywhere.
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -182,6 +182,9 @@
             } else {
                 others.push_back(*d);
             }
+            // Woken in the instant in which it decides, it would decide for ever.
+            const auto* wake = std::get_if<WakeAt>(&*d);
+            if (wake && wake->at <= now) FAIL("a wake-up that is due at once");
         }
         return submits.size();
     }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -25,6 +25,33 @@
     CHECK(sent.size() <= 6);
 }
 
+// Deliveries raise a bound rate by a quarter a second, and clumps keep it bound: past a million a second the next
+// token was due within a microsecond, which came to nothing, and the module looked for it in the same instant for ever.
+TEST_CASE("a place without a limit that stays bound for minutes ends no round with a wake-up due at once") {
+    Rig rig(unlimited(), GENERATE(1u, 2u, 3u));
+    rig.endpoints(0, 0, 2);
+    rig.text(0, 0);
+    REQUIRE(rig.pull() == 1);
+    rig.end(rig.submits[0], End::full);
+    size_t delivered = 0, handed = 1;
+    for (int clump = 0; clump < 3000; ++clump) {
+        for (int i = 0; i < 3; ++i) rig.text(0, 0), ++handed;
+        std::vector<Submit> out;
+        // Looked at each microsecond, a token is found at any part of the way to the next.
+        for (int i = 0; i < 40; ++i) {
+            rig.pull();
+            out.insert(out.end(), rig.submits.begin(), rig.submits.end());
+            rig.now = rig.now + Span::micros(1);
+        }
+        rig.now = rig.now + Span::millis(50);
+        for (const Submit& s : out) rig.end(s, End::delivered), ++delivered;
+    }
+    CHECK(delivered > handed / 2);
+    // Long let go, it holds nothing back any more.
+    for (int i = 0; i < 4; ++i) rig.text(0, 0);
+    CHECK(rig.pull() == 4);
+}
+
 TEST_CASE("a told wait holds every text to that destination, and no other") {
     Rig rig;
     rig.endpoints(0, 0, 2);
