--- a/fleet/model.cpp
+++ b/fleet/model.cpp
@@ -6,17 +6,25 @@
 #include <list>
 #include <queue>
 #include <set>
+#include <stdexcept>
+#include <string>
 #include <unordered_map>
 #include <utility>
 
 #include "fleet/parts.hpp"
 #include "fleet/world.hpp"
-#include "petrelpond/sender.hpp"
+#include "petrelpond/pull.hpp"
 
 namespace petrelpond::fleet {
 
 namespace {
 
+struct Endless : std::runtime_error {
+    Endless(Instant when, const std::string& words) : std::runtime_error(words), at(when) {}
+    Instant at;
+};
+
+
 constexpr Span kClientWait = Span::millis(400), kConnectWithin = Span::millis(1500);
 
 class ModelRun {
@@ -218,34 +226,37 @@
 void ModelRun::pull(int s) {
     Node& n = nodes_[static_cast<size_t>(s)];
     std::vector<std::pair<EndpointIx, Submit>> submits;
-    while (auto decision = n.module->next(now_)) {
-        if (const auto* submit = std::get_if<Submit>(&*decision)) {
+    auto each = [&](const Decision& decision) {
+        if (const auto* submit = std::get_if<Submit>(&decision)) {
             submits.emplace_back(submit->endpoint, *submit);
-        } else if (const auto* nack = std::get_if<Nack>(&*decision)) {
+        } else if (const auto* nack = std::get_if<Nack>(&decision)) {
             finalAnswer(s, nack->text, true, nack->pause);
-        } else if (const auto* dead = std::get_if<Undeliverable>(&*decision)) {
+        } else if (const auto* dead = std::get_if<Undeliverable>(&decision)) {
             finalAnswer(s, dead->text, false, Span());
-        } else if (const auto* cancel = std::get_if<CancelSubmit>(&*decision)) {
+        } else if (const auto* cancel = std::get_if<CancelSubmit>(&decision)) {
             auto row = n.rows.find(cancel->text.value);
             if (row == n.rows.end() || !row->second.call || row->second.submits - 1 != cancel->submit)
-                continue;
+                return;
             auto call = row->second.call;
             reach(now_, s, [this, call] {
                 if (call->heard) return;
                 overAtPeer(call, 0, false, Span());
                 endCall(call, call->begun ? End::cancelled : End::unreachable);
             });
-        } else if (const auto* wake = std::get_if<WakeAt>(&*decision)) {
-            if (!n.timers.insert(wake->at).second) continue;
+        } else if (const auto* wake = std::get_if<WakeAt>(&decision)) {
+            if (!n.timers.insert(wake->at).second) return;
             reach(wake->at, s, [this, s, when = wake->at] {
                 Node& of = nodes_[static_cast<size_t>(s)];
                 of.timers.erase(when);
                 of.module->woke(now_);
                 pull(s);
             });
-        } else if (const auto* close = std::get_if<CloseIdle>(&*decision)) {
+        } else if (const auto* close = std::get_if<CloseIdle>(&decision)) {
             n.idle.erase(n.endpointOf[close->endpoint.value]);
         }
+    };
+    if (!pullAll(*n.module, now_, kMostAtOneInstant, each)) {
+        throw Endless(now_, "sender " + std::to_string(s) + " decides without end at one instant, nothing it holds ends");
     }
     dispatch(s, std::move(submits));
 }
@@ -607,6 +618,16 @@
 
 }  // namespace
 
-RunResult playInModel(const Scenario& scenario, uint64_t seed) { return ModelRun(scenario, seed).play(); }
+RunResult playInModel(const Scenario& scenario, uint64_t seed) {
+    try {
+        return ModelRun(scenario, seed).play();
+    } catch (const Endless& stuck) {
+        RunResult r;
+        r.scenario = scenario.name, r.kind = "model", r.seed = seed, r.seconds = scenario.lasts.inSeconds();
+        r.breaches.push_back({Rule::lostText, stuck.at, stuck.what()});
+        ++r.breachCounts[static_cast<size_t>(Rule::lostText)];
+        return r;
+    }
+}
 
 }  // namespace petrelpond::fleet
--- a/fleet/process.cpp
+++ b/fleet/process.cpp
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -78,6 +79,9 @@
     return out.str();
 }
 
+// A share counts over so long; one that was over it stands still no longer than this.
+constexpr Span kShareOver = Span::millis(100), kHeldUpMost = Span::millis(400);
+
 long countIn(const std::string& folder) {
     std::error_code error;
     auto all = std::filesystem::directory_iterator(folder, error);
@@ -170,10 +174,31 @@
     waitpid(std::exchange(pid_, -1), nullptr, 0);
 }
 
-void SenderProcess::signal(int which) const {
+void SenderProcess::signal(int which) {
+    if (which == SIGSTOP || which == SIGCONT) stopped_ = which == SIGSTOP;
     if (pid_ > 0) ::kill(pid_, which);
 }
 
+void SenderProcess::keepToShare(Instant now, double cores) {
+    clockid_t clock;
+    timespec t{};
+    if (pid_ <= 0 || stopped_ || clock_getcpuclockid(pid_, &clock) != 0 || clock_gettime(clock, &t) != 0) return;
+    double used = static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_nsec) / 1e9;
+    auto anew = [&] { sharedBy_ = pid_, sharedFrom_ = now, usedFrom_ = used, overShare_ = false; };
+    if (sharedBy_ != pid_) anew();
+    // What was not used is not saved up.
+    double ahead = used - usedFrom_ - cores * (now - sharedFrom_).inSeconds();
+    if (ahead < 0 && !overShare_) return anew();
+    if (!overShare_ && ahead > cores * kShareOver.inSeconds()) {
+        overShare_ = true, stoppedAt_ = now, ++used_.heldUp;
+        ::kill(pid_, SIGSTOP);
+    } else if (overShare_ && (ahead <= 0 || now - stoppedAt_ >= kHeldUpMost)) {
+        used_.heldUpMost = std::max(used_.heldUpMost, (now - stoppedAt_).inSeconds() * 1e3);
+        ::kill(pid_, SIGCONT);
+        anew();
+    }
+}
+
 bool SenderProcess::running() {
     if (pid_ <= 0) return false;
     if (waitpid(pid_, nullptr, WNOHANG) == 0) return true;
--- a/fleet/process.hpp
+++ b/fleet/process.hpp
@@ -35,7 +35,9 @@
     void moveDiscovery(const std::string& discovery);
     void start();
     void kill();  // at once, and waits for its end
-    void signal(int which) const;
+    void signal(int which);
+    // As a bound on the processor does: past its share it stands still until that is made up for, 0.4 s at most.
+    void keepToShare(Instant now, double cores);
     bool running();  // false also where it ended by itself
     void measure();  // what it has used, while it still runs
     const SenderResult& used() const { return used_; }
@@ -52,6 +54,10 @@
     pid_t pid_ = -1;
     SenderResult used_;
     double cpuBefore_ = 0;  // of its earlier lives
+    pid_t sharedBy_ = -1;   // the process that the account below is of
+    Instant sharedFrom_, stoppedAt_;
+    double usedFrom_ = 0;  // its seconds of the processor then
+    bool overShare_ = false, stopped_ = false;  // stopped: by a fault
 };
 
 }  // namespace petrelpond::fleet
--- a/fleet/result.cpp
+++ b/fleet/result.cpp
@@ -171,7 +171,9 @@
                                   {"descriptors", s.descriptors},
                                   {"memory_by_second", s.memoryBySecond},
                                   {"threads_by_second", s.threadsBySecond},
-                                  {"starts", s.starts}});
+                                  {"starts", s.starts},
+                                  {"held_up", s.heldUp},
+                                  {"held_up_most_ms", s.heldUpMost}});
     }
     out["breaches"] = json::array();
     for (const Breach& b : r.breaches) {
@@ -207,7 +209,8 @@
     }
     for (const auto& s : v.at("senders")) {
         r.senders.push_back({s.at("cpu_seconds"), s.at("memory_mb"), s.at("threads"), s.at("descriptors"),
-                             s.at("starts"), s.at("memory_by_second"), s.at("threads_by_second")});
+                             s.at("starts"), s.at("memory_by_second"), s.at("threads_by_second"),
+                             s.value("held_up", 0L), s.value("held_up_most_ms", 0.0)});
     }
     for (const auto& b : v.at("breaches")) {
         r.breaches.push_back({static_cast<Rule>(b.at("rule").get<int>()),
--- a/fleet/result.hpp
+++ b/fleet/result.hpp
@@ -54,6 +54,8 @@
     long threads = 0, descriptors = 0, starts = 0;
     std::vector<double> memoryBySecond;  // resident, MB
     std::vector<long> threadsBySecond;
+    long heldUp = 0;        // times it was stopped for having used more than its share of the processor
+    double heldUpMost = 0;  // the longest of them, milliseconds
 };
 
 struct RunResult {
--- a/fleet/scenario.cpp
+++ b/fleet/scenario.cpp
@@ -349,6 +349,8 @@
     if (s.lasts <= Span()) run.wrong(run.find("seconds"), "seconds", "must be above 0");
     s.seed = static_cast<uint64_t>(run.whole("seed", 1, 0, 2000000000));
     s.clientTries = run.whole("client_tries", 2, 0, 20);
+    s.holds = run.number("holds", 0, 0, 1);
+    s.ahead = run.millis("ahead_ms", Span());
     s.recording = run.text("recording", "");
     run.done();
     Part senders(top.table("senders"), "senders.", mistakes);
@@ -359,6 +361,7 @@
     s.memoryMb = senders.whole("memory_mb", 192, 16, 16384);
     s.sockets = senders.whole("sockets", 1024, 64, 18000);
     s.diskMb = senders.whole("disk_mb", 16, 1, 4096);
+    s.cores = senders.number("cores", 0, 0, 64);
     s.cancel = senders.flag("cancel", true);
     s.longestPause = senders.millis("longest_pause_ms", Span::seconds(2));
     s.tick = senders.millis("tick_ms", Span::millis(5));
--- a/fleet/scenario.hpp
+++ b/fleet/scenario.hpp
@@ -138,6 +138,9 @@
     bool cancel = true;
     Span longestPause = Span::seconds(2), tick = Span::millis(5);
     int clientTries = 2;  // times a text is handed in again after a refusal
+    double holds = 0;     // share of the texts handed in on a connection that asks this once and is kept to the end
+    Span ahead;           // such a connection is made up to so long before its request
+    double cores = 0;     // share of a processor that a sender gets: past it it is stopped for a while; 0: no bound
     std::vector<ProductPlan> products;
     std::vector<Group> groups;
     std::vector<Flow> flows;
--- a/fleet/stage.cpp
+++ b/fleet/stage.cpp
@@ -85,6 +85,11 @@
     }
 }
 
+void Stage::keepToShares() {
+    for (Sender& s : senders_) s.process->keepToShare(loop_.now(), scenario_.cores);
+    loop_.at(loop_.now() + Span::millis(10), [this] { keepToShares(); });
+}
+
 // The shortest way there and back: a request that touches neither the store nor the module.
 void Stage::ping() {
     if (!pinging_ || !pinging_->open()) {
@@ -154,6 +159,7 @@
     if (crew_) crew_->begin();
     if (auto at = world_.nextChange()) loop_.at(*at, [this] { happenings(); });
     loop_.at(Instant(), [this] { everySecond(); });
+    if (scenario_.cores > 0) keepToShares();
     if (options_.samples) loop_.at(Instant() + Span::millis(100), [this] { ping(); });
     std::function<void()> next = [&] {
         // All that is due now, each by its own planned moment; never held up by how the senders fare.
--- a/fleet/stage_inside.hpp
+++ b/fleet/stage_inside.hpp
@@ -62,6 +62,7 @@
         std::vector<Bound> listeners;  // by endpoint, where each has its own
         std::string listen;
         std::vector<std::shared_ptr<Conn>> idle;  // of the programs, to it
+        std::vector<std::shared_ptr<Conn>> held;  // that asked once
         std::list<std::shared_ptr<Conn>> agents;  // its connections to the directory and the platform
         std::unordered_map<Conn*, std::pair<int64_t, Loop::Timer>> watches;
         int64_t heard = 0;  // revision of the list last written to it
@@ -79,7 +80,7 @@
         RequestNo request = 0;
         int sender = 0;
         Loop::Timer timer;
-        bool answered = false;
+        bool answered = false, once = false;  // once: its connection carries nothing else
         Instant sentAt;
     };
 
@@ -112,7 +113,8 @@
     // programs
     void handIn(size_t text);
     void handTo(size_t text, int sender);
-    std::shared_ptr<Conn> connTo(int sender);
+    void handOn(size_t text, int sender, std::shared_ptr<Conn> conn, bool once);
+    std::shared_ptr<Conn> connTo(int sender, bool fresh);
     void answered(const std::shared_ptr<Asked>& asked, const std::shared_ptr<Conn>& conn,
                   const Message& message);
     void unheard(const std::shared_ptr<Asked>& asked);
@@ -122,6 +124,7 @@
     void textEnded(RequestNo request);
 
     void everySecond();
+    void keepToShares();
     void lookAtCrew(size_t second);
     void ping();
     RunResult sum();
--- a/fleet/stage_programs.cpp
+++ b/fleet/stage_programs.cpp
@@ -26,9 +26,9 @@
     handTo(text, s);
 }
 
-std::shared_ptr<Conn> Stage::connTo(int s) {
+std::shared_ptr<Conn> Stage::connTo(int s, bool fresh) {
     Sender& sender = senders_[static_cast<size_t>(s)];
-    while (!sender.idle.empty()) {
+    while (!fresh && !sender.idle.empty()) {
         auto conn = std::move(sender.idle.back());
         sender.idle.pop_back();
         if (conn->open()) return conn;
@@ -41,6 +41,14 @@
 }
 
 void Stage::handTo(size_t text, int s) {
+    bool once = scenario_.holds > 0 && chance_() < scenario_.holds * 4294967296.0;
+    auto conn = connTo(s, once);
+    if (!once || scenario_.ahead <= Span()) return handOn(text, s, conn, once);
+    loop_.at(loop_.now() + scenario_.ahead * (chance_() / 4294967296.0),
+             [this, text, s, conn] { handOn(text, s, conn && conn->open() ? conn : connTo(s, true), true); });
+}
+
+void Stage::handOn(size_t text, int s, std::shared_ptr<Conn> conn, bool once) {
     Instant now = loop_.now();
     const Planned& p = programs_.text(text).plan;
     Instant until = programs_.validUntil(text);
@@ -49,9 +57,8 @@
         programs_.unheard(until, text);
         return;
     }
-    auto conn = connTo(s);
     auto asked = std::make_shared<Asked>();
-    asked->text = text, asked->sender = s, asked->sentAt = now;
+    asked->once = once, asked->text = text, asked->sender = s, asked->sentAt = now;
     asked->request = judge_.handed(now, s, p.product, p.destination, until, p.key);
     textOf_.push_back(text);
     if (options_.samples) sentAt_.push_back(now);
@@ -97,7 +104,8 @@
     conn->onClosed = [](bool) {};
     bool close = m.field("Connection") == "close";
     if (close) conn->close();
-    if (!close) senders_[static_cast<size_t>(asked->sender)].idle.push_back(conn);
+    Sender& sender = senders_[static_cast<size_t>(asked->sender)];
+    if (!close) (asked->once ? sender.held : sender.idle).push_back(conn);
     int status = m.status();
     if (status == 202 || status == 200) {
         entry_.add((now - asked->sentAt).inSeconds() * 1e3);
--- a/fleet/stage_senders.cpp
+++ b/fleet/stage_senders.cpp
@@ -77,7 +77,7 @@
         Sender& of = senders_[static_cast<size_t>(s)];
         judge_.killed(loop_.now(), s);
         of.process->kill();
-        of.up = false, of.wanted = false, of.idle.clear();
+        of.up = false, of.wanted = false, of.idle.clear(), of.held.clear();
     };
     if (h.trouble == Trouble::senderKill) {
         if (h.begins) return down();
--- a/simhost/host.cpp
+++ b/simhost/host.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <istream>
 #include <ostream>
+#include <stdexcept>
+
+#include "petrelpond/pull.hpp"
 
 namespace petrelpond {
 
@@ -169,7 +172,9 @@
         if (found == instances_.end()) continue;
         try {
             if (broken_.count(who) == 0) {
-                while (auto decision = found->second.sender->next(now_)) write(who, found->second, *decision);
+                auto each = [&](const Decision& decision) { write(who, found->second, decision); };
+                if (!pullAll(*found->second.sender, now_, kMostAtOneInstant, each))
+                    throw std::runtime_error("decisions without end at one instant");
             }
         } catch (const std::exception& failure) {
             broken_[who] = failure.what();
--- a/src/routing/module_actor.cpp
+++ b/src/routing/module_actor.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <utility>
 
+#include "petrelpond/pull.hpp"
 #include "src/routing/outcome.hpp"
 #include "src/transport/socket.hpp"
 
@@ -17,6 +18,7 @@
 // listed no name: after that time it may yet come back.
 constexpr Span kForgetAfter = Span::seconds(60);
 constexpr size_t kMany = 500;
+constexpr size_t kDecidedAtOnce = 10'000;  // decisions until the clock is looked at again
 constexpr size_t kTextsApart = 4096;  // indices that were given back before one is used again
 
 uint64_t packed(const std::string& address) {
@@ -498,7 +500,11 @@
 }
 
 void ModuleActor::pull(Instant now) {
-    while (auto decision = sender_->next(now)) decide(now, *decision);
+    // Against decisions that come without end while the clock stands still: what they wait for comes as it goes on.
+    while (!pullAll(*sender_, now, kDecidedAtOnce, [&](const Decision& d) { decide(now, d); })) {
+        ways_.report->add(Count::roundsLong);
+        now = steadyNow();
+    }
     receive(now);
     dispatch();
 }
--- a/src/routing/report.hpp
+++ b/src/routing/report.hpp
@@ -19,7 +19,7 @@
     X(turnedAway) X(notSent) X(overElsewhere) X(nacked) X(undeliverable) X(noticesTold) \
     X(noticesOdd) X(listsRead) X(listsOdd) X(listCallsFailed) X(listCallsTurnedAway) X(storeCompacted) X(storeRefused) \
     X(storeFailed) X(storeDamaged) X(endpointsFreed) X(destinationsFreed) X(configsReread) X(configsOdd) \
-    X(operatorsAccepted) X(operatorsRefused)
+    X(operatorsAccepted) X(operatorsRefused) X(roundsLong)
 // clang-format on
 
 // The calls' ends stand in the order of Ending, transport/ending.hpp.
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -1,3 +1,4 @@
+#include "petrelpond/pull.hpp"
 #include "tests/helpers.hpp"
 
 using namespace petrelpond;
@@ -52,6 +53,28 @@
     CHECK(rig.pull() == 4);
 }
 
+TEST_CASE("a sender that decides without end at one instant is left, and goes on as the clock does") {
+    struct Spinning final : Sender {
+        Instant until;
+        void arrived(Instant, const Arrival&) override {}
+        void ended(Instant, const SubmitEnd&) override {}
+        void withdrawn(Instant, TextIx) override {}
+        void listed(Instant, ListScope, const std::vector<ListEntry>&) override {}
+        void listFailed(Instant) override {}
+        std::optional<Decision> next(Instant now) override {
+            if (now < until) return WakeAt{now};
+            return std::nullopt;
+        }
+    } sender;
+    sender.until = Instant::atMicros(5);
+    size_t decided = 0;
+    auto each = [&](const Decision&) { ++decided; };
+    CHECK_FALSE(pullAll(sender, Instant::atMicros(4), 1000, each));
+    CHECK(decided == 1000);
+    CHECK(pullAll(sender, Instant::atMicros(5), 1000, each));
+    CHECK(decided == 1000);
+}
+
 TEST_CASE("a told wait holds every text to that destination, and no other") {
     Rig rig;
     rig.endpoints(0, 0, 2);
