--- a/fleet/model.cpp
+++ b/fleet/model.cpp
@@ -30,7 +30,7 @@
 class ModelRun {
   public:
     ModelRun(const Scenario& scenario, uint64_t seed)
-        : scenario_(scenario), parts_(partsOf(scenario)), world_(scenario, seed), judge_(scenario),
+        : scenario_(scenario), parts_(partsOf(scenario, scenario.senders)), world_(scenario, seed), judge_(scenario),
           programs_(scenario, plan(scenario, seed)), chance_(static_cast<uint32_t>(seed * 11 + 5)),
           seed_(seed) {}
     RunResult play();
@@ -73,6 +73,7 @@
         std::set<Instant> timers;
         std::deque<std::function<void()>> waiting;  // while it is stopped
         bool up = false, stopped = false, leaving = false;
+        int deaf = 0;  // troubles of its directory in force
         int life = 0, starts = 0;
         uint32_t nextText = 0;
         size_t heard = 0;   // of the directory's log
@@ -131,7 +132,6 @@
     std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
     std::vector<Node> nodes_;
     std::vector<Entry> log_;
-    bool silent_ = false, old_ = false;
     std::vector<size_t> textOf_;
     std::vector<std::list<std::shared_ptr<Call>>> callsAt_;  // by endpoint: begun, not over there
     std::vector<SecondOf> series_;
@@ -180,7 +180,7 @@
     ++n.life, ++n.starts;
     auto seed =
         static_cast<uint32_t>(seed_ * 1000 + static_cast<uint64_t>(s) * 31 + static_cast<uint64_t>(n.starts));
-    n.module = makeSender(seed, parts_.products, parts_.kinds, parts_.crew, parts_.room, parts_.cold,
+    n.module = makeSender(seed, parts_.products, parts_.kinds, partsOf(scenario_, s).crew, parts_.room, parts_.cold,
                           parts_.list, Decay::linear, parts_.links);
     n.up = true, n.heard = 0, n.nextText = 0;
     judge_.started(now_, s);
@@ -201,7 +201,7 @@
         n.module->arrived(now_, a);
     }
     reach(now_ + scenario_.model.hop * 2, s, [this, s] {
-        if (!silent_ && !old_) hear(s, false);
+        if (nodes_[static_cast<size_t>(s)].deaf == 0) hear(s, false);
         pull(s);
     });
     pull(s);
@@ -532,8 +532,7 @@
                 break;
             }
             case Happening::What::directory:
-                if (h->trouble == Trouble::directorySilent) silent_ = h->begins;
-                if (h->trouble == Trouble::directoryOld) old_ = h->begins;
+                if (h->trouble != Trouble::directoryMove) nodes_[static_cast<size_t>(h->sender)].deaf += h->begins ? 1 : -1;
                 listed = listed || !h->begins;
                 break;
             case Happening::What::sender: {
@@ -561,9 +560,9 @@
         bool out = world_.out(static_cast<uint32_t>(d));
         if (out != were[static_cast<size_t>(d)]) judge_.outage(now_, static_cast<uint32_t>(d), out);
     }
-    if (listed && !silent_ && !old_) {
+    if (listed) {
         for (int s = 0; s < scenario_.senders; ++s) {
-            if (!nodes_[static_cast<size_t>(s)].up) continue;
+            if (!nodes_[static_cast<size_t>(s)].up || nodes_[static_cast<size_t>(s)].deaf > 0) continue;
             reach(now_ + scenario_.model.hop, s, [this, s] { hear(s, false), pull(s); });
         }
     }
--- a/fleet/parts.cpp
+++ b/fleet/parts.cpp
@@ -1,10 +1,11 @@
 #include "fleet/parts.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace petrelpond::fleet {
 
-SenderParts partsOf(const Scenario& s) {
+SenderParts partsOf(const Scenario& s, int sender) {
     SenderParts parts;
     for (const ProductPlan& p : s.products) parts.products.push_back(p.rules);
     parts.cold = {1, Span(), 0, Span()};
@@ -23,7 +24,9 @@
         parts.list.ratesListed = parts.list.ratesListed || g.rateListed;
     }
     if (parts.cold.multiple <= 0) parts.cold.multiple = 2;
-    parts.crew = {s.senders, ZoneIx(0u)};
+    bool other = sender < static_cast<int>(std::lround(s.otherPart * s.senders));
+    double told = s.senders * (other ? s.otherFactor : 1);
+    parts.crew = {std::max(1, static_cast<int>(std::lround(told))), ZoneIx(0u)};
     parts.room = {s.callsOut, s.held, s.submits, s.cancel, s.tick, s.longestPause};
     return parts;
 }
--- a/fleet/parts.hpp
+++ b/fleet/parts.hpp
@@ -15,7 +15,7 @@
     ListRule list;
     Links links;
 };
-SenderParts partsOf(const Scenario& scenario);
+SenderParts partsOf(const Scenario& scenario, int sender);
 // What an endpoint's entry in the list says of its destination's rate; 0: nothing.
 double listedRate(const Group& group);
 
--- a/fleet/process.cpp
+++ b/fleet/process.cpp
@@ -26,7 +26,7 @@
 int64_t micros(Span s) { return s.inMicros(); }
 
 // The settings object that the platform would give.
-json settingsOf(const Scenario& s) {
+json settingsOf(const Scenario& s, int sender) {
     json lanes = json::array(), kinds = json::array(), batches = json::array(), routes = json::array();
     static const char* effects[] = {"read_like", "idempotency_key", "non_idempotent"};
     for (const ProductPlan& p : s.products) {
@@ -43,8 +43,8 @@
     for (const Group& g : s.groups) {
         kinds.push_back(g.name), batches.push_back(g.batch), routes.push_back(g.separateRoutes);
     }
-    SenderParts parts = partsOf(s);
-    return {{"balancers", s.senders},
+    SenderParts parts = partsOf(s, sender);
+    return {{"balancers", parts.crew.senders},
             {"domain",
              {{"batchByKind", batches},
               {"maxCalls", s.callsOut},
@@ -128,7 +128,7 @@
         {"limits",
          {{"memory_mb", scenario_.memoryMb}, {"sockets", scenario_.sockets}, {"disk_mb", scenario_.diskMb}}},
         {"known", {{"revision", revision_}, {"complete", true}, {"members", json::parse(members_)}}},
-        {"settings", settingsOf(scenario_)}};
+        {"settings", settingsOf(scenario_, number_)}};
     if (!crew_.empty()) config["crew"] = json::parse(crew_), config["ops"] = ops_;
     std::string path = folder_ + "/config.json";
     std::ofstream(path + ".new") << config.dump();
--- a/fleet/scenario.cpp
+++ b/fleet/scenario.cpp
@@ -289,7 +289,8 @@
     f.lasts = part.seconds("for", Span::seconds(1));
     if (f.at > s.lasts) part.wrong(part.find("at"), "at", "lies behind the end of the run");
     f.part = part.number("part", 1, 0, 1);
-    if (atSenders(f.what)) {
+    bool told = f.what == Trouble::directorySilent || f.what == Trouble::directoryOld;
+    if (atSenders(f.what) || told) {
         f.sender = part.whole("sender", -1, 0, s.senders - 1);
         if (f.what == Trouble::senderKill) f.folderLost = part.flag("folder_lost", false);
     } else if (!atDirectory(f.what)) {
@@ -362,6 +363,8 @@
     s.sockets = senders.whole("sockets", 1024, 64, 18000);
     s.diskMb = senders.whole("disk_mb", 16, 1, 4096);
     s.cores = senders.number("cores", 0, 0, 64);
+    s.otherPart = senders.number("other_part", 0, 0, 1);
+    s.otherFactor = senders.number("other_factor", 1, 0.001, 1000);
     s.cancel = senders.flag("cancel", true);
     s.longestPause = senders.millis("longest_pause_ms", Span::seconds(2));
     s.tick = senders.millis("tick_ms", Span::millis(5));
--- a/fleet/scenario.hpp
+++ b/fleet/scenario.hpp
@@ -92,7 +92,7 @@
     int endpoint = -1;  // of each destination; -1: all
     double share = 1;   // of the calls that it strikes
     Span value;         // stall: added to each answer; full: the told wait
-    int sender = -1;    // -1: the share `part` of them
+    int sender = -1;    // -1: the share `part` of them; also of those whose directory is silent or old
     bool folderLost = false;  // sender_kill: it comes back without what it had written down
 };
 
@@ -140,6 +140,8 @@
     int clientTries = 2;  // times a text is handed in again after a refusal
     double holds = 0;     // share of the texts handed in on a connection that asks this once and is kept to the end
     Span ahead;           // such a connection is made up to so long before its request
+    // Share of the senders, the first ones, that were told a number of senders which is so many times the true one.
+    double otherPart = 0, otherFactor = 1;
     double cores = 0;     // share of a processor that a sender gets: past it it is stopped for a while; 0: no bound
     std::vector<ProductPlan> products;
     std::vector<Group> groups;
--- a/fleet/stage_directory.cpp
+++ b/fleet/stage_directory.cpp
@@ -90,7 +90,7 @@
         }
         return conn->send(response(204, "", ""));
     }
-    if (directorySilent_) return;  // and the question stays without an answer
+    if (sender.silent) return;  // and the question stays without an answer
     size_t at = m.start.find("after=");
     if (at == std::string::npos) {
         // The whole list, or where it is too long what the sender knew at its start and all changes since.
@@ -115,7 +115,7 @@
     if (size_t w = m.start.find("wait_ms="); w != std::string::npos) {
         wait = Span::millis(std::min<int64_t>(atoll(m.start.c_str() + w + 8), 60000));
     }
-    if (after < revision_ && !directoryOld_) return answerWatch(s, conn.get(), after);
+    if (after < revision_ && !sender.old) return answerWatch(s, conn.get(), after);
     auto timer = loop_.at(loop_.now() + wait, [this, s, weak = std::weak_ptr<Conn>(conn), after] {
         if (auto c = weak.lock()) answerWatch(s, c.get(), after);
     });
@@ -128,17 +128,17 @@
         loop_.cancel(watch->second.second);
         sender.watches.erase(watch);
     }
-    if (directorySilent_ || !conn->open()) return;
+    if (sender.silent || !conn->open()) return;
     bool news = false;
-    std::string list = directoryOld_
+    std::string list = sender.old
                            ? "{\"revision\":" + std::to_string(after) + ",\"complete\":false,\"members\":[]}"
                            : listSince(s, after, news);
     conn->send(response(200, "", list));
 }
 
 void Stage::listChanged() {
-    if (directorySilent_ || directoryOld_) return;
     for (int s = 0; s < scenario_.senders; ++s) {
+        if (senders_[static_cast<size_t>(s)].silent || senders_[static_cast<size_t>(s)].old) continue;
         auto watches = senders_[static_cast<size_t>(s)].watches;
         for (const auto& [conn, watch] : watches) {
             if (watch.first < revision_) answerWatch(s, conn, watch.first);
--- a/fleet/stage_inside.hpp
+++ b/fleet/stage_inside.hpp
@@ -67,6 +67,7 @@
         std::unordered_map<Conn*, std::pair<int64_t, Loop::Timer>> watches;
         int64_t heard = 0;  // revision of the list last written to it
         bool up = false, wanted = true;
+        bool silent = false, old = false;  // its directory
         Instant askedAt;
     };
     struct Entry {  // of the directory's log
@@ -142,7 +143,7 @@
     std::unordered_map<uint32_t, std::vector<int>> plugs_;          // of vanished endpoints
     std::vector<Entry> log_;
     int64_t revision_ = 1;
-    bool ownListeners_ = true, directorySilent_ = false, directoryOld_ = false, begun_ = false;
+    bool ownListeners_ = true, begun_ = false;
     std::vector<size_t> textOf_;   // by request
     std::vector<Instant> sentAt_;  // by request, where samples are taken
     std::unique_ptr<CrewLinks> crew_;  // where the senders have links
--- a/fleet/stage_partners.cpp
+++ b/fleet/stage_partners.cpp
@@ -281,8 +281,8 @@
                 standing(h->endpoint, h->standing);
                 break;
             case Happening::What::directory:
-                if (h->trouble == Trouble::directorySilent) directorySilent_ = h->begins;
-                if (h->trouble == Trouble::directoryOld) directoryOld_ = h->begins;
+                if (h->trouble == Trouble::directorySilent) senders_[static_cast<size_t>(h->sender)].silent = h->begins;
+                if (h->trouble == Trouble::directoryOld) senders_[static_cast<size_t>(h->sender)].old = h->begins;
                 if (h->trouble == Trouble::directoryMove && h->begins) {
                     for (int s = 0; s < scenario_.senders; ++s) {
                         Sender& sender = senders_[static_cast<size_t>(s)];
--- a/fleet/world.cpp
+++ b/fleet/world.cpp
@@ -64,8 +64,9 @@
     const Fault& f = scenario_.faults[change.fault];
     Happening h;
     h.trouble = f.what, h.begins = change.begins, h.lasts = f.lasts, h.folderLost = f.folderLost;
-    if (atSenders(f.what)) {
-        h.what = Happening::What::sender;
+    bool told = f.what == Trouble::directorySilent || f.what == Trouble::directoryOld;
+    if (atSenders(f.what) || told) {
+        h.what = told ? Happening::What::directory : Happening::What::sender;
         int share = static_cast<int>(std::lround(f.part * scenario_.senders));
         for (int s = 0; s < scenario_.senders; ++s) {
             if (f.sender >= 0 ? s != f.sender : s >= share) continue;
--- a/tests/fleet/play_test.cpp
+++ b/tests/fleet/play_test.cpp
@@ -10,6 +10,8 @@
 #include "fleet/compare.hpp"
 #include "fleet/costs.hpp"
 #include "fleet/model.hpp"
+#include "fleet/parts.hpp"
+#include "fleet/process.hpp"
 #include "fleet/report.hpp"
 #include "fleet/stage.hpp"
 #include "fleet/world.hpp"
@@ -306,3 +308,50 @@
     calm.pings.resize(10);
     CHECK_THROWS(costsFrom(calm, clumps));
 }
+
+TEST_CASE("a sender that takes more than its share of the processor is stopped until it is made up for") {
+    Scenario s = one("");
+    std::string folder = "/tmp/petrelfleet-share-" + std::to_string(getpid());
+    SenderProcess busy(s, 0, folder, {"/bin/sh", {"-c", "while :; do :; done"}, {}});
+    busy.start();
+    auto begin = std::chrono::steady_clock::now();
+    Instant now;
+    while (now < ms(1500)) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        auto since = std::chrono::steady_clock::now() - begin;
+        now = Instant::atMicros(std::chrono::duration_cast<std::chrono::microseconds>(since).count());
+        busy.keepToShare(now, 0.2);
+    }
+    busy.measure();
+    SenderResult used = busy.used();
+    busy.kill();
+    std::filesystem::remove_all(folder);
+    CHECK(used.heldUp >= 2);
+    CHECK(used.cpuSeconds < 0.75);  // a half of it: a fifth, and what goes over before it is seen
+}
+
+TEST_CASE("a directory that is old or silent for a part of the senders, and a setting that is another at some") {
+    Scenario s = one("", "[[fault]]\nkind = \"directory_old\"\nat = 1\nfor = 1\npart = 0.5\n");
+    s.senders = 4, s.otherPart = 0.25, s.otherFactor = 0.5;
+    World w(s, 1);
+    w.advance(ms(1000));
+    std::vector<int> struck;
+    while (auto h = w.next()) {
+        CHECK((h->what == Happening::What::directory && h->begins));
+        struck.push_back(h->sender);
+    }
+    CHECK(struck == std::vector<int>{0, 1});
+    CHECK(partsOf(s, 0).crew.senders == 2);
+    CHECK(partsOf(s, 1).crew.senders == 4);
+    // Whoever hears nothing goes on calling what has been drained, which the others need as well.
+    Scenario lists = one("endpoints = 2\nworkers = 2\n",
+                         "[[fault]]\nkind = \"directory_old\"\nat = 0.3\nfor = 2.5\npart = 0.5\n"
+                         "[[fault]]\nkind = \"drain\"\nat = 0.4\nfor = 2.5\ngroup = \"g\"\nendpoint = 1\n");
+    lists.senders = 2;
+    RunResult half = playInModel(lists, 1);
+    lists.faults[0].part = 0;
+    RunResult none = playInModel(lists, 1);
+    CHECK(half.breaches.empty());
+    CHECK(none.breaches.empty());
+    CHECK(half.products[0].delivery.p50 < 0.8 * none.products[0].delivery.p50);
+}
