--- a/fleet/model.cpp
+++ b/fleet/model.cpp
@@ -180,8 +180,8 @@
     ++n.life, ++n.starts;
     auto seed =
         static_cast<uint32_t>(seed_ * 1000 + static_cast<uint64_t>(s) * 31 + static_cast<uint64_t>(n.starts));
-    n.module = makeSender(seed, parts_.products, parts_.kinds, partsOf(scenario_, s).crew, parts_.room, parts_.cold,
-                          parts_.list, Decay::linear, parts_.links);
+    n.module = makeSender(seed, parts_.products, parts_.kinds, partsOf(scenario_, s).crew, parts_.room,
+                          parts_.cold, parts_.list, Decay::linear, parts_.links);
     n.up = true, n.heard = 0, n.nextText = 0;
     judge_.started(now_, s);
     hear(s, true);
@@ -256,7 +256,8 @@
         }
     };
     if (!pullAll(*n.module, now_, kMostAtOneInstant, each)) {
-        throw Endless(now_, "sender " + std::to_string(s) + " decides without end at one instant, nothing it holds ends");
+        throw Endless(now_, "sender " + std::to_string(s) +
+                                " decides without end at one instant, nothing it holds ends");
     }
     dispatch(s, std::move(submits));
 }
@@ -532,7 +533,9 @@
                 break;
             }
             case Happening::What::directory:
-                if (h->trouble != Trouble::directoryMove) nodes_[static_cast<size_t>(h->sender)].deaf += h->begins ? 1 : -1;
+                if (h->trouble != Trouble::directoryMove) {
+                    nodes_[static_cast<size_t>(h->sender)].deaf += h->begins ? 1 : -1;
+                }
                 listed = listed || !h->begins;
                 break;
             case Happening::What::sender: {
