What comes to a place while it is out is counted: calls and new connections, in the table of harm

The table of harm lacked trials and new connections at a dead place, the baseline of the work on overload.

Change. petrelfleet counts both in the model and on sockets; two columns in `harm`, two fields in its JSON; a test in both.

--- a/fleet/harm.cpp
+++ b/fleet/harm.cpp
@@ -63,9 +63,10 @@
 std::string harmTable(const std::vector<HarmRow>& rows) {
     std::ostringstream out;
     out << "| scenario | senders | surge | revenue, % | within the SLA time, % | all-knowing, % | share of it | calls a text | in vain a "
-           "text | places pushed over | back after, s |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+           "text | calls at a dead place | new connections there | places pushed over | back after, s |\n| --- | --- | --- | --- | --- | "
+           "--- | --- | --- | --- | --- | --- | --- | --- |\n";
     for (const HarmRow& row : rows) {
-        std::vector<double> all, early, best, share, calls, vain, tipped, back;
+        std::vector<double> all, early, best, share, calls, vain, dead, fresh, tipped, back;
         size_t never = 0;
         for (size_t i = 0; i < row.runs.size(); ++i) {
             const RunResult& r = row.runs[i];
@@ -73,11 +74,12 @@
             all.push_back(100 * r.service()), early.push_back(100 * r.serviceInTime()), best.push_back(100 * most);
             share.push_back(most > 0 ? r.service() / most : 1);
             calls.push_back(static_cast<double>(r.calls) / texts), vain.push_back(static_cast<double>(r.wastedCalls) / texts);
+            dead.push_back(static_cast<double>(r.deadCalls)), fresh.push_back(static_cast<double>(r.deadConnections));
             tipped.push_back(static_cast<double>(r.tippedPlaces));
         }
         out << "| " << row.scenario << " | " << row.senders << " | " << row.surge << " | " << shownAs(all, 1) << " | " << shownAs(early, 1)
             << " | " << shownAs(best, 1) << " | " << shownAs(share, 2) << " | " << shownAs(calls, 2) << " | " << shownAs(vain, 2) << " | "
-            << shownAs(tipped, 1) << " | ";
+            << shownAs(dead, 0) << " | " << shownAs(fresh, 0) << " | " << shownAs(tipped, 1) << " | ";
         for (const RunResult& r : row.runs) {
             auto b = backAfter(r, row.trigger);
             if (b) back.push_back(*b);
--- a/fleet/model.cpp
+++ b/fleet/model.cpp
@@ -135,7 +135,7 @@
     std::vector<size_t> textOf_;
     std::vector<std::list<std::shared_ptr<Call>>> callsAt_;  // by endpoint: begun, not over there
     std::vector<SecondOf> series_;
-    long tippedPlaces_ = 0, out_ = 0;
+    long tippedPlaces_ = 0, deadCalls_ = 0, deadConnections_ = 0, out_ = 0;
     size_t nextText_ = 0;
 };
 
@@ -299,6 +299,7 @@
     call->fresh = !reused;
     Span takes = scenario_.model.hop + scenario_.model.round;
     if (!reused) {
+        if (world_.out(world_.destinationOf(e))) ++deadConnections_;
         if (world_.standing(e) == Standing::down ||
             !world_.takesConnection(e, static_cast<int>(callsAt_[e].size()))) {
             bool never = world_.standing(e) == Standing::vanished;
@@ -335,6 +336,7 @@
         }
         return;
     }
+    if (world_.out(world_.destinationOf(e))) ++deadCalls_;
     Fate fate = world_.called(now_, e, static_cast<int>(call->texts.size()), reused);
     for (uint32_t d : world_.takeTipped()) ++tippedPlaces_, judge_.tipped(now_, d);
     SecondOf& sec = second();
@@ -613,6 +615,7 @@
     r.series = series_;
     account(scenario_, programs_, r);
     r.calls = judge_.calls(), r.wastedCalls = judge_.wasted(), r.tippedPlaces = tippedPlaces_;
+    r.deadCalls = deadCalls_, r.deadConnections = deadConnections_;
     r.breaches = judge_.breaches(), r.breachCounts = judge_.counts();
     r.wallSeconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
     return r;
--- a/fleet/result.cpp
+++ b/fleet/result.cpp
@@ -130,6 +130,8 @@
                 {"calls", r.calls},
                 {"wasted_calls", r.wastedCalls},
                 {"tipped_places", r.tippedPlaces},
+                {"dead_calls", r.deadCalls},
+                {"dead_connections", r.deadConnections},
                 {"late_ms", {r.lateP99, r.lateP999, r.lateMost}},
                 {"entry_ms", r.entryMs},
                 {"void", r.voidBecause},
@@ -193,6 +195,7 @@
     r.scenario = v.at("scenario"), r.kind = v.at("kind"), r.program = v.at("program"), r.seed = v.at("seed");
     r.seconds = v.at("seconds"), r.wallSeconds = v.at("wall_seconds"), r.groups = v.at("groups");
     r.texts = v.at("texts"), r.calls = v.at("calls"), r.wastedCalls = v.at("wasted_calls");
+    r.deadCalls = v.value("dead_calls", 0L), r.deadConnections = v.value("dead_connections", 0L);
     r.tippedPlaces = v.at("tipped_places"), r.voidBecause = v.at("void");
     r.lateP99 = v.at("late_ms").at(0), r.lateP999 = v.at("late_ms").at(1), r.lateMost = v.at("late_ms").at(2);
     r.entryMs = v.at("entry_ms"), r.breachCounts = v.at("breach_counts");
--- a/fleet/result.hpp
+++ b/fleet/result.hpp
@@ -67,6 +67,7 @@
     std::vector<std::string> groups;
     std::vector<SenderResult> senders;
     long texts = 0, calls = 0, wastedCalls = 0, tippedPlaces = 0;
+    long deadCalls = 0, deadConnections = 0;  // at places while all their endpoints were out
     double lateP99 = 0, lateP999 = 0, lateMost = 0;  // the judge's own lateness, milliseconds
     double entryMs = 0;                              // median from handing in to 202
     std::string voidBecause;                         // empty: the run counts
--- a/fleet/stage.cpp
+++ b/fleet/stage.cpp
@@ -196,6 +196,7 @@
     account(scenario_, programs_, r);
     for (Sender& s : senders_) s.process->kill(), r.senders.push_back(s.process->used());
     r.calls = judge_.calls(), r.wastedCalls = judge_.wasted(), r.tippedPlaces = tippedPlaces_;
+    r.deadCalls = deadCalls_, r.deadConnections = deadConnections_;
     r.lateP99 = loop_.lateAt(0.99), r.lateP999 = loop_.lateAt(0.999), r.lateMost = loop_.lateAt(1);
     r.entryMs = entry_.quantile(0.5);
     r.breaches = judge_.breaches(), r.breachCounts = judge_.counts();
--- a/fleet/stage_inside.hpp
+++ b/fleet/stage_inside.hpp
@@ -151,7 +151,7 @@
     Instant pingedAt_;
     std::vector<SecondOf> series_;
     Latencies entry_;
-    long tippedPlaces_ = 0;
+    long tippedPlaces_ = 0, deadCalls_ = 0, deadConnections_ = 0;
     int failedStarts_ = 0;
     std::string trouble_;
     size_t nextText_ = 0;
--- a/fleet/stage_partners.cpp
+++ b/fleet/stage_partners.cpp
@@ -46,6 +46,7 @@
         if (fd < 0) return;
         uint32_t e = known ? *known : ((localHost(fd) & 0xffff) - 1);
         auto conn = std::make_shared<Conn>(loop_, fd);
+        if (e < world_.endpoints() && world_.out(world_.destinationOf(e))) ++deadConnections_;
         if (e >= world_.endpoints() || !world_.takesConnection(e, static_cast<int>(lines_[e].size()))) {
             judge_.reached(loop_.now(), s,
                            std::min<uint32_t>(e, static_cast<uint32_t>(world_.endpoints()) - 1));
@@ -114,6 +115,7 @@
     } else {
         return odd(m.start);
     }
+    if (world_.out(world_.destinationOf(e))) ++deadCalls_;
     Fate fate = world_.called(now, e, static_cast<int>(texts.size()), line->conn->calls > 1);
     for (uint32_t d : world_.takeTipped()) ++tippedPlaces_, judge_.tipped(now, d);
     SecondOf& second = series_[std::min(series_.size() - 1,
--- a/tests/fleet/play_test.cpp
+++ b/tests/fleet/play_test.cpp
@@ -355,3 +355,19 @@
     CHECK(none.breaches.empty());
     CHECK(half.products[0].delivery.p50 < 0.8 * none.products[0].delivery.p50);
 }
+
+TEST_CASE("calls and new connections at a place that is out are counted, in the model and on sockets") {
+    Scenario s = one("endpoints = 2\n", "[[fault]]\nkind = \"refuse\"\nat = 1\nfor = 1\ngroup = \"g\"\n");
+    Scenario calm = s;
+    calm.faults.clear();
+    RunResult out = playInModel(s, 1), well = playInModel(calm, 1);
+    CHECK(out.deadCalls > 0);
+    CHECK(out.deadCalls <= out.wastedCalls);
+    CHECK(out.deadConnections <= out.deadCalls);
+    CHECK(well.deadCalls + well.deadConnections == 0);
+    Play play;
+    RunResult real = play.on(s);
+    CHECK(real.deadCalls > 0);
+    CHECK(real.deadCalls <= real.wastedCalls);
+    CHECK(fromJson(toJson(real)).deadCalls == real.deadCalls);
+}
