--- a/fleet/scenario.cpp
+++ b/fleet/scenario.cpp
@@ -352,6 +352,7 @@
     s.clientTries = run.whole("client_tries", 2, 0, 20);
     s.holds = run.number("holds", 0, 0, 1);
     s.ahead = run.millis("ahead_ms", Span());
+    s.noticeLate = run.millis("notice_ms", Span());
     s.recording = run.text("recording", "");
     run.done();
     Part senders(top.table("senders"), "senders.", mistakes);
--- a/fleet/scenario.hpp
+++ b/fleet/scenario.hpp
@@ -139,6 +139,7 @@
     Span longestPause = Span::seconds(2), tick = Span::millis(5);
     int clientTries = 2;  // times a text is handed in again after a refusal
     double holds = 0;     // share of the texts handed in on a connection that asks this once and is kept to the end
+    Span noticeLate;      // the platform answers each notice after so long
     Span ahead;           // such a connection is made up to so long before its request
     // Share of the senders, the first ones, that were told a number of senders which is so many times the true one.
     double otherPart = 0, otherFactor = 1;
--- a/fleet/stage_directory.cpp
+++ b/fleet/stage_directory.cpp
@@ -88,7 +88,11 @@
                 programs_.undeliverable(loop_.now(), t);
             }
         }
-        return conn->send(response(204, "", ""));
+        if (scenario_.noticeLate <= Span()) return conn->send(response(204, "", ""));
+        loop_.at(loop_.now() + scenario_.noticeLate, [weak = std::weak_ptr<Conn>(conn)] {
+            if (auto c = weak.lock(); c && c->open()) c->send(response(204, "", ""));
+        });
+        return;
     }
     if (sender.silent) return;  // and the question stays without an answer
     size_t at = m.start.find("after=");
