--- a/fleet/model.cpp
+++ b/fleet/model.cpp
@@ -24,13 +24,12 @@
     Instant at;
 };
 
-
 constexpr Span kClientWait = Span::millis(400), kConnectWithin = Span::millis(1500);
 
 class ModelRun {
   public:
     ModelRun(const Scenario& scenario, uint64_t seed)
-        : scenario_(scenario), parts_(partsOf(scenario, scenario.senders)), world_(scenario, seed), judge_(scenario),
+        : scenario_(scenario), parts_(partsOf(scenario)), world_(scenario, seed), judge_(scenario),
           programs_(scenario, plan(scenario, seed)), chance_(static_cast<uint32_t>(seed * 11 + 5)),
           seed_(seed) {}
     RunResult play();
@@ -180,8 +179,10 @@
     ++n.life, ++n.starts;
     auto seed =
         static_cast<uint32_t>(seed_ * 1000 + static_cast<uint64_t>(s) * 31 + static_cast<uint64_t>(n.starts));
-    n.module = makeSender(seed, parts_.products, parts_.kinds, partsOf(scenario_, s).crew, parts_.room,
-                          parts_.cold, parts_.list, Decay::linear, parts_.links);
+    Crew crew = parts_.crew;
+    crew.senders = sendersTold(scenario_, s);
+    n.module = makeSender(seed, parts_.products, parts_.kinds, crew, parts_.room, parts_.cold, parts_.list,
+                          Decay::linear, parts_.links);
     n.up = true, n.heard = 0, n.nextText = 0;
     judge_.started(now_, s);
     hear(s, true);
--- a/fleet/parts.cpp
+++ b/fleet/parts.cpp
@@ -5,7 +5,7 @@
 
 namespace petrelpond::fleet {
 
-SenderParts partsOf(const Scenario& s, int sender) {
+SenderParts partsOf(const Scenario& s) {
     SenderParts parts;
     for (const ProductPlan& p : s.products) parts.products.push_back(p.rules);
     parts.cold = {1, Span(), 0, Span()};
@@ -24,13 +24,16 @@
         parts.list.ratesListed = parts.list.ratesListed || g.rateListed;
     }
     if (parts.cold.multiple <= 0) parts.cold.multiple = 2;
-    bool other = sender < static_cast<int>(std::lround(s.otherPart * s.senders));
-    double told = s.senders * (other ? s.otherFactor : 1);
-    parts.crew = {std::max(1, static_cast<int>(std::lround(told))), ZoneIx(0u)};
+    parts.crew = {s.senders, ZoneIx(0u)};
     parts.room = {s.callsOut, s.held, s.submits, s.cancel, s.tick, s.longestPause};
     return parts;
 }
 
+int sendersTold(const Scenario& s, int sender) {
+    bool other = sender < std::lround(s.otherPart * s.senders);
+    return other ? std::max(1, static_cast<int>(std::lround(s.senders * s.otherFactor))) : s.senders;
+}
+
 double listedRate(const Group& g) { return g.rateListed ? g.rate / (g.separateRoutes ? g.endpoints : 1) : 0; }
 
 }  // namespace petrelpond::fleet
--- a/fleet/parts.hpp
+++ b/fleet/parts.hpp
@@ -15,7 +15,9 @@
     ListRule list;
     Links links;
 };
-SenderParts partsOf(const Scenario& scenario, int sender);
+SenderParts partsOf(const Scenario& scenario);
+// How many senders that one was told there are.
+int sendersTold(const Scenario& scenario, int sender);
 // What an endpoint's entry in the list says of its destination's rate; 0: nothing.
 double listedRate(const Group& group);
 
--- a/fleet/process.cpp
+++ b/fleet/process.cpp
@@ -43,8 +43,8 @@
     for (const Group& g : s.groups) {
         kinds.push_back(g.name), batches.push_back(g.batch), routes.push_back(g.separateRoutes);
     }
-    SenderParts parts = partsOf(s, sender);
-    return {{"balancers", parts.crew.senders},
+    SenderParts parts = partsOf(s);
+    return {{"balancers", sendersTold(s, sender)},
             {"domain",
              {{"batchByKind", batches},
               {"maxCalls", s.callsOut},
--- a/tests/fleet/play_test.cpp
+++ b/tests/fleet/play_test.cpp
@@ -341,8 +341,8 @@
         struck.push_back(h->sender);
     }
     CHECK(struck == std::vector<int>{0, 1});
-    CHECK(partsOf(s, 0).crew.senders == 2);
-    CHECK(partsOf(s, 1).crew.senders == 4);
+    CHECK(sendersTold(s, 0) == 2);
+    CHECK(sendersTold(s, 1) == 4);
     // Whoever hears nothing goes on calling what has been drained, which the others need as well.
     Scenario lists = one("endpoints = 2\nworkers = 2\n",
                          "[[fault]]\nkind = \"directory_old\"\nat = 0.3\nfor = 2.5\npart = 0.5\n"
@@ -371,3 +371,15 @@
     CHECK(real.deadCalls <= real.wastedCalls);
     CHECK(fromJson(toJson(real)).deadCalls == real.deadCalls);
 }
+
+TEST_CASE("on sockets: programs that ask once keep their connections, and a platform may answer notices late") {
+    Play play;
+    Scenario s = one("endpoints = 2\n");
+    s.senders = 1, s.noticeLate = Span::millis(150);
+    RunResult shared = play.on(s);
+    s.holds = 1, s.ahead = Span::millis(500);
+    RunResult kept = play.on(s);
+    CHECK(shared.breaches.empty());
+    CHECK(kept.breaches.empty());
+    CHECK(kept.senders[0].descriptors > shared.senders[0].descriptors + 60);
+}
