The bucket stands in a header of its own, which a second program can include

Chance and Bucket lay inside src/logic.cpp in a namespace without a name: nobody else could pace by them.

Change. src/policy/bucket.hpp, word for word, in petrelpond::policy; it needs the time types and the standard library alone.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,10 +1,8 @@
 // petrelpond's decisions, all of them, behind include/petrelpond/sender.hpp. "Ours": not the source's (docs).
-#include <algorithm>
 #include <cmath>
 #include <deque>
 #include <list>
 #include <map>
-#include <random>
 #include <set>
 #include <tuple>
 #include <unordered_map>
@@ -17,78 +15,12 @@
 #include "src/index/served.hpp"
 #include "src/index/texts.hpp"
 #include "src/index/worth.hpp"
+#include "src/policy/bucket.hpp"
 
 namespace petrelpond {
 namespace {
 
-using index::Call, index::Due, index::Falls, index::Text;
-
-struct Chance {
-    std::mt19937 source;
-    double between(double low, double high) { return low + (high - low) * (source() / 4294967296.0); }
-    Span about(Span s) { return s * between(0.75, 1.25); }
-};
-
-// The design's bucket: one token, bound only by a refusal as full or a told wait.
-struct Bucket {
-    bool pacedSince(Instant started) const { return bound && started >= boundAt; }
-    // A call that left before the last cut says nothing of the cut rate; the floor under the slice is ours.
-    void refused(Instant now, Instant started, double base, double slice, bool known, Chance& chance) {
-        bind(now, base, chance);
-        if (started < cutAt) return;
-        // Refused again at its slice with nothing delivered between: the limit is lower than listed.
-        if (!delivered && rate <= slice * trust) trust = std::max(0.7 * trust, 0.1);
-        delivered = false;
-        rate = std::max(rate / 2, known ? 0.95 * slice * trust : 1.0);
-        cutAt = raisedAt = now;
-    }
-    void toldToWait(Instant now, Instant until, double base, bool thin, Chance& chance) {
-        bind(now, base, chance);
-        // The thinner the slice, the more may be waiting for the same moment.
-        Span apart = thin ? (until - now) * chance.between(0, 1) : Span();
-        askAt = std::max(askAt, until + jitter(chance) + apart);
-    }
-    // A busy sender may use what idle ones leave, as its successes show; past its slice by small steps.
-    // A reported share that is left is trusted at once, as a thin slice climbs slowly. Harm: all take it.
-    void succeeded(Instant now, double slice, double ceiling, double left) {
-        delivered = true;
-        if (!bound || now - raisedAt < Span::seconds(1)) return;
-        trust = std::min(1.0, std::max(trust + 0.03, left));
-        rate = std::max(rate, slice * left);
-        rate = std::min(rate * (rate < slice * trust ? 1.25 : 1.05), std::max(ceiling, 1.0));
-        raisedAt = now;
-    }
-    // The caller takes the token; a cap from outside (a cold place's) paces by it. A wait is a microsecond
-    // or more: one that came to none was looked for in the same instant for ever. A rate that climbed past
-    // 100,000, as no limit is known, holds nothing back. Harm: a limit beyond that is not kept.
-    bool ready(Instant now, double cap, Chance& chance) {
-        if (bound && (rate > 1e5 || now - std::max(heldAt, askAt) > Span::seconds(10))) *this = Bucket();
-        if (!bound && cap <= 0) return true;
-        double pace = bound ? rate : cap;
-        if (cap > 0) pace = std::min(pace, cap);
-        if (now < askAt) return false;
-        tokens = std::min(1.0, tokens + (now - refilledAt).inSeconds() * pace), refilledAt = now;
-        if (tokens >= 1) return true;
-        askAt = now + std::max(Span::seconds((1 - tokens) / pace) + jitter(chance), Span::micros(1));
-        return heldAt = now, false;
-    }
-
-    // A refusal does not say where in its turn a sender was: with a thin slice it may be anywhere.
-    void bind(Instant now, double base, Chance& chance) {
-        heldAt = now;
-        if (bound) return;
-        bound = true, rate = base, tokens = base < 0.5 ? chance.between(0, 1) : 0;
-        refilledAt = raisedAt = boundAt = now;
-    }
-    Span jitter(Chance& chance) const {
-        return Span::seconds(chance.between(0.05, 0.25) * std::min(1.0, rate > 0 ? 1 / rate : 1.0));
-    }
-
-    bool bound = false, delivered = true;
-    double rate = 0, tokens = 1, trust = 1;
-    Instant refilledAt = Instant::longAgo(), raisedAt, boundAt, cutAt = Instant::longAgo();
-    Instant askAt = Instant::longAgo(), heldAt = Instant::longAgo();
-};
+using index::Call, index::Due, index::Falls, index::Text, policy::Bucket, policy::Chance;
 
 // A high quantile, and a mean that counts calls still out by their age, so that silence shows early.
 struct AnswerTimes {
@@ -354,12 +286,9 @@
     }
 
     void forgotten(Instant, DestinationIx d) override {
-        destinations_.rest(d.value);
-        auto free = [&](DestinationSeed& seed) {
-            if (seed.place != kNone) freePlace(seed.place);
-            seed = {};
-        };
-        destinations_.reseed(d.value, free);
+        destinations_.rest(d.value), destinations_.cover(d.value);
+        if (uint32_t at = destinations_.seed(d.value).place; at != kNone) freePlace(at);
+        destinations_.reseed(d.value, [](DestinationSeed& seed) { seed = {}; });
     }
 
     // Jittered, as all may break at once; sooner than we are deemed told, so that drains are kept.
@@ -437,8 +366,7 @@
         }
         Instant wake = dues_.empty() ? tickAt_ : std::min(tickAt_, std::get<Instant>(*dues_.begin()));
         if (wake >= armed_) return std::nullopt;
-        armed_ = wake;
-        return WakeAt{wake};
+        return WakeAt{armed_ = wake};
     }
 
     std::string belief(Instant now, EndpointIx ix) const override {
@@ -523,8 +451,7 @@
         double load = call.load;
         at.usedAt = now;
         if (--call.texts == 0) {
-            calls_.erase(text.call);
-            --callsOut_;
+            calls_.erase(text.call), --callsOut_;
             parking_.release(Row::slot, kCompared);
             for (auto* out : {&p.out, &at.out}) out->starts.erase(out->starts.find(text.started));
             Span idle = sort(at).idle.span;
@@ -718,8 +645,7 @@
     bool slotFor(const Destination& d, double takes) {
         if (room_.calls <= 0) return true;
         int free = room_.calls - callsOut_;
-        double alpha = std::clamp(2 * usualTime_ / std::max(takes, 0.001), 0.25, 4.0);
-        double out = 0;
+        double alpha = std::clamp(2 * usualTime_ / std::max(takes, 0.001), 0.25, 4.0), out = 0;
         for (uint32_t e : d.endpoints) out += endpoints_[e].out.count();
         return out < std::max(1.0, alpha * free);
     }
@@ -756,7 +682,7 @@
         if (now + Span::seconds(2 * takes) > leavesAt_) return park(ix);
         // Which endpoint: drawn by room among those whose place may have a call now.
         size_t at = 0;
-        double sum = 0;
+        double sum = 0, own = -1;
         for (uint32_t e : d.endpoints) {
             double room = roomAt(now, endpoints_[e]);
             if (room <= 0 || !paced(now, endpoints_[e])) continue;
@@ -769,7 +695,6 @@
         Instant soon = now + Span::seconds(takes);
         Span backlog = Span::seconds(std::clamp(static_cast<double>(d.waiting.size()) * takes, 1.0, 8.0));
         int compared = 0;
-        double own = -1;
         TextIx text;
         for (TextIx each : d.waiting) {
             if (++compared > kTexts && text.known()) break;
