Who is listed is kept by the roster in src/index, and the module decides about it

Roster in src/index/roster.hpp holds destinations, places and endpoints, and takes lists in. Routes apart are marked in their seed, in a byte that was padding. A key's rest, the age of calls out and what an earlier life did to a text stand with their records.

A test of the roster, 12 assertions.

--- a/src/index/calls_out.hpp
+++ b/src/index/calls_out.hpp
@@ -18,6 +18,12 @@
     Span late;                              // overtaken by so much it is lost
     auto live() const { return starts.lower_bound(answered - late); }
     double count() const { return static_cast<double>(std::distance(live(), starts.end())); }
+    double longest(Instant now) const { return count() > 0 ? (now - *live()).inSeconds() : 0; }
+    double ages(Instant now) const {
+        double sum = 0;
+        for (auto at = live(); at != starts.end(); ++at) sum += (now - *at).inSeconds();
+        return sum;
+    }
 };
 
 // Texts of one key go in the order taken; after a submit that may still run the key rests.
@@ -38,6 +44,9 @@
         const Line& line = keys.at(key);
         return line.texts.front() == text && (now >= line.restsUntil || line.restsFor == text);
     }
+    void rest(uint64_t key, TextIx text, Instant until) {
+        keys[key].restsUntil = until, keys[key].restsFor = text;
+    }
     void done(uint64_t key, TextIx text) { std::erase(keys[key].texts, text); }
     void forgetIdle(Instant now) {
         std::erase_if(keys, [&](auto& k) { return k.second.texts.empty() && now >= k.second.restsUntil; });
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,7 +1,6 @@
 // petrelpond's decisions, all of them, behind include/petrelpond/sender.hpp. "Ours": not the source's (docs).
 #include <cmath>
 #include <deque>
-#include <list>
 #include <map>
 #include <set>
 #include <tuple>
@@ -150,15 +149,6 @@
     Instant usedAt = Instant::longAgo(), idleAt = Instant::longAgo();  // idleAt: usedAt as the last call left
 };
 
-struct Destination {
-    DestinationSeed is;
-    std::vector<uint32_t> endpoints;
-    std::list<TextIx> waiting;
-    Instant checkedFor = Instant::longAgo();  // its texts' times were held against this turn,
-    size_t unchecked = 0;                     // but for so many of the last
-    Instant usedAt = Instant::longAgo();
-};
-
 // How long connections to a kind of endpoint lie idle: less where they die unseen and where those of hundreds
 // fill its table (the many start with two's). Creeps up. Harm: more handshakes.
 struct IdleBound {
@@ -191,7 +181,7 @@
     double pace;  // calls a second of a bound sender whose slice is thinner (ours)
 };
 
-class Logic final : public Sender {
+class Logic final : public Sender, Roster<Place, Endpoint> {
   public:
     Logic(uint32_t seed, std::vector<Product> products, std::vector<Kind> kinds, const Crew& crew,
           const Room& room, const ColdRule& cold, const ListRule& list, Decay decay, const Links& links)
@@ -209,8 +199,7 @@
         text.arrival = a;
         text.product = a.product.value < products_.size() ? &products_[a.product.value] : nullptr;
         if (!text.product) return toAnswer_.push_back(a.text);
-        text.submits = a.submits, text.ranIn = a.ranIn, text.mayHaveRun = a.mayHaveRunSince.has_value();
-        text.firstMayHaveRun = a.mayHaveRunSince.value_or(Instant::never());
+        text.cameBack();
         if (inOrder(text)) order_.taken(*a.key, a.text);
         if (inOrder(text) && text.mayHaveRun) restKey(now, text);
         dues_.insert({a.validUntil - lastCall(), Falls::text, a.text.value});
@@ -239,7 +228,7 @@
         text.mayHaveRun = text.mayHaveRun || mayRun;
         if (inOrder(text) && mayRun && e.end != End::error) restKey(now, text);
         e.over || text.over ? forget(e.text) : queue(now, text);
-        freeIfGone(e.endpoint.value);
+        dropIfGone(e.endpoint.value);
     }
 
     void withdrawn(Instant, TextIx text) override {
@@ -252,21 +241,9 @@
 
     void listed(Instant, ListScope scope, const std::vector<ListEntry>& entries) override {
         if (scope != ListScope::old) listFailures_ = 0;
-        bool whole = scope == ListScope::whole, all = scope != ListScope::changes;
-        auto unlist = [&](EndpointSeed& e) { e.active = false, e.gone = e.gone || whole; };
-        for (uint32_t i = 0; all && i < endpoints_.size(); ++i) endpoints_.reseed(i, unlist);
-        for (const ListEntry& entry : entries) {
-            uint32_t ix = entry.endpoint.value;
-            endpoints_.cover(ix);
-            if (!endpoints_.seed(ix).destination.known()) place(entry);
-            bool active = entry.state == Listed::active, gone = entry.state == Listed::gone;
-            endpoints_.reseed(ix, [&](EndpointSeed& e) { e.active = active, e.gone = gone; });
-            auto relist = [&](PlaceSeed& p) { p.listedRate = entry.rate; };
-            if (listRule_.ratesListed && entry.rate > 0) places_.reseed(endpoints_.seed(ix).place, relist);
-            touch(entry.destination.value);
-        }
-        for (const ListEntry& entry : entries) freeIfGone(entry.endpoint.value);
-        for (uint32_t i = 0; all && i < endpoints_.size(); ++i) freeIfGone(i);
+        auto isApart = [&](KindIx kind) { return sort(kind).kind.separateRoutes; };
+        list(scope, entries, listRule_.ratesListed, isApart);
+        for (const ListEntry& entry : entries) touch(entry.destination.value);
     }
 
     // Given back it is cold: a place with no other endpoint comes back by a trial and its budget, one among
@@ -285,11 +262,7 @@
         p.guard.restarted(now, p.slice(now, crew_.senders), crew_.senders > kFew, cold_, chance_);
     }
 
-    void forgotten(Instant, DestinationIx d) override {
-        destinations_.rest(d.value), destinations_.cover(d.value);
-        if (uint32_t at = destinations_.seed(d.value).place; at != kNone) freePlace(at);
-        destinations_.reseed(d.value, [](DestinationSeed& seed) { seed = {}; });
-    }
+    void forgotten(Instant, DestinationIx d) override { drop(d); }
 
     // Jittered, as all may break at once; sooner than we are deemed told, so that drains are kept.
     void listFailed(Instant now) override {
@@ -304,15 +277,15 @@
 
     // Times from now. What the process that takes over has seen itself since stays where it is the worse.
     std::vector<double> learned(Instant now, EndpointIx ix) override {
-        uint32_t at = ix.value < endpoints_.size() ? endpoints_.seed(ix.value).place : kNone;
+        uint32_t at = placeOf(ix);
         if (at == kNone || (!places_.find(at) && !places_.seed(at).kept)) return {};
         const Place& p = places_[at];
         const Endpoint& e = endpoints_[ix.value];
         auto from = [&](Instant t) { return std::max((t - now).inSeconds(), -1e6); };
         const ReturnGuard& g = p.guard;
         double paced = p.bucket.bound ? p.bucket.rate : 0, phase = static_cast<double>(g.phase);
-        return {from(p.toldUntil), phase, from(g.downAt), from(g.trialAt), from(g.returnedAt), g.before,
-                paced, p.bucket.trust, p.reportedRate, e.trickle};
+        return {from(p.toldUntil), phase, from(g.downAt), from(g.trialAt), from(g.returnedAt),
+                g.before,          paced, p.bucket.trust, p.reportedRate,  e.trickle};
     }
     bool recall(Instant now, EndpointIx ix, const std::vector<double>& l) override {
         if (l.size() != 10 || !endpoints_.seed(ix.value).destination.known()) return false;
@@ -360,7 +333,7 @@
             const Endpoint* e = endpoints_.find(ix.value);
             if (!e) return CloseIdle{ix};  // at rest: silent for long
             if (!e->out.starts.empty()) continue;
-            Instant end = e->usedAt + sort(e->is).idle.span;  // which may have moved on since
+            Instant end = e->usedAt + sort(*e).idle.span;  // which may have moved on since
             if (now >= end) return CloseIdle{ix};
             dues_.insert({end, Falls::idle, ix.value});
         }
@@ -370,7 +343,7 @@
     }
 
     std::string belief(Instant now, EndpointIx ix) const override {
-        const Place* p = places_.find(ix.value < endpoints_.size() ? endpoints_.seed(ix.value).place : kNone);
+        const Place* p = places_.find(placeOf(ix));
         if (!p) return "nothing";
         const char* phase[] = {"clear", "down", "returning"};
         std::string words = phase[static_cast<int>(p->guard.phase)];
@@ -380,14 +353,8 @@
     }
 
   private:
-    Destination& destination(DestinationIx ix) {
-        if (Destination* d = destinations_.find(ix.value)) return *d;
-        Destination& d = destinations_[ix.value];
-        d.endpoints = endpointsFrom(endpoints_, d.is.first);
-        return d;
-    }
-    Sort& sort(const EndpointSeed& e) { return sorts_[std::min<size_t>(e.kind.value, sorts_.size() - 1)]; }
-    Sort& sort(const Endpoint& e) { return sort(e.is); }
+    Sort& sort(KindIx kind) { return sorts_[std::min<size_t>(kind.value, sorts_.size() - 1)]; }
+    Sort& sort(const Endpoint& e) { return sort(e.is.kind); }
     // Something about it changed, so that a text there may go.
     void touch(uint32_t ix) {
         const Destination* d = destinations_.find(ix);
@@ -396,29 +363,6 @@
     Span lastCall() const { return room_.tick * 2 + Span::millis(1); }
     bool inOrder(const Text& t) const { return t.arrival.key && t.product && t.product->inOrder; }
 
-    void place(const ListEntry& entry) {
-        uint32_t d = entry.destination.value;
-        EndpointSeed e{entry.destination, entry.zone, entry.kind, 0, kNone};
-        bool own = sort(e).kind.separateRoutes;
-        destinations_.cover(d);
-        e.place = destinations_.seed(d).place;
-        if (own || e.place == kNone) e.place = freePlaces_.take(), places_.cover(e.place);
-        if (!own) destinations_.reseed(d, [&](DestinationSeed& at) { at.place = e.place; });
-        link(endpoints_, destinations_, entry.endpoint.value, e);
-    }
-    void freePlace(uint32_t ix) {
-        places_.rest(ix), freePlaces_.give(ix);
-        places_.reseed(ix, [](PlaceSeed& p) { p = {}; });
-    }
-    void freeIfGone(uint32_t ix) {
-        if (ix >= endpoints_.size()) return;
-        const Endpoint* whole = endpoints_.find(ix);
-        EndpointSeed e = endpoints_.seed(ix);
-        if (!e.gone || (whole && !whole->out.starts.empty()) || !e.destination.known()) return;
-        unlink(endpoints_, destinations_, ix);
-        if (sort(e).kind.separateRoutes) freePlace(e.place);
-    }
-
     // Silent for a minute, a destination goes back to its seed. Harm: answer times are learned anew, and what
     // one without a known rate was thought to take.
     void restIfStill(Instant now, uint32_t ix) {
@@ -551,9 +495,8 @@
     }
 
     void restKey(Instant now, const Text& t) {
-        KeyOrder::Line& line = order_.keys[*t.arrival.key];
-        line.restsUntil = now + links_.orderRest, line.restsFor = t.arrival.text;
-        dues_.insert({line.restsUntil, Falls::look, kNone});
+        Instant until = now + links_.orderRest;
+        order_.rest(*t.arrival.key, t.arrival.text, until), dues_.insert({until, Falls::look, kNone});
     }
 
     void forget(TextIx ix) {
@@ -614,7 +557,7 @@
         double room = e.reach - out;
         if (room < 1 && out > 0) return 0;
         if (e.is.zone != crew_.zone) room *= 0.5;
-        if (sort(e).kind.separateRoutes && p.fleetRate() > 0) return p.fleetRate();  // their limits differ
+        if (e.is.apart && p.fleetRate() > 0) return p.fleetRate();  // their limits differ
         room = std::max(room, 1.0);
         // A connection that lies idle is room at hand: it saves a handshake, and a place in a full table.
         bool idle = e.out.starts.empty() && now - e.usedAt < std::min(sort(e).idle.span, links_.idle);
@@ -629,7 +572,7 @@
         double cap = p.guard.budget(now, slice, crew_.senders > kFew, cold_);
         if (p.bucket.ready(now, cap, chance_) || p.guard.phase == Phase::down) return true;
         blockedUntil(p.bucket.askAt);
-        if (sort(e).kind.separateRoutes) return false;
+        if (e.is.apart) return false;
         Destination& d = destination(e.is.destination);
         size_t held = d.waiting.size(),
                fresh = d.checkedFor == p.bucket.askAt ? std::min(d.unchecked, held) : held;
@@ -654,9 +597,7 @@
         double best = 1e9;
         for (uint32_t e : d.endpoints) {
             const Place& p = places_[endpoints_[e].is.place];
-            double ages = 0;
-            for (auto at = p.out.live(); at != p.out.starts.end(); ++at) ages += (now - *at).inSeconds();
-            best = std::min(best, p.times.mean(ages, usualTime_));
+            best = std::min(best, p.times.mean(p.out.ages(now), usualTime_));
         }
         return best;
     }
@@ -846,8 +787,7 @@
                     fellows_.push_back(f.times.high);
             }
             if (fellows_.empty()) continue;
-            double own = e.times.count < 4 ? 0 : e.times.high;
-            if (e.out.count() > 0) own = std::max(own, (now - *e.out.live()).inSeconds());
+            double own = std::max(e.times.count < 4 ? 0 : e.times.high, e.out.longest(now));
             auto median = fellows_.begin() + static_cast<long>(fellows_.size() / 2);
             std::nth_element(fellows_.begin(), median, fellows_.end());
             if (own > 4 * *median) {
@@ -870,12 +810,8 @@
     Decay decay_;
     Links links_;
     KeyOrder order_;
-    Lazy<Destination, DestinationSeed> destinations_;
-    Lazy<Place, PlaceSeed> places_;
-    Lazy<Endpoint, EndpointSeed> endpoints_;
     std::set<uint32_t> waiting_;  // destinations with texts to go
     Parking parking_;             // of those
-    FreeIndices freePlaces_;
     std::vector<uint32_t> looked_;
     std::vector<double> fellows_;
     Destination* best_ = nullptr;  // of those compared
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -1,4 +1,5 @@
 // Many destinations: the indexed structures against plain models, and what the module keeps to at size.
+#include "src/index/calls_out.hpp"
 #include "src/index/parking.hpp"
 #include "src/index/roster.hpp"
 #include "src/index/served.hpp"
@@ -15,6 +16,23 @@
     DestinationSeed is;
     std::vector<uint32_t> endpoints;
 };
+struct PlaceRecord {
+    struct Seed {
+        double listedRate = 0;
+    } is;
+};
+struct EndpointRecord {
+    EndpointSeed is;
+    InFlight out;
+};
+// Routes of kind 1 have a place each.
+struct Records : Roster<PlaceRecord, EndpointRecord> {
+    using Roster::destination, Roster::drop, Roster::dropIfGone, Roster::endpoints_, Roster::placeOf,
+        Roster::places_;
+    void tell(ListScope scope, const std::vector<ListEntry>& entries) {
+        list(scope, entries, true, [](KindIx kind) { return kind == KindIx(1u); });
+    }
+};
 
 Set manySet(int calls, int held) {
     Set set;
@@ -124,6 +142,38 @@
     CHECK(met.size() == 1000);
 }
 
+TEST_CASE("endpoints of a destination share a place unless they are routes apart, and nothing gone is kept") {
+    auto entry = [](size_t e, size_t d, size_t kind, Listed state = Listed::active) {
+        return ListEntry{EndpointIx(e), DestinationIx(d), ZoneIx(0u), KindIx(kind), state, 5.0};
+    };
+    Records all;
+    all.tell(ListScope::whole, {entry(0, 0, 0), entry(1, 0, 0), entry(2, 1, 1), entry(3, 1, 1)});
+    CHECK(all.placeOf(EndpointIx(0u)) == all.placeOf(EndpointIx(1u)));
+    CHECK(all.placeOf(EndpointIx(2u)) != all.placeOf(EndpointIx(3u)));
+    CHECK(all.places_.seed(all.placeOf(EndpointIx(3u))).listedRate == 5);
+    CHECK(all.destination(DestinationIx(1u)).endpoints == std::vector<uint32_t>{2, 3});
+
+    // Gone with a call out it is kept until that is back; a whole list that does not name it says the same.
+    all.endpoints_[2].out.starts.insert(Instant());
+    all.tell(ListScope::whole, {entry(0, 0, 0), entry(3, 1, 1)});
+    CHECK(all.destination(DestinationIx(0u)).endpoints == std::vector<uint32_t>{0});
+    CHECK(all.destination(DestinationIx(1u)).endpoints == std::vector<uint32_t>{2, 3});
+    uint32_t freed = all.placeOf(EndpointIx(2u));
+    all.endpoints_[2].out.starts.clear(), all.dropIfGone(2);
+    CHECK(all.destination(DestinationIx(1u)).endpoints == std::vector<uint32_t>{3});
+    CHECK(all.places_.seed(freed).listedRate == 0);
+    all.tell(ListScope::changes, {entry(4, 2, 0)});
+    CHECK(all.placeOf(EndpointIx(4u)) == freed);
+
+    // A list that is old takes nothing off for good.
+    all.tell(ListScope::old, {entry(3, 1, 1)});
+    CHECK(!all.endpoints_.seed(0).usable());
+    CHECK(all.destination(DestinationIx(0u)).endpoints == std::vector<uint32_t>{0});
+    all.tell(ListScope::changes, {entry(4, 2, 0, Listed::gone)}), all.drop(DestinationIx(2u));
+    all.tell(ListScope::changes, {entry(5, 3, 0)});
+    CHECK(all.placeOf(EndpointIx(5u)) == freed);
+}
+
 TEST_CASE("the roster's chains are the lists that they stand for") {
     std::mt19937 chance(5);
     Lazy<WholeEndpoint, EndpointSeed> endpoints;
