Answer times, and how long a connection lies idle, have a file: policy/times.hpp

Two small estimates of times stood among the records that use them.

AnswerTimes and IdleBound in src/policy/times.hpp, without a dependency on the rest; IdleBound is told whether the senders are many in place of asking a constant of the module.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -15,28 +15,13 @@
 #include "src/index/texts.hpp"
 #include "src/index/worth.hpp"
 #include "src/policy/outage.hpp"
+#include "src/policy/times.hpp"
 
 namespace petrelpond {
 namespace {
 
-using index::Call, index::Due, index::Falls, index::Text, policy::Bucket, policy::Chance, policy::Phase,
-    policy::ReturnGuard;
-
-// A high quantile, and a mean that counts calls still out by their age, so that silence shows early.
-struct AnswerTimes {
-    double high = 0, slowest = 0, sum = 0, weight = 0;  // slowest: of those delivered lately
-    int count = 0;
-
-    void add(Span took, bool delivered) {
-        double s = std::max(took.inSeconds(), 0.001);
-        if (delivered) slowest = std::max(0.98 * slowest, s);
-        high = count == 0 ? 2 * s : high * (s > high ? 1.36 : 0.96);
-        sum = 0.85 * sum + s, weight = 0.85 * weight + 1, ++count;
-    }
-    double mean(double ageOfThoseOut, double unknown) const {
-        return (sum + ageOfThoseOut + 0.5 * unknown) / (weight + 0.5);
-    }
-};
+using index::Call, index::Due, index::Falls, index::Text;
+using namespace policy;
 
 constexpr int kFew = 8;  // senders whose slices are wide enough to be judged one by one (ours)
 
@@ -88,31 +73,6 @@
     Instant usedAt = Instant::longAgo(), idleAt = Instant::longAgo();  // idleAt: usedAt as the last call left
 };
 
-// How long connections to a kind of endpoint lie idle: less where they die unseen and where those of hundreds
-// fill its table (the many start with two's). Creeps up. Harm: more handshakes.
-struct IdleBound {
-    IdleBound(Span idle, int senders)
-        : span(senders > kFew ? idle * (2.0 / senders) : Span::seconds(300)), start(span) {}
-    bool brokeAfter(Span idle) {
-        if (idle < Span::millis(500) || idle > Span::seconds(300)) return false;
-        if (++breaks >= 3) span = std::min(span, idle * 0.9), growth = 1.005;
-        return true;
-    }
-    // A crash looks the same, so one that does not deliver counts only against a span still growing.
-    void noneHad(Span idle, bool delivers) {
-        if (!delivers && (growth < 1.01 || span >= idle)) return;
-        span = std::min({span * 0.5, idle * 0.5, growth > 1.01 ? start : idle});
-        growth = 1.005;
-    }
-    void ease() {  // four times a second
-        breaks = std::max(0.0, breaks - 0.02);
-        if (breaks < 3) span = std::min(span * growth + Span::micros(50), Span::seconds(300));
-    }
-
-    Span span, start;
-    double breaks = 0, growth = 1.03;  // fast until the first connection that could not be had
-};
-
 // What is learned by kind of endpoint, as one endpoint is met too seldom in a big crew.
 struct Sort {
     Kind kind;
@@ -128,7 +88,8 @@
           listRule_(list), decay_(decay), links_(links) {
         crew_.senders = std::max(1, crew_.senders);
         kinds.emplace_back();  // for those of no known kind
-        for (const Kind& k : kinds) sorts_.push_back({k, IdleBound(links.idle, crew_.senders), 0.2});
+        for (const Kind& k : kinds)
+            sorts_.push_back({k, IdleBound(links.idle, crew_.senders, crew_.senders > kFew), 0.2});
         if (list.onRequest) askListAt_ = Instant::longAgo();
         if (room.calls > 0) mostCredit_ = credit_ = room.calls;
     }
