--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,746 +1,583 @@
-// petrelpond's decisions, all of them, behind include/petrelpond/sender.hpp. "Ours": not the source's (docs).
-#include <cmath>
-#include <deque>
-#include <map>
-#include <set>
-#include <tuple>
-#include <unordered_map>
-#include <utility>
-
-#include "petrelpond/sender.hpp"
-#include "src/index/calls_out.hpp"
-#include "src/index/parking.hpp"
-#include "src/index/roster.hpp"
-#include "src/index/served.hpp"
-#include "src/index/texts.hpp"
-#include "src/index/worth.hpp"
-#include "src/policy/outage.hpp"
-#include "src/policy/times.hpp"
+// petrelpond's decisions, all of them, behind include/petrelpond/sender.hpp. Concerns have
+// files in src/policy. "Ours": not the source's (docs).
+#include "src/policy/logic.hpp"
 
 namespace petrelpond {
-namespace {
-
-using index::Call, index::Due, index::Falls, index::Text;
-using namespace policy;
-
-constexpr int kFew = 8;  // senders whose slices are wide enough to be judged one by one (ours)
-
-struct Kept {
-    ReturnGuard guard;
-    Instant toldUntil;
-    double trust = 1, reportedRate = 0;
-};
-struct PlaceSeed {
-    double listedRate = 0;
-    std::shared_ptr<const Kept> kept;
-};
-
-// What a limit, a pace and an outage belong to: a destination, or one of its separate routes.
-struct Place {
-    void woke() {
-        if (is.kept) guard = is.kept->guard, toldUntil = is.kept->toldUntil, bucket.trust = is.kept->trust;
-        if (is.kept) reportedRate = is.kept->reportedRate;
-    }
-    PlaceSeed is;
-    Bucket bucket;
-    InFlight out;
-    ReturnGuard guard;
-    AnswerTimes times;
-    Instant toldUntil = Instant::longAgo();
-    double reportedRate = 0;
-    Served served;
-
-    double fleetRate() const { return is.listedRate > 0 ? is.listedRate : reportedRate; }
-    // This sender's part; unknown, what it is served. The design's one call a second floods from hundreds.
-    double slice(Instant now, int senders) {
-        if (fleetRate() > 0) return fleetRate() / senders;
-        double lately = served.rate(now, Span::seconds(2)), longer = served.rate(now, Span::seconds(20));
-        if (senders <= kFew) return std::max({1.0, lately, longer});
-        return std::max({lately / 2, longer, 0.01});
-    }
-};
-
-struct Endpoint {
-    EndpointSeed is;
-    int misses = 0;      // since it last delivered
-    double reach = 4;    // calls that it is thought to take at once (ours)
-    double trickle = 0;  // set aside: calls a second it gets; 0: in full use
-    Instant trickleAt = Instant::longAgo(), deliveredAt = Instant::longAgo();
-    AnswerTimes times;
-    InFlight out;
-    Instant noneHadAt = Instant::longAgo();  // no connection could be had, and nothing delivered since
-    Instant doorAt = Instant::longAgo();     // turned away at its door: not before
-    Instant usedAt = Instant::longAgo(), idleAt = Instant::longAgo();  // idleAt: usedAt as the last call left
-};
-
-// What is learned by kind of endpoint, as one endpoint is met too seldom in a big crew.
-struct Sort {
-    Kind kind;
-    IdleBound idle;
-    double pace;  // calls a second of a bound sender whose slice is thinner (ours)
-};
-
-class Logic final : public Sender, Roster<Place, Endpoint> {
-  public:
-    Logic(uint32_t seed, std::vector<Product> products, std::vector<Kind> kinds, const Crew& crew,
-          const Room& room, const ColdRule& cold, const ListRule& list, Decay decay, const Links& links)
-        : chance_{std::mt19937(seed)}, products_(std::move(products)), crew_(crew), room_(room), cold_(cold),
-          listRule_(list), decay_(decay), links_(links) {
-        crew_.senders = std::max(1, crew_.senders);
-        kinds.emplace_back();  // for those of no known kind
-        for (const Kind& k : kinds)
-            sorts_.push_back({k, IdleBound(links.idle, crew_.senders, crew_.senders > kFew), 0.2});
-        if (list.onRequest) askListAt_ = Instant::longAgo();
-        if (room.calls > 0) mostCredit_ = credit_ = room.calls;
-    }
+namespace policy {
+
+void Logic::arrived(Instant now, const Arrival& a) {
+    Text& text = texts_[a.text.value];
+    text.arrival = a;
+    text.product = a.product.value < products_.size() ? &products_[a.product.value] : nullptr;
+    if (!text.product) return toAnswer_.push_back(a.text);
+    text.cameBack();
+    if (inOrder(text)) order_.taken(*a.key, a.text);
+    if (inOrder(text) && text.mayHaveRun) restKey(now, text);
+    dues_.insert({a.validUntil - lastCall(), Falls::text, a.text.value});
+    queue(now, text), boundBacklog(now, text);
+}
 
-    void arrived(Instant now, const Arrival& a) override {
-        Text& text = texts_[a.text.value];
-        text.arrival = a;
-        text.product = a.product.value < products_.size() ? &products_[a.product.value] : nullptr;
-        if (!text.product) return toAnswer_.push_back(a.text);
-        text.cameBack();
-        if (inOrder(text)) order_.taken(*a.key, a.text);
-        if (inOrder(text) && text.mayHaveRun) restKey(now, text);
-        dues_.insert({a.validUntil - lastCall(), Falls::text, a.text.value});
-        // Past a quarter of a store that is half full a backlog's oldest or newest goes, as it earns less.
-        queue(now, text);
-        auto& backlog = destination(a.destination).waiting;
-        size_t most = room_.held > 0 ? room_.held : SIZE_MAX / 4;
-        if (2 * texts_.size() <= most || 4 * backlog.size() <= most) return;
-        Text& oldest = texts_.at(backlog.front().value);
-        Instant then = now + room_.longestPause;
-        bool old = mayNack(oldest) && worth(oldest, then) < worth(text, then);
-        toAnswer_.push_back(old ? oldest.arrival.text : a.text), unqueue(old ? oldest : text);
-    }
+void Logic::ended(Instant now, const SubmitEnd& e) {
+    auto found = texts_.find(e.text.value);
+    if (found == texts_.end() || !found->second.out) return;
+    Text& text = found->second;
+    text.out = false, outTexts_.erase(e.text);
+    noteCall(now, text, e), noteRun(now, text, e.end);
+    touch(text.arrival.destination.value);
+    e.over || text.over ? forget(e.text) : queue(now, text);
+    dropIfGone(e.endpoint.value);
+}
 
-    void ended(Instant now, const SubmitEnd& e) override {
-        auto found = texts_.find(e.text.value);
-        if (found == texts_.end() || !found->second.out) return;
-        Text& text = found->second;
-        text.out = false, outTexts_.erase(e.text);
-        noteCall(now, text, e);
-        touch(text.arrival.destination.value);
-        bool mayRun =
-            e.end == End::error || e.end == End::timeout || e.end == End::reset || e.end == End::cancelled;
-        if (mayRun && !text.mayHaveRun)
-            text.firstMayHaveRun = text.started, text.ranIn = endpoints_[text.at.value].is.zone;
-        text.mayHaveRun = text.mayHaveRun || mayRun;
-        if (inOrder(text) && mayRun && e.end != End::error) restKey(now, text);
-        e.over || text.over ? forget(e.text) : queue(now, text);
-        dropIfGone(e.endpoint.value);
-    }
+void Logic::withdrawn(Instant, TextIx text) {
+    auto found = texts_.find(text.value);
+    if (found == texts_.end()) return;
+    found->second.over = true, unqueue(found->second);
+    if (!found->second.out) forget(text);
+}
 
-    void withdrawn(Instant, TextIx text) override {
-        auto found = texts_.find(text.value);
-        if (found == texts_.end()) return;
-        found->second.over = true;
-        unqueue(found->second);
-        if (!found->second.out) forget(text);
-    }
+std::optional<Decision> Logic::next(Instant now) {
+    if (armed_ <= now) armed_ = Instant::never();
+    while (!dues_.empty() && std::get<Instant>(*dues_.begin()) <= now) {
+        auto [at, what, which] = dues_.extract(dues_.begin()).value();
+        if (what == Falls::idle) toClose_.push_back(EndpointIx(which));
+        if (what == Falls::look) which == kNone ? parking_.releaseAll(Row::key) : touch(which);
+        if (what != Falls::text) continue;
+        auto found = texts_.find(which);
+        if (found == texts_.end() || found->second.over || found->second.out) continue;
+        unqueue(found->second), toAnswer_.push_back(TextIx(which));
+    }
+    while (!toAnswer_.empty()) {
+        auto found = texts_.find(toAnswer_.front().value);
+        toAnswer_.pop_front();
+        if (found != texts_.end() && !found->second.out) return answer(now, found->second);
+    }
+    if (now >= tickAt_) tick(now);
+    if (auto nack = makeRoom(now)) return nack;
+    if (out_.empty() && mayStart_) startCall(now);
+    if (!toAnswer_.empty()) return next(now);
+    if (!out_.empty()) {
+        Decision d = std::move(out_.front());
+        return out_.pop_front(), d;
+    }
+    while (!toClose_.empty()) {
+        EndpointIx ix = toClose_.back();
+        toClose_.pop_back();
+        const Endpoint* e = endpoints_.find(ix.value);
+        if (!e) return CloseIdle{ix};  // at rest: silent for long
+        if (!e->out.starts.empty()) continue;
+        Instant end = e->usedAt + sort(*e).idle.span;  // which may have moved on since
+        if (now >= end) return CloseIdle{ix};
+        dues_.insert({end, Falls::idle, ix.value});
+    }
+    Instant wake = dues_.empty() ? tickAt_ : std::min(tickAt_, std::get<Instant>(*dues_.begin()));
+    if (wake >= armed_) return std::nullopt;
+    return WakeAt{armed_ = wake};
+}
 
-    void listed(Instant, ListScope scope, const std::vector<ListEntry>& entries) override {
-        if (scope != ListScope::old) listFailures_ = 0;
-        auto isApart = [&](KindIx kind) { return sort(kind).kind.separateRoutes; };
-        list(scope, entries, listRule_.ratesListed, isApart);
-        for (const ListEntry& entry : entries) touch(entry.destination.value);
-    }
+// Only destinations about which something changed are looked at; what can't go now is parked. Of many
+// that could go so many are compared at a time, in turn (ours): the rest lose a round.
+void Logic::startCall(Instant now) {
+    bool full = room_.calls > 0 && callsOut_ >= room_.calls;
+    if (full) parking_.release(Row::slot, kCompared);
+    bestAt_ = EndpointIx(), bestScore_ = -1;
+    parking_.row(Row::ready).turn(kCompared, looked_);
+    for (uint32_t ix : looked_) consider(now, ix, full);
+    if (bestAt_.known()) full ? freeSlot(now) : submitCall(now, bestAt_, bestText_);
+}
 
-    // Given back it is cold: a place with no other endpoint comes back by a trial and its budget, one among
-    // fellows by the trickle of one set aside. Harm: one that kept warm waits.
-    void banned(Instant now, EndpointIx ix, bool out) override {
-        endpoints_.reseed(ix.value, [&](EndpointSeed& e) { e.banned = out; });
-        DestinationIx d = endpoints_.seed(ix.value).destination;
-        touch(d.value);
-        if (out || !d.known()) return;
-        Endpoint& e = endpoints_[ix.value];
-        Place& p = places_[e.is.place];
-        e.times = AnswerTimes(), e.misses = 0;
-        for (uint32_t i : destination(d).endpoints)
-            if (i != ix.value && endpoints_[i].is.place == e.is.place && endpoints_[i].is.usable())
-                return setAside(now, e);
-        p.guard.restarted(now, p.slice(now, crew_.senders), crew_.senders > kFew, cold_, chance_);
-    }
+void Logic::consider(Instant now, uint32_t ix, bool full) {
+    Destination& d = destination(DestinationIx(ix));
+    blocked_ = Instant::never(), judge(now, d);
+    double takes = callTime(now, d);
+    if (!full && !slotFor(d, takes)) return park(ix, Row::slot);
+    // Cut off as the process ends, a call may have run, which loses a once-only text for good.
+    if (now + Span::seconds(2 * takes) > leavesAt_) return park(ix);
+    EndpointIx at = draw(now, d);
+    at.known() ? offerText(now, d, at, takes) : park(ix);
+}
 
-    void forgotten(Instant, DestinationIx d) override { drop(d); }
+void Logic::submitCall(Instant now, EndpointIx at, TextIx firstText) {
+    Endpoint& e = endpoints_[at.value];
+    Place& p = places_[e.is.place];
+    int64_t call = nextCall_++;
+    std::vector<TextIx> going = {firstText};
+    for (TextIx ix : destination(e.is.destination).waiting) {
+        if (static_cast<int>(going.size()) >= std::max(1, sort(e).kind.batch)) break;
+        const Text& t = texts_.at(ix.value);
+        if (ix == going.front() || inOrder(t) || !mayGo(t, now, e)) continue;
+        if (p.guard.phase == Phase::down && 2 * t.submits >= room_.submits) continue;
+        going.push_back(ix);
+    }
+    double load = 1 + 0.2 * (static_cast<double>(going.size()) - 1);
+    if (e.out.starts.empty()) e.idleAt = e.usedAt;
+    for (TextIx ix : going) {
+        Text& t = texts_.at(ix.value);
+        unqueue(t), outTexts_.insert(ix);
+        if (t.submits > 0 || p.guard.phase == Phase::down) credit_ -= 1;
+        t.at = at, t.started = now, t.call = call, t.out = true, t.givenUp = false, ++t.submits;
+        out_.push_back(Submit{ix, t.at, timeout(now, t, p, load)});
+    }
+    calls_[call] = {static_cast<int>(going.size()), 0, load};
+    ++callsOut_, p.out.starts.insert(now), e.out.starts.insert(now);
+    p.bucket.tokens -= p.guard.phase == Phase::returning ? load : 1;
+    if (e.trickle > 0) e.trickleAt = now + chance_.about(Span::seconds(1 / e.trickle));
+}
 
-    // Jittered, as all may break at once; sooner than we are deemed told, so that drains are kept.
-    void listFailed(Instant now) override {
-        if (!listRule_.onRequest) return;
-        double pause = std::min(0.4 * std::pow(2, listFailures_++), 4.0);
-        if (listRule_.mustAskIn > Span()) pause = std::min(pause, listRule_.mustAskIn.inSeconds() / 3);
-        askListAt_ = now + chance_.about(Span::seconds(pause));
-    }
+void Logic::tick(Instant now) {  // all periodic work
+    tickAt_ = now + Span::millis(250), order_.forgetIdle(now);
+    if (now >= askListAt_) askListAt_ = Instant::never(), out_.push_back(WatchList{});
+    // Where nothing is delivered at all, so much is tried all the same: all slots once in four seconds.
+    credit_ = std::min(credit_ + mostCredit_ / 16, mostCredit_);
+    parking_.release(Row::pay, static_cast<size_t>(mostCredit_ / 16) + 1);
+    for (size_t n = destinations_.size() / 200 + 1; n > 0 && destinations_.size() > 0; --n)
+        restIfStill(now, static_cast<uint32_t>(sweepAt_++ % destinations_.size()));
+    for (Sort& sort : sorts_) sort.idle.ease();
+}
 
-    void leaving(Instant by) override { leavesAt_ = by; }
-    void mayStart(Instant, bool may) override { mayStart_ = may; }
-
-    // Times from now. What the process that takes over has seen itself since stays where it is the worse.
-    std::vector<double> learned(Instant now, EndpointIx ix) override {
-        uint32_t at = placeOf(ix);
-        if (at == kNone || (!places_.find(at) && !places_.seed(at).kept)) return {};
-        const Place& p = places_[at];
-        const Endpoint& e = endpoints_[ix.value];
-        auto from = [&](Instant t) { return std::max((t - now).inSeconds(), -1e6); };
-        const ReturnGuard& g = p.guard;
-        double paced = p.bucket.bound ? p.bucket.rate : 0, phase = static_cast<double>(g.phase);
-        return {from(p.toldUntil), phase, from(g.downAt), from(g.trialAt), from(g.returnedAt),
-                g.before,          paced, p.bucket.trust, p.reportedRate,  e.trickle};
-    }
-    bool recall(Instant now, EndpointIx ix, const std::vector<double>& l) override {
-        if (l.size() != 10 || !endpoints_.seed(ix.value).destination.known()) return false;
-        auto at = [&](size_t i) { return now + Span::seconds(l[i]); };
-        Endpoint& e = endpoints_[ix.value];
-        Place& p = places_[e.is.place];
-        p.toldUntil = std::max(p.toldUntil, at(0)), p.reportedRate = std::max(p.reportedRate, l[8]);
-        if (l[1] > 0 && p.guard.phase == Phase::clear)
-            p.guard.phase = l[1] < 2 ? Phase::down : Phase::returning, p.guard.downAt = at(2),
-            p.guard.trialAt = at(3), p.guard.returnedAt = at(4), p.guard.before = l[5];
-        if (l[6] > 0) p.bucket.bind(now, l[6], chance_), p.bucket.trust = std::min(p.bucket.trust, l[7]);
-        if (l[9] > 0 && e.trickle <= 0) e.trickle = l[9], e.trickleAt = now + Span::seconds(1 / l[9]);
-        return touch(e.is.destination.value), now < p.toldUntil;
+double Logic::callTime(Instant now, const Destination& d) {
+    double best = 1e9;
+    for (uint32_t e : d.endpoints) {
+        const Place& p = places_[endpoints_[e].is.place];
+        best = std::min(best, p.times.mean(p.out.ages(now), usualTime_));
     }
+    return best;
+}
 
-    std::optional<Decision> next(Instant now) override {
-        if (armed_ <= now) armed_ = Instant::never();
-        while (!dues_.empty() && std::get<Instant>(*dues_.begin()) <= now) {
-            auto [at, what, which] = *dues_.begin();
-            dues_.erase(dues_.begin());
-            if (what == Falls::idle) toClose_.push_back(EndpointIx(which));
-            if (what == Falls::look) which == kNone ? parking_.releaseAll(Row::key) : touch(which);
-            if (what != Falls::text) continue;
-            auto found = texts_.find(which);
-            if (found == texts_.end() || found->second.over || found->second.out) continue;
-            unqueue(found->second);
-            toAnswer_.push_back(TextIx(which));
-        }
-        while (!toAnswer_.empty()) {
-            auto found = texts_.find(toAnswer_.front().value);
-            toAnswer_.pop_front();
-            if (found != texts_.end() && !found->second.out) return answer(now, found->second);
-        }
-        if (now >= tickAt_) tick(now);
-        if (auto nack = makeRoom(now)) return nack;
-        if (out_.empty() && mayStart_) startCall(now);
-        if (!toAnswer_.empty()) return next(now);
-        if (!out_.empty()) {
-            Decision d = std::move(out_.front());
-            return out_.pop_front(), d;
-        }
-        while (!toClose_.empty()) {
-            EndpointIx ix = toClose_.back();
-            toClose_.pop_back();
-            const Endpoint* e = endpoints_.find(ix.value);
-            if (!e) return CloseIdle{ix};  // at rest: silent for long
-            if (!e->out.starts.empty()) continue;
-            Instant end = e->usedAt + sort(*e).idle.span;  // which may have moved on since
-            if (now >= end) return CloseIdle{ix};
-            dues_.insert({end, Falls::idle, ix.value});
-        }
-        Instant wake = dues_.empty() ? tickAt_ : std::min(tickAt_, std::get<Instant>(*dues_.begin()));
-        if (wake >= armed_) return std::nullopt;
-        return WakeAt{armed_ = wake};
-    }
+// Drawn by room among those whose place may have a call now.
+EndpointIx Logic::draw(Instant now, const Destination& d) {
+    EndpointIx drawn;
+    double sum = 0;
+    for (uint32_t e : d.endpoints) {
+        double room = roomAt(now, endpoints_[e]);
+        if (room <= 0 || !paced(now, endpoints_[e])) continue;
+        sum += room;
+        if (chance_.between(0, sum) < room) drawn = EndpointIx(e);
+    }
+    return drawn;
+}
 
-    std::string belief(Instant now, EndpointIx ix) const override {
-        const Place* p = places_.find(placeOf(ix));
-        if (!p) return "nothing";
-        const char* phase[] = {"clear", "down", "returning"};
-        std::string words = phase[static_cast<int>(p->guard.phase)];
-        double rate = p->bucket.bound ? p->bucket.rate : 0, slice = p->fleetRate() / crew_.senders;
-        for (double x : {rate, p->bucket.trust, slice}) words += '/' + std::to_string(x);
-        return words + (now < p->toldUntil ? "/told" : "/free");
-    }
+// Room at an endpoint for one more call, zero if it may not have one.
+double Logic::roomAt(Instant now, const Endpoint& e) {
+    if (!e.is.usable()) return 0;
+    Place& p = places_[e.is.place];
+    if (now < p.toldUntil) return blockedUntil(p.toldUntil);
+    if (now < e.doorAt) return blockedUntil(e.doorAt);
+    double out = e.out.count();
+    bool down = p.guard.phase == Phase::down;
+    if (down || e.trickle > 0) {
+        Instant at = down ? p.guard.trialAt : e.trickleAt;
+        if (now < at) return blockedUntil(at);
+        return (down ? p.out : e.out).count() > 0 ? 0 : 1;
+    }
+    // Where calls carry many texts, what comes meanwhile travels with the next: limits count calls.
+    size_t waiting = destination(e.is.destination).waiting.size();
+    if (out > 0 && waiting < static_cast<size_t>(sort(e).kind.batch)) return 0;
+    double room = e.reach - out;
+    if (room < 1 && out > 0) return 0;
+    if (e.is.zone != crew_.zone) room *= 0.5;
+    if (e.is.apart && p.fleetRate() > 0) return p.fleetRate();  // their limits differ
+    room = std::max(room, 1.0);
+    // A connection that lies idle is room at hand: it saves a handshake, and a place in a full table.
+    bool idle = e.out.starts.empty() && now - e.usedAt < std::min(sort(e).idle.span, links_.idle);
+    double tight = room_.calls > 0 ? static_cast<double>(callsOut_) / room_.calls : 0;
+    room *= std::pow(usualTime_ / std::max(e.times.mean(0, usualTime_), 0.001), 6 * tight);
+    return many() && idle ? room * 3 : room;
+}
 
-  private:
-    Sort& sort(KindIx kind) { return sorts_[std::min<size_t>(kind.value, sorts_.size() - 1)]; }
-    Sort& sort(const Endpoint& e) { return sort(e.is.kind); }
-    // Something about it changed, so that a text there may go.
-    void touch(uint32_t ix) {
-        const Destination* d = destinations_.find(ix);
-        if (d && !d->waiting.empty()) parking_.ready(ix);
-    }
-    Span lastCall() const { return room_.tick * 2 + Span::millis(1); }
-    bool inOrder(const Text& t) const { return t.arrival.key && t.product && t.product->inOrder; }
-
-    // Silent for a minute, a destination goes back to its seed. Harm: answer times are learned anew, and what
-    // one without a known rate was thought to take.
-    void restIfStill(Instant now, uint32_t ix) {
-        Destination* d = destinations_.find(ix);
-        if (!d || !d->waiting.empty() || now - d->usedAt < Span::seconds(60)) return;
-        for (uint32_t e : d->endpoints)
-            if (const Endpoint* at = endpoints_.find(e); at && !at->out.starts.empty()) return;
-        for (uint32_t e : d->endpoints) {
-            uint32_t place = endpoints_.seed(e).place;
-            endpoints_.rest(e);
-            const Place* p = places_.find(place);
-            if (!p) continue;
-            bool well = p->guard.phase != Phase::down && p->toldUntil <= now && p->bucket.trust >= 1;
-            auto kept =
-                std::make_shared<const Kept>(p->guard, p->toldUntil, p->bucket.trust, p->reportedRate);
-            if (well && p->reportedRate <= 0) kept = nullptr;
-            places_.reseed(place, [&](PlaceSeed& seed) { seed.kept = kept; });
-            places_.rest(place);
-        }
-        destinations_.rest(ix);
-    }
+bool Logic::paced(Instant now, const Endpoint& e) {
+    Place& p = places_[e.is.place];
+    double slice = std::max(p.slice(now, crew_.senders), p.fleetRate() > 0 ? 0 : p.guard.before);
+    double cap = p.guard.budget(now, slice, many(), cold_);
+    if (p.bucket.ready(now, cap, chance_) || p.guard.phase == Phase::down) return true;
+    blockedUntil(p.bucket.askAt);
+    if (e.is.apart) return false;
+    Destination& d = destination(e.is.destination);
+    size_t all = d.waiting.size(), last = d.checkedFor == p.bucket.askAt ? std::min(d.unchecked, all) : all;
+    for (auto t = std::prev(d.waiting.end(), static_cast<long>(last)); t != d.waiting.end(); ++t)
+        if (texts_.at(t->value).arrival.validUntil < p.bucket.askAt) toAnswer_.push_back(*t);
+    d.checkedFor = p.bucket.askAt, d.unchecked = 0;
+    return false;
+}
 
-    void noteCall(Instant now, const Text& text, const SubmitEnd& e) {
-        Endpoint& at = endpoints_[text.at.value];
-        Place& p = places_[at.is.place];
-        if (e.reportedLimit) p.reportedRate = *e.reportedLimit;
-        destination(text.arrival.destination).usedAt = now;
-        Call& call = calls_[text.call];
-        bool first = call.ended++ == 0;  // a call's texts share its fate: it counts once
-        double load = call.load;
-        at.usedAt = now;
-        if (--call.texts == 0) {
-            calls_.erase(text.call), --callsOut_;
-            parking_.release(Row::slot, kCompared);
-            for (auto* out : {&p.out, &at.out}) out->starts.erase(out->starts.find(text.started));
-            Span idle = sort(at).idle.span;
-            if (idle < links_.idle) dues_.insert({now + idle, Falls::idle, text.at.value});
-        }
-        // A thin slice tells less of what to bind at than how bound calls at this kind of endpoint go.
-        double slice = p.slice(now, crew_.senders);
-        double base = std::max(slice, crew_.senders > kFew ? sort(at).pace : 0.0);
-        if (e.wait > Span()) {  // an answer to several may deliver some and tell to wait
-            p.toldUntil = std::max(p.toldUntil, now + e.wait);
-            p.bucket.toldToWait(now, now + e.wait, base, slice < 0.5, chance_);
-        }
-        bool silent = e.end == End::cancelled || e.end == End::timeout;
-        if (first && (now - text.started).inSeconds() > overdueAfter(p, load)) {
-            if (e.end == End::delivered) hope_ += 0.3 * (1 - hope_);
-            if (silent && p.guard.phase == Phase::clear) hope_ *= 0.8;
-        }
-        if (!first || e.end == End::cancelled || e.end == End::notSent) return;
-        // A quick break of an idle connection is the connection's trouble, not the place's.
-        if (e.end == End::reset && sort(at).idle.brokeAfter(text.started - at.idleAt)) return;
-        // Refused on a new connection, without report and wait: its table of connections is full, which says
-        // nothing of its limit. Also a proxy's own. Harm: a place too busy to report is found at the next.
-        if (e.end == End::full && e.fresh && e.wait <= Span() && !e.reportedLeft && p.reportedRate > 0) {
-            // Until what lies idle there, the others' as this sender's own, has closed.
-            double pause = std::max(usualTime_, sort(at).idle.span.inSeconds());
-            at.doorAt = now + chance_.about(Span::seconds(pause * std::pow(2, std::min(at.misses++, 3))));
-            at.noneHadAt = now, sort(at).idle.noneHad(links_.idle, true);
-            return;
-        }
-        for (AnswerTimes* times : {&p.times, &at.times})
-            if (e.end == End::delivered || (e.end == End::timeout && at.out.answered < text.started))
-                times->add((now - text.started) * (1 / load), e.end == End::delivered);
-        if (e.end == End::delivered) {
-            usualTime_ += 0.02 * ((now - text.started).inSeconds() / load - usualTime_);
-            at.trickle = at.trickle > 4 ? 0 : at.trickle * 2;
-            if (at.out.count() + 2 > at.reach) at.reach += 1 / at.reach;
-            p.out.late = at.out.late = Span::seconds(overdueAfter(p, 1));
-            for (auto* out : {&p.out, &at.out}) out->answered = std::max(out->answered, text.started);
-            p.served.add(now);
-            credit_ = std::min(credit_ + 1, mostCredit_);
-            parking_.release(Row::pay, 1);
-            if (p.bucket.pacedSince(text.started)) sort(at).pace = std::min(sort(at).pace * 1.25, 0.5);
-            bool known = p.fleetRate() > 0;
-            p.bucket.succeeded(now, known ? slice : 1e9, known ? p.fleetRate() : 1e9,
-                               known ? std::min(e.reportedLeft.value_or(0), 1.0) : 0);
-            p.guard.delivered(now);
-            if (now - at.noneHadAt < Span::seconds(2)) sort(at).idle.noneHad(links_.idle, true);
-            at.deliveredAt = now, at.misses = 0, at.noneHadAt = Instant::longAgo();
-            return;
-        }
-        if (e.end == End::full) {
-            if (p.bucket.pacedSince(text.started)) sort(at).pace = std::max(sort(at).pace * 0.5, 0.01);
-            p.bucket.refused(now, text.started, base, slice, p.fleetRate() > 0 || crew_.senders > kFew,
-                             chance_);
-            at.reach = std::max(2.0, 0.8 * at.reach);
-        } else if (e.end == End::unreachable) {
-            at.noneHadAt = now, sort(at).idle.noneHad(links_.idle, false);
-            at.reach = std::max(1.0, 0.7 * (at.out.count() + 1));
-        }
-        bool lives = false;  // a fellow, with no call overdue: then a miss is the endpoint's own trouble
-        for (uint32_t i : destination(at.is.destination).endpoints) {
-            const Endpoint& f = endpoints_[i];
-            double age = f.out.count() <= 0 ? 0 : (now - std::max(*f.out.live(), f.deliveredAt)).inSeconds();
-            lives |= &f != &at && f.is.place == at.is.place && f.is.usable() && f.misses == 0 &&
-                     age < overdueAfter(p, load);
+// A high quantile of each endpoint's answer times against its fellows'.
+void Logic::judge(Instant now, const Destination& d) {
+    if (d.endpoints.size() < 2) return;
+    for (uint32_t i : d.endpoints) {
+        Endpoint& e = endpoints_[i];
+        if (!e.is.usable() || e.trickle > 0) continue;
+        fellows_.clear();
+        for (uint32_t j : d.endpoints) {
+            const Endpoint& f = endpoints_[j];
+            if (j != i && f.is.usable() && f.times.count > 0 && f.trickle <= 0)
+                fellows_.push_back(f.times.high);
         }
-        bool sure = ++at.misses > (e.end == End::unreachable ? 2 : 1) || e.end == End::timeout;
-        if (e.end != End::full && lives && at.deliveredAt < text.started)
-            return sure ? setAside(now, at) : void();
-        p.guard.missed(now, text.started, e.end, e.wait, slice, crew_.senders > kFew, cold_, chance_);
-        if (p.guard.phase == Phase::down) p.bucket.tokens = 0, p.bucket.refilledAt = now;
-    }
-
-    void setAside(Instant now, Endpoint& e) {
-        // A busy place misses an endpoint more, and learns sooner that it is well.
-        double first = std::max(0.5, 0.05 * places_[e.is.place].served.rate(now, Span::seconds(2)));
-        e.trickle = e.trickle > 0 ? std::max(e.trickle / 2, 0.2 * first) : first;
-        e.trickleAt = now + chance_.about(Span::seconds(0.75 / e.trickle));
-    }
-
-    bool maySubmitAgain(Instant now, const Text& t) const {
-        if (room_.submits > 0 && t.submits >= room_.submits) return false;
-        if (now + lastCall() >= t.arrival.validUntil) return false;
-        if (!t.mayHaveRun || t.product->effect == Effect::resendable) return true;
-        return t.product->effect == Effect::referenced &&
-               now + lastCall() < t.firstMayHaveRun + t.product->memory;
+        if (fellows_.empty()) continue;
+        double own = std::max(e.times.count < 4 ? 0 : e.times.high, e.out.longest(now));
+        auto median = fellows_.begin() + static_cast<long>(fellows_.size() / 2);
+        std::nth_element(fellows_.begin(), median, fellows_.end());
+        if (own > 4 * *median) setAside(now, e);
+        if (own > 4 * *median || e.out.count() <= 0) continue;  // else looked at when it would be too slow
+        blockedUntil(std::max(*e.out.live() + Span::seconds(4 * *median), now) + Span::millis(1));
     }
+}
 
-    // A nack promises that nothing took effect that a repeat would double.
-    static bool mayNack(const Text& t) { return !t.mayHaveRun || t.product->effect == Effect::resendable; }
-    Decision answer(Instant now, Text& t) {
-        Decision d = Undeliverable{t.arrival.text};
-        bool over = now + lastCall() >= t.arrival.validUntil;
-        if (mayNack(t)) d = Nack{t.arrival.text, over ? Span() : room_.longestPause};
-        unqueue(t), forget(t.arrival.text);
-        return d;
-    }
+void Logic::setAside(Instant now, Endpoint& e) {
+    // A busy place misses an endpoint more, and learns sooner that it is well.
+    double first = std::max(0.5, 0.05 * places_[e.is.place].served.rate(now, Span::seconds(2)));
+    e.trickle = e.trickle > 0 ? std::max(e.trickle / 2, 0.2 * first) : first;
+    e.trickleAt = now + chance_.about(Span::seconds(0.75 / e.trickle));
+}
 
-    void restKey(Instant now, const Text& t) {
-        Instant until = now + links_.orderRest;
-        order_.rest(*t.arrival.key, t.arrival.text, until), dues_.insert({until, Falls::look, kNone});
-    }
+void Logic::noteRun(Instant now, Text& t, End end) {
+    if (end != End::error && end != End::timeout && end != End::reset && end != End::cancelled) return;
+    if (!t.mayHaveRun) t.firstMayHaveRun = t.started, t.ranIn = endpoints_[t.at.value].is.zone;
+    t.mayHaveRun = true;
+    if (inOrder(t) && end != End::error) restKey(now, t);
+}
 
-    void forget(TextIx ix) {
-        Text& t = texts_.at(ix.value);
-        if (inOrder(t)) {
-            order_.done(*t.arrival.key, ix);
-            auto next = texts_.find(order_.first(*t.arrival.key).value);
-            if (next != texts_.end()) touch(next->second.arrival.destination.value);
-        }
-        dues_.erase({t.arrival.validUntil - lastCall(), Falls::text, ix.value});
-        outTexts_.erase(ix);
-        texts_.erase(ix.value);
-    }
+void Logic::restKey(Instant now, const Text& t) {
+    Instant until = now + links_.orderRest;
+    order_.rest(*t.arrival.key, t.arrival.text, until), dues_.insert({until, Falls::look, kNone});
+}
 
-    void queue(Instant now, Text& t) {
-        if (!maySubmitAgain(now, t)) return toAnswer_.push_back(t.arrival.text);
-        Destination& d = destination(t.arrival.destination);
-        t.spot = d.waiting.insert(d.waiting.end(), t.arrival.text), t.queued = true;
-        ++d.unchecked, d.usedAt = now;
-        waiting_.insert(t.arrival.destination.value);
-        touch(t.arrival.destination.value);
-    }
-    void unqueue(Text& t) {
-        if (!std::exchange(t.queued, false)) return;
-        uint32_t ix = t.arrival.destination.value;
-        auto& w = destination(t.arrival.destination).waiting;
-        w.erase(t.spot);
-        if (w.empty()) waiting_.erase(ix), parking_.leave(ix);
-    }
+bool Logic::maySubmitAgain(Instant now, const Text& t) const {
+    if (room_.submits > 0 && t.submits >= room_.submits) return false;
+    if (now + lastCall() >= t.arrival.validUntil) return false;
+    if (!t.mayHaveRun || t.product->effect == Effect::resendable) return true;
+    return t.product->effect == Effect::referenced &&
+           now + lastCall() < t.firstMayHaveRun + t.product->memory;
+}
 
-    double worth(const Text& t, Instant at) const {
-        return earns(*t.product, t.arrival.validUntil, at, decay_);
-    }
+bool Logic::mayGo(const Text& t, Instant now, const Endpoint& e) const {
+    if (!maySubmitAgain(now, t)) return false;
+    bool tied = t.mayHaveRun && t.product->effect == Effect::referenced && t.product->memoryByZone;
+    if (tied && e.is.zone != t.ranIn) return false;
+    return !inOrder(t) || order_.mayGo(*t.arrival.key, t.arrival.text, now);
+}
 
-    bool mayGo(const Text& t, Instant now, const Endpoint& e) const {
-        if (!maySubmitAgain(now, t)) return false;
-        bool tied = t.mayHaveRun && t.product->effect == Effect::referenced && t.product->memoryByZone;
-        if (tied && e.is.zone != t.ranIn) return false;
-        return !inOrder(t) || order_.mayGo(*t.arrival.key, t.arrival.text, now);
-    }
+// Cutting what may be sent again buys a retry. Bounded, as time-outs raise what they are set by.
+Span Logic::timeout(Instant now, const Text& t, const Place& p, double load) const {
+    if (t.product->effect == Effect::onceOnly) return Span();
+    double sla = t.product->sla.inSeconds();
+    double cut = std::clamp(4 * p.times.high * load, sla, std::max(3 * sla, p.times.slowest * load));
+    if ((t.arrival.validUntil - now).inSeconds() < 1.5 * cut) return Span();
+    return Span::seconds(cut);
+}
 
-    // Room at an endpoint for one more call, zero if it may not have one.
-    double roomAt(Instant now, const Endpoint& e) {
-        if (!e.is.usable()) return 0;
-        Place& p = places_[e.is.place];
-        if (now < p.toldUntil) return blockedUntil(p.toldUntil);
-        if (now < e.doorAt) return blockedUntil(e.doorAt);
-        double out = e.out.count();
-        bool down = p.guard.phase == Phase::down;
-        if (down || e.trickle > 0) {
-            Instant at = down ? p.guard.trialAt : e.trickleAt;
-            if (now < at) return blockedUntil(at);
-            return (down ? p.out : e.out).count() > 0 ? 0 : 1;
-        }
-        // Where calls carry many texts, what comes meanwhile travels with the next: limits count calls.
-        size_t waiting = destination(e.is.destination).waiting.size();
-        if (out > 0 && waiting < static_cast<size_t>(sort(e).kind.batch)) return 0;
-        double room = e.reach - out;
-        if (room < 1 && out > 0) return 0;
-        if (e.is.zone != crew_.zone) room *= 0.5;
-        if (e.is.apart && p.fleetRate() > 0) return p.fleetRate();  // their limits differ
-        room = std::max(room, 1.0);
-        // A connection that lies idle is room at hand: it saves a handshake, and a place in a full table.
-        bool idle = e.out.starts.empty() && now - e.usedAt < std::min(sort(e).idle.span, links_.idle);
-        double tight = room_.calls > 0 ? static_cast<double>(callsOut_) / room_.calls : 0;
-        room *= std::pow(usualTime_ / std::max(e.times.mean(0, usualTime_), 0.001), 6 * tight);
-        return crew_.senders > kFew && idle ? room * 3 : room;
-    }
+Decision Logic::answer(Instant now, Text& t) {
+    Decision d = Undeliverable{t.arrival.text};
+    bool over = now + lastCall() >= t.arrival.validUntil;
+    if (mayNack(t)) d = Nack{t.arrival.text, over ? Span() : room_.longestPause};
+    unqueue(t), forget(t.arrival.text);
+    return d;
+}
 
-    bool paced(Instant now, const Endpoint& e) {
-        Place& p = places_[e.is.place];
-        double slice = std::max(p.slice(now, crew_.senders), p.fleetRate() > 0 ? 0 : p.guard.before);
-        double cap = p.guard.budget(now, slice, crew_.senders > kFew, cold_);
-        if (p.bucket.ready(now, cap, chance_) || p.guard.phase == Phase::down) return true;
-        blockedUntil(p.bucket.askAt);
-        if (e.is.apart) return false;
-        Destination& d = destination(e.is.destination);
-        size_t held = d.waiting.size(),
-               fresh = d.checkedFor == p.bucket.askAt ? std::min(d.unchecked, held) : held;
-        for (auto t = std::prev(d.waiting.end(), static_cast<long>(fresh)); t != d.waiting.end(); ++t)
-            if (texts_.at(t->value).arrival.validUntil < p.bucket.askAt) toAnswer_.push_back(*t);
-        d.checkedFor = p.bucket.askAt, d.unchecked = 0;
-        return false;
-    }
+void Logic::queue(Instant now, Text& t) {
+    if (!maySubmitAgain(now, t)) return toAnswer_.push_back(t.arrival.text);
+    Destination& d = destination(t.arrival.destination);
+    t.spot = d.waiting.insert(d.waiting.end(), t.arrival.text), t.queued = true;
+    ++d.unchecked, d.usedAt = now;
+    waiting_.insert(t.arrival.destination.value), touch(t.arrival.destination.value);
+}
 
-    double blockedUntil(Instant at) { return blocked_ = std::min(blocked_, at), 0; }
+void Logic::unqueue(Text& t) {
+    if (!std::exchange(t.queued, false)) return;
+    uint32_t ix = t.arrival.destination.value;
+    auto& w = destination(t.arrival.destination).waiting;
+    w.erase(t.spot);
+    if (w.empty()) waiting_.erase(ix), parking_.leave(ix);
+}
 
-    // Slow destinations get fewer of the free slots: none that is hung gets all.
-    bool slotFor(const Destination& d, double takes) {
-        if (room_.calls <= 0) return true;
-        int free = room_.calls - callsOut_;
-        double alpha = std::clamp(2 * usualTime_ / std::max(takes, 0.001), 0.25, 4.0), out = 0;
-        for (uint32_t e : d.endpoints) out += endpoints_[e].out.count();
-        return out < std::max(1.0, alpha * free);
+void Logic::forget(TextIx ix) {
+    Text& t = texts_.at(ix.value);
+    if (inOrder(t)) {
+        order_.done(*t.arrival.key, ix);
+        auto next = texts_.find(order_.first(*t.arrival.key).value);
+        if (next != texts_.end()) touch(next->second.arrival.destination.value);
     }
+    dues_.erase({t.arrival.validUntil - lastCall(), Falls::text, ix.value});
+    outTexts_.erase(ix), texts_.erase(ix.value);
+}
 
-    double callTime(Instant now, const Destination& d) {
-        double best = 1e9;
-        for (uint32_t e : d.endpoints) {
-            const Place& p = places_[endpoints_[e].is.place];
-            best = std::min(best, p.times.mean(p.out.ages(now), usualTime_));
-        }
-        return best;
-    }
+// Past a quarter of a store that is half full a backlog's oldest or newest goes, as it earns less.
+void Logic::boundBacklog(Instant now, Text& text) {
+    auto& backlog = destination(text.arrival.destination).waiting;
+    size_t most = room_.held > 0 ? room_.held : SIZE_MAX / 4;
+    if (2 * texts_.size() <= most || 4 * backlog.size() <= most) return;
+    Text& oldest = texts_.at(backlog.front().value);
+    Instant then = now + room_.longestPause;
+    Text& goes = mayNack(oldest) && worth(oldest, then) < worth(text, then) ? oldest : text;
+    toAnswer_.push_back(goes.arrival.text), unqueue(goes);
+}
 
-    // Only destinations about which something changed are looked at; what can't go now is parked. Of many
-    // that could go so many are compared at a time, in turn (ours): the rest lose a round.
-    void startCall(Instant now) {
-        bool full = room_.calls > 0 && callsOut_ >= room_.calls;
-        if (full) parking_.release(Row::slot, kCompared);
-        best_ = nullptr, bestScore_ = -1;
-        parking_.row(Row::ready).turn(kCompared, looked_);
-        for (uint32_t ix : looked_) consider(now, ix, full);
-        if (best_) full ? freeSlot(now) : submitCall(now, *best_, bestAt_, bestText_);
-    }
+// Its best text against the best so far of the destinations compared.
+void Logic::offerText(Instant now, const Destination& d, EndpointIx at, double takes) {
+    const Endpoint& e = endpoints_[at.value];
+    bool trial = places_[e.is.place].guard.phase == Phase::down, unpaid = false, ordered = false;
+    Instant soon = now + Span::seconds(takes);
+    Span backlog = Span::seconds(std::clamp(static_cast<double>(d.waiting.size()) * takes, 1.0, 8.0));
+    int compared = 0;
+    double own = -1;
+    TextIx text;
+    for (TextIx each : d.waiting) {
+        if (++compared > kTexts && text.known()) break;
+        const Text& t = texts_.at(each.value);
+        ordered |= inOrder(t);
+        if (!mayGo(t, now, e)) continue;
+        // Of what fails, no more than what others deliver: the work wasted stays bounded (ours).
+        bool mayPay = credit_ >= 1 || (!trial && t.submits == 0);
+        unpaid |= !mayPay;
+        if (!mayPay) continue;
+        // What passing it over until the backlog has gone loses; a little for what it earns at all.
+        double score = (1.05 * worth(t, soon) - worth(t, soon + backlog)) / takes;
+        if (trial) score *= std::pow(0.5, t.submits);  // else one text uses up its submits
+        if (score > own) own = score, text = each;
+    }
+    uint32_t ix = e.is.destination.value;
+    if (!text.known()) return unpaid ? park(ix, Row::pay) : ordered ? park(ix, Row::key) : void();
+    if (own > bestScore_) bestScore_ = own, bestAt_ = at, bestText_ = text;
+}
 
-    void consider(Instant now, uint32_t ix, bool full) {
-        Destination& d = destination(DestinationIx(ix));
-        blocked_ = Instant::never();
-        judge(now, d);
-        double takes = callTime(now, d);
-        if (!full && !slotFor(d, takes)) return park(ix, Row::slot);
-        // Cut off as the process ends, a call may have run, which loses a once-only text for good.
-        if (now + Span::seconds(2 * takes) > leavesAt_) return park(ix);
-        // Which endpoint: drawn by room among those whose place may have a call now.
-        size_t at = 0;
-        double sum = 0, own = -1;
-        for (uint32_t e : d.endpoints) {
-            double room = roomAt(now, endpoints_[e]);
-            if (room <= 0 || !paced(now, endpoints_[e])) continue;
-            sum += room;
-            if (chance_.between(0, sum) < room) at = e;
-        }
-        if (sum <= 0) return park(ix);
-        bool trial = places_[endpoints_[at].is.place].guard.phase == Phase::down;
-        bool unpaid = false, ordered = false;
-        Instant soon = now + Span::seconds(takes);
-        Span backlog = Span::seconds(std::clamp(static_cast<double>(d.waiting.size()) * takes, 1.0, 8.0));
-        int compared = 0;
-        TextIx text;
+// Before the store is full, the text that will earn least once the backlog has gone makes room, told when
+// to come back. Harms where that would have cleared sooner.
+std::optional<Decision> Logic::makeRoom(Instant now) {
+    int spare = room_.held - static_cast<int>(texts_.size());
+    if (room_.held <= 0 || spare >= 2 + room_.held / 20) return std::nullopt;
+    std::vector<std::tuple<double, TextIx, double>> all;  // what it will earn, when the backlog has gone
+    for (uint32_t ix : waiting_) {
+        const Destination& d = destination(DestinationIx(ix));
+        double rate = 0;
+        for (uint32_t e : d.endpoints)
+            rate = std::max(rate, places_[endpoints_[e].is.place].served.rate(now, Span::seconds(2)));
+        double wait = static_cast<double>(d.waiting.size()) / std::max(rate, 0.5);
         for (TextIx each : d.waiting) {
-            if (++compared > kTexts && text.known()) break;
             const Text& t = texts_.at(each.value);
-            ordered |= inOrder(t);
-            if (!mayGo(t, now, endpoints_[at])) continue;
-            // Of what fails, no more than what others deliver: the work wasted stays bounded (ours).
-            bool mayPay = credit_ >= 1 || (!trial && t.submits == 0);
-            unpaid |= !mayPay;
-            if (!mayPay) continue;
-            // What passing it over until the backlog has gone loses; a little for what it earns at all.
-            double score = (1.05 * worth(t, soon) - worth(t, soon + backlog)) / takes;
-            if (trial) score *= std::pow(0.5, t.submits);  // else one text uses up its submits
-            if (score > own) own = score, text = each;
+            if (!mayNack(t)) continue;
+            all.emplace_back(worth(t, now + Span::seconds(wait)) + 0.01 * worth(t, now), each, wait);
         }
-        if (!text.known()) return unpaid ? park(ix, Row::pay) : ordered ? park(ix, Row::key) : void();
-        if (own > bestScore_) bestScore_ = own, best_ = &d, bestAt_ = at, bestText_ = text;
     }
+    if (all.empty()) return std::nullopt;
+    // A big store makes room for some at a time: looking through it costs.
+    size_t some = std::min<size_t>(all.size(), 1 + static_cast<size_t>(room_.held) / 2000);
+    std::partial_sort(all.begin(), all.begin() + static_cast<long>(some), all.end());
+    for (size_t i = 0; i < some; ++i) {
+        auto [worth, ix, wait] = all[i];
+        out_.push_back(Nack{ix, std::min(Span::seconds(wait), room_.longestPause)});
+        unqueue(texts_.at(ix.value)), forget(ix);
+    }
+    Decision first = out_.back();
+    return out_.pop_back(), first;
+}
 
-    // A row to wait in where it waits for something else than an instant.
-    void park(uint32_t ix, Row row = Row::none) {
-        parking_.park(ix, row);
-        if (blocked_ < Instant::never()) dues_.insert({blocked_, Falls::look, ix});
-    }
+// Slow destinations get fewer of the free slots: none that is hung gets all.
+bool Logic::slotFor(const Destination& d, double takes) {
+    if (room_.calls <= 0) return true;
+    double alpha = std::clamp(2 * usualTime_ / std::max(takes, 0.001), 0.25, 4.0), out = 0;
+    for (uint32_t e : d.endpoints) out += endpoints_[e].out.count();
+    return out < std::max(1.0, alpha * (room_.calls - callsOut_));
+}
 
-    double overdueAfter(const Place& p, double load) const {
-        return std::max(1.2 * p.times.slowest * load, 3 * usualTime_);
+// All slots are out and a text could go: the call most overdue, past its SLA time, is given up, against
+// hung places and silent connections; sooner where overdue calls were mostly never answered, or it is
+// long overdue and calls begun long after it were answered there. Harms one that would still answer.
+void Logic::freeSlot(Instant now) {
+    if (!room_.cancel) return;
+    const Text* stuck = nullptr;
+    double most = 6;
+    for (TextIx ix : outTexts_) {
+        const Text& t = texts_.at(ix.value);
+        if (t.givenUp) return;
+        double age = (now - t.started).inSeconds();
+        const Endpoint& e = endpoints_[t.at.value];
+        const Place& p = places_[e.is.place];
+        double after = overdueAfter(p, calls_[t.call].load);
+        bool overtaken = age > 2 * after && e.out.answered > t.started + Span::seconds(after);
+        double overdue = age / (p.times.high * calls_[t.call].texts + 0.001);
+        bool dear = t.product->effect == Effect::onceOnly, kept = dear && p.guard.phase == Phase::down;
+        bool hopeless = (overtaken || hope_ < 0.3) && !kept && age > after;
+        if (hopeless) overdue = dear ? 7 : 100;
+        if (overdue > most && (hopeless || age > t.product->sla.inSeconds())) most = overdue, stuck = &t;
+    }
+    if (!stuck) return;
+    for (TextIx ix : outTexts_) {
+        Text& t = texts_.at(ix.value);
+        if (t.call == stuck->call) t.givenUp = true, out_.push_back(CancelSubmit{ix, t.submits - 1});
     }
+}
 
-    // All slots are out and a text could go: the call most overdue, past its SLA time, is given up, against
-    // hung places and silent connections; sooner where overdue calls were mostly never answered, or it is
-    // long overdue and calls begun long after it were answered there. Harms one that would still answer.
-    void freeSlot(Instant now) {
-        if (!room_.cancel) return;
-        const Text* stuck = nullptr;
-        double most = 6;
-        for (TextIx ix : outTexts_) {
-            const Text& t = texts_.at(ix.value);
-            if (t.givenUp) return;
-            double age = (now - t.started).inSeconds();
-            const Endpoint& e = endpoints_[t.at.value];
-            const Place& p = places_[e.is.place];
-            double after = overdueAfter(p, calls_[t.call].load);
-            bool overtaken = age > 2 * after && e.out.answered > t.started + Span::seconds(after);
-            double overdue = age / (p.times.high * calls_[t.call].texts + 0.001);
-            bool dear = t.product->effect == Effect::onceOnly, kept = dear && p.guard.phase == Phase::down;
-            bool hopeless = (overtaken || hope_ < 0.3) && !kept && age > after;
-            if (hopeless) overdue = dear ? 7 : 100;
-            if (overdue > most && (hopeless || age > t.product->sla.inSeconds())) most = overdue, stuck = &t;
-        }
-        if (!stuck) return;
-        for (TextIx ix : outTexts_) {
-            Text& t = texts_.at(ix.value);
-            if (t.call == stuck->call) t.givenUp = true, out_.push_back(CancelSubmit{ix, t.submits - 1});
-        }
-    }
+void Logic::noteCall(Instant now, const Text& text, const SubmitEnd& e) {
+    Endpoint& at = endpoints_[text.at.value];
+    Place& p = places_[at.is.place];
+    if (e.reportedLimit) p.reportedRate = *e.reportedLimit;
+    destination(text.arrival.destination).usedAt = at.usedAt = now;
+    Call& call = calls_[text.call];
+    bool first = call.ended++ == 0;  // a call's texts share its fate: it counts once
+    double load = call.load;
+    if (--call.texts == 0) {
+        calls_.erase(text.call), --callsOut_, parking_.release(Row::slot, kCompared);
+        for (auto* out : {&p.out, &at.out}) out->starts.erase(out->starts.find(text.started));
+        Span idle = sort(at).idle.span;
+        if (idle < links_.idle) dues_.insert({now + idle, Falls::idle, text.at.value});
+    }
+    // A thin slice tells less of what to bind at than how bound calls at this kind of endpoint go.
+    double slice = p.slice(now, crew_.senders);
+    double base = std::max(slice, many() ? sort(at).pace : 0.0);
+    if (e.wait > Span()) {  // an answer to several may deliver some and tell to wait
+        p.toldUntil = std::max(p.toldUntil, now + e.wait);
+        p.bucket.toldToWait(now, now + e.wait, base, slice < 0.5, chance_);
+    }
+    bool silent = e.end == End::cancelled || e.end == End::timeout;
+    if (first && (now - text.started).inSeconds() > overdueAfter(p, load)) {
+        if (e.end == End::delivered) hope_ += 0.3 * (1 - hope_);
+        if (silent && p.guard.phase == Phase::clear) hope_ *= 0.8;
+    }
+    if (!first || e.end == End::cancelled || e.end == End::notSent) return;
+    // A quick break of an idle connection is the connection's trouble, not the place's.
+    if (e.end == End::reset && sort(at).idle.brokeAfter(text.started - at.idleAt)) return;
+    // Refused on a new connection, without report and wait: its table of connections is full, which says
+    // nothing of its limit. Also a proxy's own. Harm: a place too busy to report is found at the next.
+    if (e.end == End::full && e.fresh && e.wait <= Span() && !e.reportedLeft && p.reportedRate > 0) {
+        // Until what lies idle there, the others' as this sender's own, has closed.
+        double pause = std::max(usualTime_, sort(at).idle.span.inSeconds());
+        at.doorAt = now + chance_.about(Span::seconds(pause * std::pow(2, std::min(at.misses++, 3))));
+        return at.noneHadAt = now, sort(at).idle.noneHad(links_.idle, true);
+    }
+    for (AnswerTimes* times : {&p.times, &at.times})
+        if (e.end == End::delivered || (e.end == End::timeout && at.out.answered < text.started))
+            times->add((now - text.started) * (1 / load), e.end == End::delivered);
+    if (e.end == End::delivered) {
+        usualTime_ += 0.02 * ((now - text.started).inSeconds() / load - usualTime_);
+        at.trickle = at.trickle > 4 ? 0 : at.trickle * 2;
+        if (at.out.count() + 2 > at.reach) at.reach += 1 / at.reach;
+        p.out.late = at.out.late = Span::seconds(overdueAfter(p, 1));
+        for (auto* out : {&p.out, &at.out}) out->answered = std::max(out->answered, text.started);
+        p.served.add(now);
+        credit_ = std::min(credit_ + 1, mostCredit_), parking_.release(Row::pay, 1);
+        if (p.bucket.pacedSince(text.started)) sort(at).pace = std::min(sort(at).pace * 1.25, 0.5);
+        bool known = p.fleetRate() > 0;
+        p.bucket.succeeded(now, known ? slice : 1e9, known ? p.fleetRate() : 1e9,
+                           known ? std::min(e.reportedLeft.value_or(0), 1.0) : 0);
+        p.guard.delivered(now);
+        if (now - at.noneHadAt < Span::seconds(2)) sort(at).idle.noneHad(links_.idle, true);
+        at.deliveredAt = now, at.misses = 0, at.noneHadAt = Instant::longAgo();
+        return;
+    }
+    if (e.end == End::full) {
+        if (p.bucket.pacedSince(text.started)) sort(at).pace = std::max(sort(at).pace * 0.5, 0.01);
+        p.bucket.refused(now, text.started, base, slice, p.fleetRate() > 0 || many(), chance_);
+        at.reach = std::max(2.0, 0.8 * at.reach);
+    } else if (e.end == End::unreachable) {
+        at.noneHadAt = now, sort(at).idle.noneHad(links_.idle, false);
+        at.reach = std::max(1.0, 0.7 * (at.out.count() + 1));
+    }
+    bool lives = false;  // a fellow, with no call overdue: then a miss is the endpoint's own trouble
+    for (uint32_t i : destination(at.is.destination).endpoints) {
+        const Endpoint& f = endpoints_[i];
+        double age = f.out.count() <= 0 ? 0 : (now - std::max(*f.out.live(), f.deliveredAt)).inSeconds();
+        lives |= &f != &at && f.is.place == at.is.place && f.is.usable() && f.misses == 0 &&
+                 age < overdueAfter(p, load);
+    }
+    bool sure = ++at.misses > (e.end == End::unreachable ? 2 : 1) || e.end == End::timeout;
+    if (e.end != End::full && lives && at.deliveredAt < text.started)
+        return sure ? setAside(now, at) : void();
+    p.guard.missed(now, text.started, e.end, e.wait, slice, many(), cold_, chance_);
+    if (p.guard.phase == Phase::down) p.bucket.tokens = 0, p.bucket.refilledAt = now;
+}
 
-    void submitCall(Instant now, Destination& d, size_t at, TextIx firstText) {
-        Endpoint& e = endpoints_[at];
-        Place& p = places_[e.is.place];
-        int64_t call = nextCall_++;
-        std::vector<TextIx> going = {firstText};
-        for (TextIx ix : d.waiting) {
-            if (static_cast<int>(going.size()) >= std::max(1, sort(e).kind.batch)) break;
-            const Text& t = texts_.at(ix.value);
-            if (ix == going.front() || inOrder(t) || !mayGo(t, now, e)) continue;
-            if (p.guard.phase == Phase::down && 2 * t.submits >= room_.submits) continue;
-            going.push_back(ix);
-        }
-        double load = 1 + 0.2 * (static_cast<double>(going.size()) - 1);
-        if (e.out.starts.empty()) e.idleAt = e.usedAt;
-        for (TextIx ix : going) {
-            Text& t = texts_.at(ix.value);
-            unqueue(t);
-            outTexts_.insert(ix);
-            if (t.submits > 0 || p.guard.phase == Phase::down) credit_ -= 1;
-            t.at = EndpointIx(at), t.started = now, t.call = call, t.out = true, t.givenUp = false,
-            ++t.submits;
-            out_.push_back(Submit{ix, t.at, timeout(now, t, p, load)});
-        }
-        calls_[call] = {static_cast<int>(going.size()), 0, load};
-        ++callsOut_, p.out.starts.insert(now), e.out.starts.insert(now);
-        p.bucket.tokens -= p.guard.phase == Phase::returning ? load : 1;
-        if (e.trickle > 0) e.trickleAt = now + chance_.about(Span::seconds(1 / e.trickle));
-    }
+void Logic::listed(Instant, ListScope scope, const std::vector<ListEntry>& entries) {
+    if (scope != ListScope::old) listFailures_ = 0;
+    list(scope, entries, listRule_.ratesListed, [&](KindIx kind) { return sort(kind).kind.separateRoutes; });
+    for (const ListEntry& entry : entries) touch(entry.destination.value);
+}
 
-    // Cutting what may be sent again buys a retry. Bounded, as time-outs raise what they are set by.
-    Span timeout(Instant now, const Text& t, const Place& p, double load) const {
-        if (t.product->effect == Effect::onceOnly) return Span();
-        double sla = t.product->sla.inSeconds();
-        double cut = std::clamp(4 * p.times.high * load, sla, std::max(3 * sla, p.times.slowest * load));
-        if ((t.arrival.validUntil - now).inSeconds() < 1.5 * cut) return Span();
-        return Span::seconds(cut);
-    }
+// Given back it is cold: a place with no other endpoint comes back by a trial and its budget, one among
+// fellows by the trickle of one set aside. Harm: one that kept warm waits.
+void Logic::banned(Instant now, EndpointIx ix, bool out) {
+    endpoints_.reseed(ix.value, [&](EndpointSeed& e) { e.banned = out; });
+    DestinationIx d = endpoints_.seed(ix.value).destination;
+    touch(d.value);
+    if (out || !d.known()) return;
+    Endpoint& e = endpoints_[ix.value];
+    Place& p = places_[e.is.place];
+    e.times = AnswerTimes(), e.misses = 0;
+    for (uint32_t i : destination(d).endpoints)
+        if (i != ix.value && endpoints_[i].is.place == e.is.place && endpoints_[i].is.usable())
+            return setAside(now, e);
+    p.guard.restarted(now, p.slice(now, crew_.senders), many(), cold_, chance_);
+}
 
-    // Before the store is full, the text that will earn least once the backlog has gone makes room, told when
-    // to come back. Harms where that would have cleared sooner.
-    std::optional<Decision> makeRoom(Instant now) {
-        int spare = room_.held - static_cast<int>(texts_.size());
-        if (room_.held <= 0 || spare >= 2 + room_.held / 20) return std::nullopt;
-        std::vector<std::tuple<double, TextIx, double>> all;  // what it will earn, when the backlog has gone
-        for (uint32_t ix : waiting_) {
-            const Destination& d = destination(DestinationIx(ix));
-            double rate = 0;
-            for (uint32_t e : d.endpoints)
-                rate = std::max(rate, places_[endpoints_[e].is.place].served.rate(now, Span::seconds(2)));
-            double wait = static_cast<double>(d.waiting.size()) / std::max(rate, 0.5);
-            for (TextIx each : d.waiting) {
-                const Text& t = texts_.at(each.value);
-                if (!mayNack(t)) continue;
-                all.emplace_back(worth(t, now + Span::seconds(wait)) + 0.01 * worth(t, now), each, wait);
-            }
-        }
-        if (all.empty()) return std::nullopt;
-        // A big store makes room for some at a time: looking through it costs.
-        size_t some = std::min<size_t>(all.size(), 1 + static_cast<size_t>(room_.held) / 2000);
-        std::partial_sort(all.begin(), all.begin() + static_cast<long>(some), all.end());
-        for (size_t i = 0; i < some; ++i) {
-            auto [worth, ix, wait] = all[i];
-            out_.push_back(Nack{ix, std::min(Span::seconds(wait), room_.longestPause)});
-            unqueue(texts_.at(ix.value)), forget(ix);
-        }
-        Decision first = out_.back();
-        return out_.pop_back(), first;
-    }
+// Jittered, as all may break at once; sooner than we are deemed told, so that drains are kept.
+void Logic::listFailed(Instant now) {
+    if (!listRule_.onRequest) return;
+    double pause = std::min(0.4 * std::pow(2, listFailures_++), 4.0);
+    if (listRule_.mustAskIn > Span()) pause = std::min(pause, listRule_.mustAskIn.inSeconds() / 3);
+    askListAt_ = now + chance_.about(Span::seconds(pause));
+}
 
-    void tick(Instant now) {  // all periodic work
-        tickAt_ = now + Span::millis(250);
-        if (now >= askListAt_) askListAt_ = Instant::never(), out_.push_back(WatchList{});
-        order_.forgetIdle(now);
-        // Where nothing is delivered at all, so much is tried all the same: all slots once in four seconds.
-        credit_ = std::min(credit_ + mostCredit_ / 16, mostCredit_);
-        parking_.release(Row::pay, static_cast<size_t>(mostCredit_ / 16) + 1);
-        for (size_t n = destinations_.size() / 200 + 1; n > 0 && destinations_.size() > 0; --n)
-            restIfStill(now, static_cast<uint32_t>(sweepAt_++ % destinations_.size()));
-        for (Sort& sort : sorts_) sort.idle.ease();
-    }
+// Silent for a minute, a destination goes back to its seed. Harm: answer times are learned anew, and what
+// one without a known rate was thought to take.
+void Logic::restIfStill(Instant now, uint32_t ix) {
+    Destination* d = destinations_.find(ix);
+    if (!d || !d->waiting.empty() || now - d->usedAt < Span::seconds(60)) return;
+    for (uint32_t e : d->endpoints)
+        if (const Endpoint* at = endpoints_.find(e); at && !at->out.starts.empty()) return;
+    for (uint32_t e : d->endpoints) {
+        uint32_t place = endpoints_.seed(e).place;
+        endpoints_.rest(e);
+        const Place* p = places_.find(place);
+        if (!p) continue;
+        bool well = p->guard.phase != Phase::down && p->toldUntil <= now && p->bucket.trust >= 1;
+        auto kept = std::make_shared<const Kept>(p->guard, p->toldUntil, p->bucket.trust, p->reportedRate);
+        if (well && p->reportedRate <= 0) kept = nullptr;
+        places_.reseed(place, [&](PlaceSeed& seed) { seed.kept = kept; }), places_.rest(place);
+    }
+    destinations_.rest(ix);
+}
 
-    // A high quantile of each endpoint's answer times against its fellows'.
-    void judge(Instant now, const Destination& d) {
-        if (d.endpoints.size() < 2) return;
-        for (uint32_t i : d.endpoints) {
-            Endpoint& e = endpoints_[i];
-            if (!e.is.usable() || e.trickle > 0) continue;
-            fellows_.clear();
-            for (uint32_t j : d.endpoints) {
-                const Endpoint& f = endpoints_[j];
-                if (j != i && f.is.usable() && f.times.count > 0 && f.trickle <= 0)
-                    fellows_.push_back(f.times.high);
-            }
-            if (fellows_.empty()) continue;
-            double own = std::max(e.times.count < 4 ? 0 : e.times.high, e.out.longest(now));
-            auto median = fellows_.begin() + static_cast<long>(fellows_.size() / 2);
-            std::nth_element(fellows_.begin(), median, fellows_.end());
-            if (own > 4 * *median) {
-                setAside(now, e);
-            } else if (e.out.count() > 0) {  // looked at again when it would be too slow
-                blockedUntil(std::max(*e.out.live() + Span::seconds(4 * *median), now) + Span::millis(1));
-            }
-        }
-    }
+// Times from now. What the process that takes over has seen itself since stays where it is the worse.
+std::vector<double> Logic::learned(Instant now, EndpointIx ix) {
+    uint32_t at = placeOf(ix);
+    if (at == kNone || (!places_.find(at) && !places_.seed(at).kept)) return {};
+    const Place& p = places_[at];
+    const Endpoint& e = endpoints_[ix.value];
+    const ReturnGuard& g = p.guard;
+    auto from = [&](Instant t) { return std::max((t - now).inSeconds(), -1e6); };
+    double paced = p.bucket.bound ? p.bucket.rate : 0, phase = static_cast<double>(g.phase);
+    return {from(p.toldUntil), phase, from(g.downAt), from(g.trialAt), from(g.returnedAt),
+            g.before,          paced, p.bucket.trust, p.reportedRate,  e.trickle};
+}
+
+bool Logic::recall(Instant now, EndpointIx ix, const std::vector<double>& l) {
+    if (l.size() != 10 || !endpoints_.seed(ix.value).destination.known()) return false;
+    auto at = [&](size_t i) { return now + Span::seconds(l[i]); };
+    Endpoint& e = endpoints_[ix.value];
+    Place& p = places_[e.is.place];
+    p.toldUntil = std::max(p.toldUntil, at(0)), p.reportedRate = std::max(p.reportedRate, l[8]);
+    if (l[1] > 0 && p.guard.phase == Phase::clear)
+        p.guard.phase = l[1] < 2 ? Phase::down : Phase::returning, p.guard.downAt = at(2),
+        p.guard.trialAt = at(3), p.guard.returnedAt = at(4), p.guard.before = l[5];
+    if (l[6] > 0) p.bucket.bind(now, l[6], chance_), p.bucket.trust = std::min(p.bucket.trust, l[7]);
+    if (l[9] > 0 && e.trickle <= 0) e.trickle = l[9], e.trickleAt = now + Span::seconds(1 / l[9]);
+    return touch(e.is.destination.value), now < p.toldUntil;
+}
+
+std::string Logic::belief(Instant now, EndpointIx ix) const {
+    const Place* p = places_.find(placeOf(ix));
+    if (!p) return "nothing";
+    const char* phase[] = {"clear", "down", "returning"};
+    std::string words = phase[static_cast<int>(p->guard.phase)];
+    double rate = p->bucket.bound ? p->bucket.rate : 0, slice = p->fleetRate() / crew_.senders;
+    for (double x : {rate, p->bucket.trust, slice}) words += '/' + std::to_string(x);
+    return words + (now < p->toldUntil ? "/told" : "/free");
+}
 
-    static constexpr size_t kCompared = 64;  // destinations
-    static constexpr int kTexts = 256;       // of one destination
-    Chance chance_;
-    std::vector<Product> products_;
-    std::vector<Sort> sorts_;
-    Crew crew_;
-    Room room_;
-    ColdRule cold_;
-    ListRule listRule_;
-    Decay decay_;
-    Links links_;
-    KeyOrder order_;
-    std::set<uint32_t> waiting_;  // destinations with texts to go
-    Parking parking_;             // of those
-    std::vector<uint32_t> looked_;
-    std::vector<double> fellows_;
-    Destination* best_ = nullptr;  // of those compared
-    size_t bestAt_ = 0;
-    TextIx bestText_;
-    Instant blocked_;  // of the destination looked at: when to look again
-    std::unordered_map<uint32_t, Text> texts_;
-    std::set<TextIx> outTexts_;
-    std::map<int64_t, Call> calls_;
-    std::set<Due> dues_;
-    std::deque<Decision> out_;
-    std::deque<TextIx> toAnswer_;
-    std::vector<EndpointIx> toClose_;
-    Instant tickAt_ = Instant::longAgo(), armed_ = Instant::never(), askListAt_ = Instant::never();
-    Instant leavesAt_ = Instant::never();
-    bool mayStart_ = true;
-    double usualTime_ = 0.3, hope_ = 1, mostCredit_ = 256, credit_ = 256, bestScore_ = 0;
-    size_t sweepAt_ = 0;
-    int callsOut_ = 0, listFailures_ = 0;
-    int64_t nextCall_ = 0;
-};
-
-}  // namespace
+}  // namespace policy
 
 std::unique_ptr<Sender> makeSender(uint32_t seed, std::vector<Product> products, std::vector<Kind> kinds,
                                    const Crew& crew, const Room& room, const ColdRule& cold,
                                    const ListRule& list, Decay decay, const Links& links) {
-    return std::make_unique<Logic>(seed, std::move(products), std::move(kinds), crew, room, cold, list, decay,
-                                   links);
+    return std::make_unique<policy::Logic>(seed, std::move(products), std::move(kinds), crew, room, cold,
+                                           list, decay, links);
 }
 
 }  // namespace petrelpond
