--- a/src/policy/logic.hpp
+++ b/src/policy/logic.hpp
@@ -1,4 +1,4 @@
-// What the module knows, and its parts.
+// What the module knows, and its parts, each in a file of its own; src/logic.cpp joins them.
 #pragma once
 
 #include <unordered_map>
@@ -110,7 +110,7 @@
     void restIfStill(Instant now, uint32_t ix);
     // What the end of a call tells.
     void noteCall(Instant now, const Text& text, const SubmitEnd& e);
-    // Which endpoint gets a call.
+    // endpoints.cpp: which endpoint gets a call.
     double callTime(Instant now, const Destination& d);
     EndpointIx draw(Instant now, const Destination& d);
     double roomAt(Instant now, const Endpoint& e);
