--- a/src/policy/logic.hpp
+++ b/src/policy/logic.hpp
@@ -117,7 +117,7 @@
     bool paced(Instant now, const Endpoint& e);
     void judge(Instant now, const Destination& d);
     void setAside(Instant now, Endpoint& e);
-    // What may go, what may have run, and what is answered in its place.
+    // again.cpp: what may go, what may have run, and what is answered in its place.
     void noteRun(Instant now, Text& t, End end);
     bool maySubmitAgain(Instant now, const Text& t) const;
     bool mayGo(const Text& t, Instant now, const Endpoint& e) const;
