--- a/src/policy/logic.hpp
+++ b/src/policy/logic.hpp
@@ -124,7 +124,7 @@
     void restKey(Instant now, const Text& t);
     Span timeout(Instant now, const Text& t, const Place& p, double load) const;
     Decision answer(Instant now, Text& t);
-    // Which text first, and which for want of room goes.
+    // order.cpp: which text first, and which for want of room goes.
     void queue(Instant now, Text& t);
     void unqueue(Text& t);
     void forget(TextIx ix);
