--- a/src/policy/logic.hpp
+++ b/src/policy/logic.hpp
@@ -108,7 +108,7 @@
     void tick(Instant now);
     // What is known of who is listed.
     void restIfStill(Instant now, uint32_t ix);
-    // What the end of a call tells.
+    // ends.cpp: what the end of a call tells.
     void noteCall(Instant now, const Text& text, const SubmitEnd& e);
     // endpoints.cpp: which endpoint gets a call.
     double callTime(Instant now, const Destination& d);
