--- a/src/policy/logic.hpp
+++ b/src/policy/logic.hpp
@@ -106,7 +106,7 @@
     void consider(Instant now, uint32_t ix, bool full);
     void submitCall(Instant now, EndpointIx at, TextIx firstText);
     void tick(Instant now);
-    // What is known of who is listed.
+    // known.cpp: what is known of who is listed.
     void restIfStill(Instant now, uint32_t ix);
     // ends.cpp: what the end of a call tells.
     void noteCall(Instant now, const Text& text, const SubmitEnd& e);
