--- a/huts/timberline/proxy.cpp
+++ b/huts/timberline/proxy.cpp
@@ -521,6 +521,9 @@
 void Proxy::answerPlain(RequestId id, int status, std::string_view fields) {
     auto found = exchanges_.find(id);
     if (found == exchanges_.end()) return;
+    if (spdlog::should_log(spdlog::level::debug))
+        spdlog::debug("request {}: {} {}: {} with {} ms left", found->second.attemptId, found->second.request.method(),
+                      found->second.request.target(), status, (found->second.deadline - loop_.now()).inMicros() / 1000);
     if (Line* line = found->second.line) line->request = 0, buryLine(*line);
     auto visit = visits_.find(found->second.visit);
     if (visit != visits_.end()) visit->second->tag = 0, visit->second->answer(status, fields, "", leaving_);
