--- a/huts/crest/messages.hpp
+++ b/huts/crest/messages.hpp
@@ -45,7 +45,8 @@
     std::string instance, service, address, zone;
     uint32_t slots = 0;
     uint32_t upInMs = 0;  // 0: it is thought to be up; else the time that its start is thought to still take
-    MSGPACK_DEFINE(instance, service, address, zone, slots, upInMs)
+    uint32_t fleetSlots = 0;  // of all instances of the service, for the fleet's rate
+    MSGPACK_DEFINE(instance, service, address, zone, slots, upInMs, fleetSlots)
 };
 struct Grants {
     uint64_t term = 0;
--- a/huts/crest/planner.cpp
+++ b/huts/crest/planner.cpp
@@ -300,7 +300,7 @@
                 Share* s = i->share(who);
                 if (!s) continue;
                 s->due = false;
-                Grant g{i->id, i->service->spec.name, i->address, i->zone, s->told, 0};
+                Grant g{i->id, i->service->spec.name, i->address, i->zone, s->told, 0, have(i->service).slots};
                 if (i->phase == Phase::booting) {
                     int64_t us = (i->startedAt + i->service->spec.boot - now).inMicros();
                     g.upInMs = static_cast<uint32_t>(std::max<int64_t>(1, us / 1000));
--- a/huts/crest/planner.hpp
+++ b/huts/crest/planner.hpp
@@ -65,7 +65,8 @@
 //  - every instance named in Grants, or whose slots or busy changed, is named in the next Report, with 0 too;
 //    a Held tells the slots that are in use or may still be used, so a lowered one shrinks as calls end;
 //  - what is given back is reported at once; a Demand whose waiting went to 0 is reported with 0;
-//  - a sender that has no holder for 5 s uses none of its slots any more.
+//  - a sender without a holder goes on with its slots. After 5 s of its silence they are given to others: where
+//    it was only cut off, both may send there, and what is too much is turned away as not run.
 class Planner {
   public:
     // dutyPerS: starts and stops that the platform takes a second from all; listLag: the most by which the
--- a/huts/crest/planner_test.cpp
+++ b/huts/crest/planner_test.cpp
@@ -26,6 +26,7 @@
         planner.configured(now, {{"f", 128, ms(900), slots, ms(targetMs)}});
         planner.workers(now, {{"w1", "a", 4096, 4096, false}, {"w2", "b", 4096, 4096, false},
                               {"w3", "b", 4096, 4096, false}});
+        planner.listed(now, {});
         for (const char* s : {"s1", "s2"}) {
             planner.linked(now, s, s == std::string("s1") ? "a" : "b");
             planner.reported(now, s, whole());
@@ -79,7 +80,7 @@
 };
 
 TEST(Planner, aWaitingRequestStartsAnInstanceAndGetsItsSlotsWhileItBoots) {
-    Bench b;
+    Bench b(2, 1000);
     b.report("s1", 1, 0, 1);
     ASSERT_EQ(b.starts.size(), 1u);
     EXPECT_EQ(b.starts[0].worker, "w1");  // the zone of the demand
@@ -186,7 +187,7 @@
 }
 
 TEST(Planner, anOrphanIsAdoptedAndUsedAndStoppedOnlyAfterItsKeepTime) {
-    Bench b;
+    Bench b(2, 1000);
     b.list({{"i1", false}});
     b.wait(1000);
     EXPECT_TRUE(b.stops.empty());
@@ -231,7 +232,7 @@
 }
 
 TEST(Planner, aReportForAnotherTermIsIgnored) {
-    Bench b;
+    Bench b(2, 1000);
     Report r = b.whole();
     r.term = 6;
     r.demands = {{"f", 5, 0, 5, 5, 0}};
@@ -265,6 +266,46 @@
     }
 }
 
+TEST(Planner, aServiceThatBootsLongerThanItsAimHasOneInstanceBeforeItsFirstCall) {
+    Bench b(2, 400);
+    ASSERT_EQ(b.starts.size(), 1u);
+    b.planner.started(b.now, b.starts[0].nonce, "i1", "x:1");
+    b.planner.listed(b.now, {{"i1", "f", "x:1", "a", "w1", 2, false}});
+    b.wait(5000);
+    EXPECT_EQ(b.starts.size(), 1u);
+    EXPECT_TRUE(b.stops.empty());
+    Bench patient(2, 1500);
+    patient.wait(5000);
+    EXPECT_TRUE(patient.starts.empty());
+}
+
+// One long call among few does not make a rare function look busy, where its fellows' calls are short.
+TEST(Planner, aRareFunctionsWorkIsLearnedFromThoseConfiguredAlike) {
+    Instant now = Instant::atMicros(1'000'000);
+    Planner p(now, 7, 1, 150, ms(800));
+    p.configured(now, {{"rare", 128, ms(900), 1, ms(1500)}, {"busy", 128, ms(900), 1, ms(1500)}});
+    p.workers(now, {{"w1", "a", 4096, 4096, false}});
+    p.listed(now, {{"i1", "rare", "x", "a", "w1", 1, false}, {"i2", "busy", "y", "a", "w1", 1, false}});
+    p.linked(now, "s1", "a");
+    Report r;
+    r.term = 7, r.whole = true, r.spanMs = 100;
+    p.reported(now, "s1", r);
+    size_t rareStarts = 0;
+    auto run = [&](std::vector<Demand> demands) {
+        now = now + ms(200);
+        Report each;
+        each.term = 7, each.spanMs = 200, each.demands = std::move(demands);
+        p.reported(now, "s1", each);
+        p.tick(now);
+        while (auto o = p.next()) {
+            if (auto* s = std::get_if<StartCall>(&*o)) rareStarts += s->service == "rare";
+        }
+    };
+    for (int i = 0; i < 20; ++i) run({{"busy", 0, 0, 1, 1, 80'000}});
+    for (int i = 0; i < 3; ++i) run({{"rare", 0, 1, 1, 1, 1'500'000}, {"busy", 0, 0, 1, 1, 80'000}});
+    EXPECT_EQ(rareStarts, 0u);
+}
+
 TEST(Planner, startsStayUnderThePlatformsRate) {
     Bench b(1, 400);
     std::vector<size_t> at;
--- a/huts/timberline/dispatch.cpp
+++ b/huts/timberline/dispatch.cpp
@@ -77,7 +77,7 @@
                 if (!named && i->slots > 0) i->slots = 0, noteHeld(*i);
             }
     }
-    std::vector<uint32_t> touched;
+    std::vector<uint32_t> touched, grown;  // grown: more slots than before
     for (const crest::Grant& g : grants.grants) {
         auto found = instanceById_.find(g.instance);
         if (found == instanceById_.end()) {
@@ -107,16 +107,18 @@
         Instance& i = *instances_[found->second];
         if (g.upInMs == 0 && !i.up) i.up = true, i.restsUntil = Instant::longAgo();
         if (g.slots == 0 && i.misses > 0) i.deadTold = false;
-        bool fewer = g.slots < i.told;
+        bool fewer = g.slots < i.told, more = g.slots > i.slots;
         i.slots = g.slots;
         if (i.slots > 0) i.dropped = false;
         if (fewer || g.slots == 0) noteHeld(i);
         i.told = std::max(i.slots, i.busy);
-        touched.push_back(i.service);
+        services_[i.service].fleetSlots = g.fleetSlots;
+        (more ? grown : touched).push_back(i.service);
     }
+    for (uint32_t s : grown) raise(now, services_[s]), touched.push_back(s);
     std::sort(touched.begin(), touched.end());
     touched.erase(std::unique(touched.begin(), touched.end()), touched.end());
-    for (uint32_t s : touched) raise(now, services_[s]), run(now, s);
+    for (uint32_t s : touched) run(now, s);
     for (InstanceIx ix = 0; ix < instances_.size(); ++ix) {
         Instance* i = instances_[ix].get();
         if (i && i->slots == 0 && i->busy == 0) dropInstance(ix);
@@ -212,12 +214,14 @@
     Service& s = services_[r.service];
     s.waiting[{r.is.priority, r.order}] = r.is.id;
     ++held_;
+    hungry_.insert(r.service);
     s.peak = std::max(s.peak, s.busy + static_cast<uint32_t>(s.waiting.size()));
 }
 
 void Dispatch::unqueue(Request& r) {
     Service& s = services_[r.service];
     if (s.waiting.erase({r.is.priority, r.order})) --held_;
+    if (s.waiting.empty()) hungry_.erase(r.service);
 }
 
 void Dispatch::withdrawn(Instant, RequestId id) {
@@ -259,7 +263,6 @@
 // A request is held: the service's concurrency is taken, or its instance boots. From here on the bucket binds.
 void Dispatch::hold(Instant now, Service& s) {
     s.bucket.bind(now, slice(s), chance_);
-    raise(now, s);
     if (!s.wanting || now - s.wantedAt > kUrgentAgain) {
         s.wanting = true, s.wantedAt = now;
         tellNow(now);
@@ -483,8 +486,8 @@
 
 void Dispatch::turnAway(Instant now) {
     std::vector<RequestId> all;
-    for (const Service& s : services_)
-        for (const auto& [key, id] : s.waiting) all.push_back(id);
+    for (uint32_t i : hungry_)
+        for (const auto& [key, id] : services_[i].waiting) all.push_back(id);
     for (RequestId id : all) refuse(now, requests_.at(id), false);
 }
 
@@ -547,9 +550,10 @@
     wakeAt_ = now + Span::millis(250);
     if (now >= sweepAt_) sweep(now);
     if (!holds_.empty()) wakeBy(std::max(holds_.begin()->first, sweepAt_));
-    if (held_ > 0)
-        for (uint32_t i = 0; i < services_.size(); ++i)
-            if (!services_[i].waiting.empty()) run(now, i);
+    if (!hungry_.empty()) {
+        std::vector<uint32_t> all(hungry_.begin(), hungry_.end());
+        for (uint32_t i : all) run(now, i);
+    }
     bool anything = !changed_.empty() || !heldChanges_.empty() || !dead_.empty() || !up_.empty();
     if (urgent_ || (anything && now - reportedAt_ >= kReportEvery)) report(now, false);
     else if (anything) wakeBy(reportedAt_ + kReportEvery);
--- a/huts/timberline/dispatch.hpp
+++ b/huts/timberline/dispatch.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -206,6 +207,7 @@
     std::vector<std::string> dead_, up_;
     std::map<std::string, crest::Held> heldChanges_;
     std::vector<uint32_t> changed_;
+    std::set<uint32_t> hungry_;  // services for which requests wait
     uint64_t term_ = 0, grantedTerm_ = 0, order_ = 0;
     bool linked_ = false, urgent_ = false, leaving_ = false;
     uint32_t senders_ = 1;
--- a/huts/timberline/proxy.cpp
+++ b/huts/timberline/proxy.cpp
@@ -119,7 +119,7 @@
         idle = true, idleSince = of.loop_.now();
         of.loop_.cancel(timer);
         of.place(at).idle.push_back(this);
-        of.dispatch_.probed(of.loop_.now(), at, true);
+        if (of.isStill(*this)) of.dispatch_.probed(of.loop_.now(), at, true);
         of.pumpSoon();
     }
     void data(Stream&) override { of.lineAnswered(*this); }
@@ -130,7 +130,7 @@
             if (request == 0 || stream->in().empty()) return;
         }
         if (request == 0) {
-            if (probe) of.dispatch_.probed(of.loop_.now(), at, false), of.pumpSoon();
+            if (probe && of.isStill(*this)) of.dispatch_.probed(of.loop_.now(), at, false), of.pumpSoon();
             return of.buryLine(*this);
         }
         of.endLine(*this, !s.isConnected() ? Ending::unconnected : s.anythingSent() ? Ending::broken : Ending::unsent);
@@ -402,7 +402,7 @@
 void Proxy::lineTimed(Line& line) {
     Instant now = loop_.now();
     if (line.probe) {
-        dispatch_.probed(now, line.at, false);
+        if (isStill(line)) dispatch_.probed(now, line.at, false);
         pumpSoon();
         return buryLine(line);
     }
@@ -413,6 +413,12 @@
     line.timer = loop_.at(std::min(line.patientUntil, line.deadline), [this, &line] { line.timer = 0, lineTimed(line); });
 }
 
+// Indices of instances come again: what a probe of an earlier one showed says nothing of the next.
+bool Proxy::isStill(const Line& line) const {
+    const InstanceView* view = dispatch_.instance(line.at);
+    return view && view->id == line.instance;
+}
+
 void Proxy::endLine(Line& line, Ending how) {
     RequestId id = line.request;
     line.request = 0;
@@ -470,8 +476,10 @@
         else if (status >= 200 && status < 300 &&
                  (!answer->head.field("X-Endpoint-Seal") || answer->head.field("Content-Encoding")))
             how = Ending::broken;  // not the endpoint's body
-        else if (status >= 500) how = Ending::failed;
-        else if (status == 429 || status == 503 || status == 408) how = Ending::failed;
+        // Without the word that it has not run, these may have: passed on to who may send it but once they would
+        // promise what nobody knows.
+        else if ((status == 429 || status == 503 || status == 408) && !e.repeatable) how = Ending::broken;
+        else if (status >= 500 || status == 429 || status == 408) how = Ending::failed;
         if (how == Ending::broken) ++spoilt_;
         bool keeps = !answer->closes && in.empty() && !line.spoilt && !line.stream->isClosed() && how != Ending::broken;
         if (!in.empty()) ++excess_;
--- a/huts/timberline/proxy.hpp
+++ b/huts/timberline/proxy.hpp
@@ -76,6 +76,7 @@
     void passOn(RequestId);
     void endLine(Line&, Ending how);   // with its request, if any
     void buryLine(Line&);
+    bool isStill(const Line&) const;
     void lineAnswered(Line&);
     void lineTimed(Line&);
     std::string requestBytes(const Exchange&, const std::string& instance) const;
