Connections to clients are bounded by the descriptors; the last of a grace has its test

A new connection beyond two thirds of the descriptors ends unread, so that its client goes elsewhere; a connection that was just opened is no longer closed as idle while the process leaves (the new test found it: 5,590th connection, 0.4 s after the order to leave, ended unread though the process served on for 2 s).

--- a/huts/eagle/http_server.cpp
+++ b/huts/eagle/http_server.cpp
@@ -147,8 +147,8 @@
     }
 }
 
-void HttpVisit::closeWhenIdle() {
-    if (busy_ || closing_ || begun_) return;
+void HttpVisit::closeWhenIdle(Span least) {
+    if (busy_ || closing_ || begun_ || loop_.now() - since_ < least) return;
     closing_ = true;
     stream_->finishWriting();
     since_ = loop_.now();
--- a/huts/eagle/http_server.hpp
+++ b/huts/eagle/http_server.hpp
@@ -45,7 +45,8 @@
     // `fields` are whole lines, each with its CR LF. last: this connection ends after it.
     void answer(int status, std::string_view fields, std::string_view body, bool last = false);
     void answerAsIs(std::string_view head, std::string_view body, bool last);  // head with its blank line
-    void closeWhenIdle();  // at once where nothing is under way and nothing has come
+    // Where nothing is under way, nothing has come, and that for so long: one just opened is about to ask.
+    void closeWhenIdle(Span least = Span());
     void look();           // time bounds; called some times a second
     bool wantsClose() const { return lastAsked_; }
     uint64_t tag = 0;  // the host's
--- a/huts/timberline/proxy.cpp
+++ b/huts/timberline/proxy.cpp
@@ -1,5 +1,6 @@
 #include "huts/timberline/proxy.hpp"
 
+#include <unistd.h>
 #include <zlib.h>
 
 #include <algorithm>
@@ -155,7 +156,15 @@
     }
     auto front = eagle::Address::parse(settings_.front->text());
     auto ready = eagle::Address::parse(settings_.readiness->text());
+    // Descriptors are for requests under way first: beyond the bound a new connection ends unread, and its client
+    // goes elsewhere. 200 are the platform's for files, some our own; each request may take two.
+    mostVisits_ = static_cast<size_t>(std::max(64, settings_.limits.fileDescriptors - 300)) * 2 / 3;
     listener_ = eagle::Listener::open(loop_, *front, [this](int fd, eagle::Address) {
+        if (visits_.size() >= mostVisits_) {
+            ++turnedAway_;
+            ::close(fd);
+            return;
+        }
         uint64_t id = nextVisit_++;
         lastCame_ = loop_.now();
         visits_[id] = std::make_unique<HttpVisit>(loop_, *this, fd, id);
@@ -596,7 +605,7 @@
     if (lasts > Span::millis(400)) {
         std::vector<HttpVisit*> all;
         for (auto& [id, visit] : visits_) all.push_back(visit.get());
-        for (HttpVisit* visit : all) visit->closeWhenIdle();
+        for (HttpVisit* visit : all) visit->closeWhenIdle(Span::millis(300));
     }
     if (lasts > settings_.bounds.grace - kLastHeld) {
         if (listener_) listener_->close();  // who comes now is told by the reset, having sent nothing
@@ -617,10 +626,10 @@
     const Counters& c = dispatch_.counters();
     spdlog::info("counters arrived={} sent={} passed={} refused={} refused_held={} again={} gave_up={} full={} "
                  "misdirected={} broken={} silent={} unconnected={} probes={} reports={} no_route={} not_ready={} "
-                 "excess={} spoilt={} connects={} open={} waiting={}",
+                 "excess={} spoilt={} connects={} open={} waiting={} turned_away={}",
                  c.arrived, c.sent, c.passed, c.refusedAtOnce, c.refusedHeld, c.again, c.gaveUp, c.full, c.misdirected,
                  c.broken, c.silent, c.unconnected, c.probes, c.reports, noRoute_, notReady_, excess_, spoilt_,
-                 connects_, visits_.size(), dispatch_.held());
+                 connects_, visits_.size(), dispatch_.held(), turnedAway_);
 }
 
 }  // namespace petrelpond::timberline
--- a/huts/timberline/proxy.hpp
+++ b/huts/timberline/proxy.hpp
@@ -105,7 +105,8 @@
     Instant leavingSince_, lastCame_, logAt_;
     eagle::TimerId timer_ = 0, sweepTimer_ = 0;
     Instant armedFor_ = Instant::never();
-    uint64_t noRoute_ = 0, notReady_ = 0, excess_ = 0, spoilt_ = 0, connects_ = 0;
+    uint64_t noRoute_ = 0, notReady_ = 0, excess_ = 0, spoilt_ = 0, connects_ = 0, turnedAway_ = 0;
+    size_t mostVisits_ = 1000;
 };
 
 }  // namespace petrelpond::timberline
--- a/huts/timberline/proxy_test.cpp
+++ b/huts/timberline/proxy_test.cpp
@@ -263,6 +263,7 @@
         settings_.readiness = tilly::Address{"127.0.0.1", readyPort_};
         settings_.portFirst = agentDoor_.port() - 2, settings_.portLast = settings_.portFirst + 15;
         settings_.bounds.grace = Span::millis(4000);
+        settings_.limits.fileDescriptors = 396;  // 64 connections of clients
         proxy_ = std::make_unique<Proxy>(turning_.loop, settings_, 1);
         std::string error;
         EXPECT_TRUE(proxy_->open(error)) << error;
@@ -766,5 +767,45 @@
     EXPECT_TRUE(turning_.endsWithin(kPatience));
 }
 
+// Where few senders are left the platform sends clients here to the end of the grace. Whoever is read is answered.
+TEST_F(ProxyTest, WhoComesInTheLastOfTheGraceIsToldThatItHasNotRun) {
+    Door door;
+    begin({{&door, 1}});
+    auto first = client();
+    first->send(request("/often/a", "id-0"));
+    auto e = door.taken();
+    e->message();
+    e->send(answer("id-0", "first"));
+    EXPECT_EQ(statusOf(first->message()), 200);
+    turning_.ask([this] { proxy_->leave(); });
+    std::string last;
+    for (int i = 1; i < 100000; ++i) {
+        std::string id = "id-" + std::to_string(i);
+        auto c = client();
+        c->send(request("/nowhere/", id));
+        last = c->message();
+        ASSERT_TRUE(statusOf(last) == 404 || statusOf(last) == 503) << i << ": " << last;
+        EXPECT_TRUE(c->endsWithNothingMore());
+        if (statusOf(last) == 503) break;
+    }
+    EXPECT_EQ(statusOf(last), 503);
+    EXPECT_NE(field(last, "Retry-After"), "(none)");
+    EXPECT_TRUE(turning_.endsWithin(kPatience));
+}
+
+TEST_F(ProxyTest, BeyondTheBoundOfDescriptorsAConnectionEndsUnread) {
+    begin({});
+    std::vector<std::unique_ptr<Wire>> all;
+    for (int i = 0; i < 64; ++i) {
+        all.push_back(client());
+        all.back()->send(request("/nowhere/", "x"));
+        ASSERT_EQ(statusOf(all.back()->message()), 404) << i;
+    }
+    auto over = client();
+    EXPECT_TRUE(over->endsWithNothingMore());
+    all.front()->send(request("/nowhere/", "x"));
+    EXPECT_EQ(statusOf(all.front()->message()), 404);
+}
+
 }  // namespace
 }  // namespace petrelpond::timberline
