--- a/fleet/system/clients.cpp
+++ b/fleet/system/clients.cpp
@@ -14,8 +14,9 @@
 
 namespace {
 
-const Span kToComeUp = Span::seconds(1);   // for a new connection
-const Span kToBeRead = Span::seconds(1);   // a repeatable request that lies unread for so long is tried elsewhere
+const Span kToComeUp = Span::seconds(1);  // for a new connection
+const Span kToBeRead =
+    Span::seconds(1);  // a repeatable request that lies unread for so long is tried elsewhere
 const Span kIdleMost = Span::seconds(8);
 const Span kPauseOnce = Span::millis(60);  // before a further try that was told nothing
 constexpr size_t kMostAnswer = 4u << 20;
@@ -40,8 +41,10 @@
     for (int e : edges_) {
         auto n = static_cast<size_t>(e);
         callers_[n]->call("GET", "/readiness", "", "", [this, n](int status, const std::string&) {
-            if (status == 200) misses_[n] = 0, in_[n] = true;
-            else if (++misses_[n] >= 2) in_[n] = false;
+            if (status == 200)
+                misses_[n] = 0, in_[n] = true;
+            else if (++misses_[n] >= 2)
+                in_[n] = false;
         });
     }
     loop_.at(loop_.now() + Span::seconds(1), [this] { ask(); });
@@ -56,10 +59,12 @@
         if (!here && in) others.push_back(e);
     }
     const auto& from = ready.size() * 2 >= own.size() && !ready.empty() ? ready
-                       : !ready.empty() || others.empty()              ? own
-                                                                       : others;
+                       : !ready.empty() || others.empty()               ? own
+                                                                        : others;
     // Where a client's zone has no other, its further tries leave the zone.
-    const auto& any = from.empty() ? edges_ : from.size() == 1 && tryNo > 0 && !others.empty() ? others : from;
+    const auto& any = from.empty()                                       ? edges_
+                      : from.size() == 1 && tryNo > 0 && !others.empty() ? others
+                                                                         : from;
     return any[(client * 2654435761u / 7 + static_cast<uint64_t>(tryNo)) % any.size()];
 }
 
@@ -87,8 +92,10 @@
         if (read == Reading::whole) return of.answered(*this, answer);
         if (read == Reading::incomplete) return;
         Ask& a = of.asks_.at(ask);
-        if (s.isClosed()) of.judge_.broken(of.loop_.now(), a.attempt);  // cut off: nobody takes it for whole
-        else of.judge_.spoilt(of.loop_.now(), a.attempt);
+        if (s.isClosed())
+            of.judge_.broken(of.loop_.now(), a.attempt);  // cut off: nobody takes it for whole
+        else
+            of.judge_.spoilt(of.loop_.now(), a.attempt);
         a.line = nullptr, ask = 0;
         of.bury(*this);
         of.unanswered(a, true);
@@ -107,8 +114,8 @@
 
 Clients::Clients(eagle::Loop& loop, Judge& judge, const Plan& plan, const Machines& machines, Door& door,
                  std::vector<std::string> zones, uint64_t seed)
-    : loop_(loop), judge_(judge), plan_(plan), machines_(machines), door_(door), zones_(std::move(zones)), chance_(seed),
-      results_(plan.flows.size()), factors_(plan.groups.size(), 1) {
+    : loop_(loop), judge_(judge), plan_(plan), machines_(machines), door_(door), zones_(std::move(zones)),
+      chance_(seed), results_(plan.flows.size()), factors_(plan.groups.size(), 1) {
     for (const GroupPlan& g : plan.groups) {
         std::vector<double> weights;
         for (int i = 0; i < g.count; ++i) weights.push_back(1 / std::pow(i + 1, g.skew));
@@ -148,16 +155,18 @@
     auto group = static_cast<size_t>(flow.group);
     double gap = std::exponential_distribution<double>(flow.rate * factors_[group])(chance_);
     loop_.at(loop_.now() + Span::seconds(std::min(gap, 2.0)), [this, f, gap] {
-        if (gap <= 2.0) arrive(f);
-        else loop_.at(loop_.now() + Span::seconds(gap - 2.0), [this, f] { arrive(f); });
+        if (gap <= 2.0)
+            arrive(f);
+        else
+            loop_.at(loop_.now() + Span::seconds(gap - 2.0), [this, f] { arrive(f); });
     });
     Ask& a = asks_[nextAsk_];
     a.number = nextAsk_++, a.flow = static_cast<int>(f);
     int function = draws_[group](chance_);
     a.host = host(plan_, f);
-    a.path = prefix(plan_, f, function) + "x" + std::to_string(chance_() % 100000) + "?work=" +
-             std::to_string(flow.work.inMicros() / 1000) + "&size=" +
-             std::to_string(flow.body + static_cast<int>(chance_() % 2));
+    a.path = prefix(plan_, f, function) + "x" + std::to_string(chance_() % 100000) +
+             "?work=" + std::to_string(flow.work.inMicros() / 1000) +
+             "&size=" + std::to_string(flow.body + static_cast<int>(chance_() % 2));
     a.repeatable = flow.repeatable;
     a.method = chance_() % 2 ? "POST" : "GET";
     if (a.method == "POST") a.body.assign(chance_() % 2000, 'b'), a.chunked = chance_() % 3 == 0;
@@ -172,7 +181,8 @@
 void Clients::direct(int machine, const std::string& host, const std::string& path, Asked asked) {
     Ask& a = asks_[nextAsk_];
     a.number = nextAsk_++, a.host = host, a.path = path, a.method = "GET", a.machine = machine;
-    a.client = -1, a.cameAt = loop_.now(), a.deadline = a.cameAt + Span::seconds(2), a.asked = std::move(asked);
+    a.client = -1, a.cameAt = loop_.now(), a.deadline = a.cameAt + Span::seconds(2),
+    a.asked = std::move(asked);
     attempt(a);
 }
 
@@ -184,10 +194,11 @@
     }
     ++a.tries;
     char id[24];
-    std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(nextAttempt_++ * 0x9E3779B97F4A7C15u));
+    std::snprintf(id, sizeof id, "%016llx",
+                  static_cast<unsigned long long>(nextAttempt_++ * 0x9E3779B97F4A7C15u));
     a.attempt = id, a.sentAt = now;
-    judge_.sent(now, Sent{a.attempt, a.method, a.host, a.path, digestOf(a.body), a.repeatable, a.machine, a.deadline,
-                          a.flow >= 0});
+    judge_.sent(now, Sent{a.attempt, a.method, a.host, a.path, digestOf(a.body), a.repeatable, a.machine,
+                          a.deadline, a.flow >= 0});
     Line* line = nullptr;
     if (a.keeps && a.tries == 1) {
         auto& idle = idle_[{a.client, a.machine}];
@@ -201,7 +212,8 @@
         auto made = std::make_unique<Line>(*this, nextLine_++, a.machine, a.client);
         const Machine& m = machines_.all()[static_cast<size_t>(a.machine)];
         ++connections_;
-        made->stream = Stream::connect(loop_, *made, *eagle::Address::parse(m.ip, machines_.ports.front), Span());
+        made->stream =
+            Stream::connect(loop_, *made, *eagle::Address::parse(m.ip, machines_.ports.front), Span());
         line = made.get();
         bool made_ = made->stream != nullptr;
         lines_[line->id] = std::move(made);
@@ -220,15 +232,17 @@
 }
 
 void Clients::write(Ask& a) {
-    std::string out = a.method + " " + a.path + " HTTP/1.1\r\nHost: " + a.host + "\r\nX-Attempt-Id: " + a.attempt +
-                      "\r\nX-Time-Remaining: " +
-                      std::to_string(std::max<int64_t>(1, (a.deadline - loop_.now()).inMicros() / 1000)) + "\r\n";
+    std::string out = a.method + " " + a.path + " HTTP/1.1\r\nHost: " + a.host +
+                      "\r\nX-Attempt-Id: " + a.attempt + "\r\nX-Time-Remaining: " +
+                      std::to_string(std::max<int64_t>(1, (a.deadline - loop_.now()).inMicros() / 1000)) +
+                      "\r\n";
     if (!a.keeps) out += "Connection: close\r\n";
     if (a.chunked) {
         out += "Transfer-Encoding: chunked\r\n\r\n";
         char length[32];
         size_t half = a.body.size() / 2;
-        for (std::string_view piece : {std::string_view(a.body).substr(0, half), std::string_view(a.body).substr(half)}) {
+        for (std::string_view piece :
+             {std::string_view(a.body).substr(0, half), std::string_view(a.body).substr(half)}) {
             if (piece.empty()) continue;
             std::snprintf(length, sizeof length, "%zx\r\n", piece.size());
             out.append(length).append(piece).append("\r\n");
@@ -246,7 +260,8 @@
     Instant now = loop_.now(), first = a.deadline;
     if (a.line && !a.line->stream->isConnected()) first = std::min(first, a.sentAt + kToComeUp);
     // Whether a request was read can't be seen on real sockets, only that its sender stands still.
-    if (a.line && a.repeatable) first = std::min(first, std::max(now + Span::millis(100), a.sentAt + Span::millis(300)));
+    if (a.line && a.repeatable)
+        first = std::min(first, std::max(now + Span::millis(100), a.sentAt + Span::millis(300)));
     a.timer = loop_.at(first, [this, n = a.number] { timed(n); });
 }
 
@@ -286,11 +301,12 @@
     a.lastStatus = status;
     bool promise = status == 429 || status == 503 || status == 408 || status == 421;
     if (!promise) a.refusedOnly = false;
-    bool final = (status >= 200 && status < 300) || status == 400 || status == 401 || status == 404 || status == 413 ||
-                 status == 431;
+    bool final = (status >= 200 && status < 300) || status == 400 || status == 401 || status == 404 ||
+                 status == 413 || status == 431;
     if (final || (!promise && !a.repeatable)) return over(a, status);
     Span wait = kPauseOnce * std::pow(2, a.tries - 1);
-    if (auto seconds = http::decimal(told)) wait = std::min(Span::seconds(*seconds), (a.deadline - now) * (1.0 / 3));
+    if (auto seconds = http::decimal(told))
+        wait = std::min(Span::seconds(*seconds), (a.deadline - now) * (1.0 / 3));
     again(a, wait);
 }
 
--- a/fleet/system/clients.hpp
+++ b/fleet/system/clients.hpp
@@ -1,4 +1,5 @@
-// Clients as the platform brings them in: open-loop arrivals, kept and new connections, deadlines, further tries.
+// Clients as the platform brings them in: open-loop arrivals, kept and new connections, deadlines, further
+// tries.
 #pragma once
 
 #include <functional>
@@ -34,8 +35,8 @@
 
 struct FlowResult {
     long asked = 0, inAim = 0, late = 0, refused = 0, failed = 0, open = 0, tries = 0;
-    std::map<int, long> lastStatus;   // of what was not served; 0: no answer
-    std::vector<double> millis;       // of what was served
+    std::map<int, long> lastStatus;  // of what was not served; 0: no answer
+    std::vector<double> millis;      // of what was served
 };
 
 // A request to one sender beside the flows: its status, 0 where no answer came.
@@ -43,7 +44,8 @@
 
 class Clients {
   public:
-    Clients(eagle::Loop&, Judge&, const Plan&, const Machines&, Door&, std::vector<std::string> zones, uint64_t seed);
+    Clients(eagle::Loop&, Judge&, const Plan&, const Machines&, Door&, std::vector<std::string> zones,
+            uint64_t seed);
     ~Clients();
     // For a function of a group and a flow: its route's host and prefix.
     static std::string host(const Plan&, size_t flow);
@@ -83,7 +85,9 @@
     void arm(Ask&);
     void bury(Line&);
     int drawFunction(const GroupPlan&, size_t group);
-    double between(double low, double high) { return std::uniform_real_distribution<double>(low, high)(chance_); }
+    double between(double low, double high) {
+        return std::uniform_real_distribution<double>(low, high)(chance_);
+    }
 
     eagle::Loop& loop_;
     Judge& judge_;
@@ -93,7 +97,7 @@
     std::vector<std::string> zones_;
     std::mt19937_64 chance_;
     std::vector<FlowResult> results_;
-    std::vector<double> factors_;                    // by group
+    std::vector<double> factors_;                         // by group
     std::vector<std::discrete_distribution<int>> draws_;  // by group
     std::map<uint64_t, Ask> asks_;
     std::map<uint64_t, std::unique_ptr<Line>> lines_;
--- a/fleet/system/command.cpp
+++ b/fleet/system/command.cpp
@@ -46,8 +46,10 @@
             std::error_code error;
             if (keep.empty()) std::filesystem::remove_all(folder, error);
             if (o.interrupted) return kVoid;
-            if (!o.fine()) code = kBroken;
-            else if (o.served() == 0 && code == 0) code = kVoid;
+            if (!o.fine())
+                code = kBroken;
+            else if (o.served() == 0 && code == 0)
+                code = kVoid;
         }
         return code;
     }
@@ -55,24 +57,29 @@
 
 Command::Command(CLI::App& app) : parts_(std::make_unique<Parts>()) {
     Parts& p = *parts_;
-    p.all = app.add_subcommand("system", "the whole system as real processes, with stand-ins of everything round it");
+    p.all = app.add_subcommand("system",
+                               "the whole system as real processes, with stand-ins of everything round it");
     p.all->require_subcommand(1);
     auto usual = [&p](CLI::App* c) {
-        c->add_option("--programs", p.programs, "folder of timberline, silcox and cloudcap (beside petrelfleet, else ./target)");
+        c->add_option("--programs", p.programs,
+                      "folder of timberline, silcox and cloudcap (beside petrelfleet, else ./target)");
         c->add_option("--keep", p.keep, "keep the machines' folders with logs and disks here");
         c->add_option("--seed", p.seed, "in place of the file's");
         c->add_flag("-q,--quiet", p.quiet, "no progress");
         c->add_option("-n,--plays", p.plays, "how many, each with the next seed")->check(CLI::Range(1, 1000));
     };
-    p.demo = p.all->add_subcommand("demo", "20 s: six senders, three cores, a herd kill, a lost disk, a worker's crash");
+    p.demo = p.all->add_subcommand(
+        "demo", "20 s: six senders, three cores, a herd kill, a lost disk, a worker's crash");
     usual(p.demo);
     p.run = p.all->add_subcommand("run", "play a scenario file");
     p.run->add_option("scenario", p.file, "the file (TOML)")->required();
     usual(p.run);
     p.check = p.all->add_subcommand("check", "read a scenario file and name every mistake in it by line");
     p.check->add_option("scenario", p.file, "the file (TOML)")->required();
-    p.kills = p.all->add_subcommand("kills", "a long play of single losses, drawn by the seed, under changes");
-    p.kills->add_option("--kills", p.long_.kills, "kills, freezes, ends and crashes")->check(CLI::Range(0, 10000));
+    p.kills =
+        p.all->add_subcommand("kills", "a long play of single losses, drawn by the seed, under changes");
+    p.kills->add_option("--kills", p.long_.kills, "kills, freezes, ends and crashes")
+        ->check(CLI::Range(0, 10000));
     p.kills->add_option("--wipes", p.long_.wipes, "disks lost")->check(CLI::Range(0, 10000));
     usual(p.kills);
 }
@@ -89,9 +96,9 @@
     Plan plan = *p.demo ? readPlan(demoPlan(), "demo") : readPlanFile(p.file);
     if (p.seed > 0) plan.seed = p.seed;
     if (*p.check) {
-        std::cout << p.file << ": " << plan.edges << " senders, " << plan.cores << " cores, " << plan.groups.size()
-                  << " groups, " << plan.flows.size() << " flows, " << plan.faults.size() << " faults in "
-                  << plan.lasts.inSeconds() << " s\n";
+        std::cout << p.file << ": " << plan.edges << " senders, " << plan.cores << " cores, "
+                  << plan.groups.size() << " groups, " << plan.flows.size() << " flows, "
+                  << plan.faults.size() << " faults in " << plan.lasts.inSeconds() << " s\n";
         return 0;
     }
     return p.play(std::move(plan));
--- a/fleet/system/judge.cpp
+++ b/fleet/system/judge.cpp
@@ -25,8 +25,8 @@
 
 std::string_view nameOf(Rule rule) {
     static constexpr std::string_view names[kRules] = {"MIXED", "UNASKED", "TWICE", "REFUSED", "DENIED",
-                                                       "ROUTE", "DRAIN", "LOST", "CONFIG", "FORGOTTEN",
-                                                       "ACKS", "BUDGET", "LIMIT", "RECOVER", "ENDS"};
+                                                       "ROUTE", "DRAIN",   "LOST",  "CONFIG",  "FORGOTTEN",
+                                                       "ACKS",  "BUDGET",  "LIMIT", "RECOVER", "ENDS"};
     return names[static_cast<size_t>(rule)];
 }
 
@@ -105,13 +105,16 @@
     if (newLife) ++m.life, m.effects.clear();
 }
 
-void Judge::planned(Instant now, int machine) { machines_[static_cast<size_t>(machine)].terms.push_back(now); }
+void Judge::planned(Instant now, int machine) {
+    machines_[static_cast<size_t>(machine)].terms.push_back(now);
+}
 void Judge::disturbed(Instant from, Instant until) { disturbances_.push_back({from, until}); }
 
 void Judge::ownEnd(Instant now, int machine, const std::string& words) {
     const Machine& m = machines_[static_cast<size_t>(machine)];
     if (calm(m.troubles, now - kAfterTrouble, now))
-        breach(Rule::ends, now, "machine " + std::to_string(machine) + ": " + words + " with no trouble there");
+        breach(Rule::ends, now,
+               "machine " + std::to_string(machine) + ": " + words + " with no trouble there");
 }
 
 void Judge::platformAway(Instant now, bool away) {
@@ -165,19 +168,22 @@
 }
 
 // allowing: the versions as which it was handled, ascending.
-void Judge::handled(Instant now, Request& r, const std::vector<int64_t>& allowing, bool effect, const std::string& how) {
+void Judge::handled(Instant now, Request& r, const std::vector<int64_t>& allowing, bool effect,
+                    const std::string& how) {
     if (allowing.empty()) return;
     auto floor = floorFor(now, r);
     if (floor && allowing.back() < *floor)
-        breach(Rule::config, now, nameOf(r) + " was " + how + ", as only version " + std::to_string(allowing.back()) +
-                                      " or older allows, though " + std::to_string(*floor) +
-                                      " had been acknowledged for " + seconds(r.at - changes_[*floor].ackedAt));
+        breach(Rule::config, now,
+               nameOf(r) + " was " + how + ", as only version " + std::to_string(allowing.back()) +
+                   " or older allows, though " + std::to_string(*floor) + " had been acknowledged for " +
+                   seconds(r.at - changes_[*floor].ackedAt));
     Machine& m = machines_[static_cast<size_t>(r.is.machine)];
     if (r.life != m.life || m.isDown) return;  // that life is over
     for (const auto& [at, version] : m.effects) {
         if (version <= allowing.back() || at + bounds_.rollbackSlack >= r.at) continue;
-        breach(Rule::config, now, nameOf(r) + " was " + how + ", as only version " + std::to_string(allowing.back()) +
-                                      " or older allows, after this machine had acted on " + std::to_string(version));
+        breach(Rule::config, now,
+               nameOf(r) + " was " + how + ", as only version " + std::to_string(allowing.back()) +
+                   " or older allows, after this machine had acted on " + std::to_string(version));
         break;
     }
     if (effect && (m.effects.empty() || m.effects.back().second < allowing.front()))
@@ -188,8 +194,8 @@
     if (r.is.owed) outcomes_.emplace_back(r.at, served);
 }
 
-void Judge::got(Instant now, const std::string& id, int status, const std::string& seal, const std::string& echo,
-                uint64_t body) {
+void Judge::got(Instant now, const std::string& id, int status, const std::string& seal,
+                const std::string& echo, uint64_t body) {
     auto found = requests_.find(id);
     if (found == requests_.end()) return;
     Request& r = found->second;
@@ -203,18 +209,21 @@
             whole |= success && g.seal == seal && g.body == body;
             other |= !success;
         }
-        if (seal.empty()) breach(Rule::mixed, now, nameOf(r) + " got a success without a seal");
+        if (seal.empty())
+            breach(Rule::mixed, now, nameOf(r) + " got a success without a seal");
         else if (!whole)
-            breach(Rule::mixed, now, nameOf(r) + (r.given.empty() ? " got a success that no endpoint gave"
-                                                  : other ? " got a success where the endpoint gave a failure"
-                                                          : " got a body or seal other than the endpoint's"));
+            breach(Rule::mixed, now,
+                   nameOf(r) + (r.given.empty() ? " got a success that no endpoint gave"
+                                : other         ? " got a success where the endpoint gave a failure"
+                                                : " got a body or seal other than the endpoint's"));
         return;
     }
     bool promise = status == 429 || status == 503 || status == 408 || status == 421;
     if (promise && !r.is.repeatable) {
         r.promised = true;
         if (r.runs > 0)
-            breach(Rule::refused, now, nameOf(r) + " was answered " + std::to_string(status) + " though it had run");
+            breach(Rule::refused, now,
+                   nameOf(r) + " was answered " + std::to_string(status) + " though it had run");
     }
     if (promise || status < 300 || status >= 500) return;
     auto floor = floorFor(now, r);
@@ -232,9 +241,11 @@
 
 void Judge::stray(Instant now, int machine, int status) {
     if (status >= 200 && status < 300)
-        breach(Rule::mixed, now, "a success on a connection where no request waits, machine " + std::to_string(machine));
+        breach(Rule::mixed, now,
+               "a success on a connection where no request waits, machine " + std::to_string(machine));
     if (status == 0)
-        breach(Rule::mixed, now, "bytes that are no answer where no request waits, machine " + std::to_string(machine));
+        breach(Rule::mixed, now,
+               "bytes that are no answer where no request waits, machine " + std::to_string(machine));
 }
 
 void Judge::spoilt(Instant now, const std::string& id) {
@@ -261,9 +272,9 @@
         if (unplanned) continue;
         if (r.open > 0 && now > term + bounds_.grace * 0.5) continue;
         if (r.runs > 0 || now - r.at > std::max(bounds_.lossSlack, kSurelyRead)) {
-            breach(Rule::lost, now, nameOf(r) + " was cut off " + seconds(now - term) +
-                                        " after its machine was told to end" +
-                                        (r.runs > 0 ? ", having been passed on" : ""));
+            breach(Rule::lost, now,
+                   nameOf(r) + " was cut off " + seconds(now - term) + " after its machine was told to end" +
+                       (r.runs > 0 ? ", having been passed on" : ""));
             return;
         }
     }
@@ -280,16 +291,17 @@
     return ran > bounds_.drain;
 }
 
-void Judge::reached(Instant now, const std::string& id, const std::string& endpoint, const std::string& service,
-                    bool misdirected) {
+void Judge::reached(Instant now, const std::string& id, const std::string& endpoint,
+                    const std::string& service, bool misdirected) {
     auto found = requests_.find(id);
     if (found == requests_.end()) return;  // ran() tells
     Request& r = found->second;
     auto leaves = leaving_.find(endpoint);
-    if (!misdirected && leaves != leaving_.end() && now > leaves->second && drainClockRan(leaves->second, now) &&
-        inTouch(r.is.machine, std::min(r.at, now), now))
-        breach(Rule::drain, now, nameOf(r) + " reached " + endpoint + " " + seconds(now - leaves->second) +
-                                     " after the list had shown it as draining");
+    if (!misdirected && leaves != leaving_.end() && now > leaves->second &&
+        drainClockRan(leaves->second, now) && inTouch(r.is.machine, std::min(r.at, now), now))
+        breach(Rule::drain, now,
+               nameOf(r) + " reached " + endpoint + " " + seconds(now - leaves->second) +
+                   " after the list had shown it as draining");
     Service& s = services_[service];
     if (++r.arrivals == 1) return;
     Span w = bounds_.budgetWindow;
@@ -305,8 +317,9 @@
     double allowed = bounds_.retryRatio * static_cast<double>(most) + bounds_.retrySlack;
     if (static_cast<double>(repeats) > allowed && now - s.budgetToldAt > w) {
         s.budgetToldAt = now;
-        breach(Rule::budget, now, service + " got " + std::to_string(repeats) + " further arrivals in " + seconds(w) +
-                                      ", " + std::to_string(static_cast<long>(allowed)) + " allowed");
+        breach(Rule::budget, now,
+               service + " got " + std::to_string(repeats) + " further arrivals in " + seconds(w) + ", " +
+                   std::to_string(static_cast<long>(allowed)) + " allowed");
     }
 }
 
@@ -322,10 +335,12 @@
     Service& s = services_[service];
     s.rejections.push_back(now);
     while (now - s.rejections.front() > kLimitWindow) s.rejections.pop_front();
-    if (static_cast<double>(s.rejections.size()) > bounds_.rejectionSlack && now - s.limitToldAt > kLimitWindow) {
+    if (static_cast<double>(s.rejections.size()) > bounds_.rejectionSlack &&
+        now - s.limitToldAt > kLimitWindow) {
         s.limitToldAt = now;
-        breach(Rule::limit, now, "instances of " + service + " turned away " + std::to_string(s.rejections.size()) +
-                                     " requests in " + seconds(kLimitWindow) + ", being full");
+        breach(Rule::limit, now,
+               "instances of " + service + " turned away " + std::to_string(s.rejections.size()) +
+                   " requests in " + seconds(kLimitWindow) + ", being full");
     }
 }
 
@@ -337,18 +352,22 @@
     Request& r = found->second;
     ++r.runs, ++r.open;
     if (method != r.is.method || target != r.is.target || body != r.is.body)
-        breach(Rule::unasked, now, nameOf(r) + " ran changed, as " + std::string(method) + " " + std::string(target));
+        breach(Rule::unasked, now,
+               nameOf(r) + " ran changed, as " + std::string(method) + " " + std::string(target));
     if (!r.is.repeatable && r.runs > 1)
         breach(Rule::twice, now, nameOf(r) + " ran " + std::to_string(r.runs) + " times");
-    if (r.promised) breach(Rule::refused, now, nameOf(r) + " ran after its client was promised that it never would");
+    if (r.promised)
+        breach(Rule::refused, now, nameOf(r) + " ran after its client was promised that it never would");
     std::vector<int64_t> allowing;
     for (const auto& [number, change] : changes_) {
         if (!change.is.valid) continue;
         const RouteRule* rule = change.is.find(r.is.host, pathOf(r.is.target));
-        if (rule && std::find(rule->to.begin(), rule->to.end(), service) != rule->to.end()) allowing.push_back(number);
+        if (rule && std::find(rule->to.begin(), rule->to.end(), service) != rule->to.end())
+            allowing.push_back(number);
     }
     if (allowing.empty())
-        return breach(Rule::route, now, nameOf(r) + " ran at " + service + ", where no configuration sends it");
+        return breach(Rule::route, now,
+                      nameOf(r) + " ran at " + service + ", where no configuration sends it");
     handled(now, r, allowing, true, "run by " + service);
 }
 
@@ -357,8 +376,10 @@
     if (found == requests_.end()) return;
     Request& r = found->second;
     if (r.open > 0) --r.open;
-    if (status == 0) r.endpointBroke = true;
-    else r.given.push_back({status, seal, body});
+    if (status == 0)
+        r.endpointBroke = true;
+    else
+        r.given.push_back({status, seal, body});
 }
 
 void Judge::abandoned(const std::string& id) {
@@ -382,7 +403,8 @@
         if (change.is.number != number || change.ackedAt != Instant::never()) continue;
         change.ackedAt = now;
         if (!change.is.valid)
-            breach(Rule::config, now, "version " + std::to_string(number) + " is invalid and was acknowledged");
+            breach(Rule::config, now,
+                   "version " + std::to_string(number) + " is invalid and was acknowledged");
         else
             checkAck(now, change);
         return;
@@ -408,8 +430,9 @@
             if (m.core && t.until > c.offeredAt && t.until < end) starts.push_back(t.until + bounds_.contact);
     for (Instant from : starts) {
         if (from + bound >= end || !settled(from - bounds_.contact, from + bound)) continue;
-        return breach(Rule::acks, end, "version " + std::to_string(c.is.number) + " had no acknowledgement for over " +
-                                           seconds(bound) + " with the core settled");
+        return breach(Rule::acks, end,
+                      "version " + std::to_string(c.is.number) + " had no acknowledgement for over " +
+                          seconds(bound) + " with the core settled");
     }
 }
 
@@ -417,14 +440,17 @@
     readBack_ = true;
     int64_t newest = 0;
     for (const auto& [key, change] : changes_)
-        if (change.is.valid && change.ackedAt != Instant::never()) newest = std::max(newest, change.is.number);
+        if (change.is.valid && change.ackedAt != Instant::never())
+            newest = std::max(newest, change.is.number);
     if (number < newest)
-        return breach(Rule::forgotten, now, "version " + std::to_string(number) + " was read back, though " +
-                                                std::to_string(newest) + " had been acknowledged");
+        return breach(Rule::forgotten, now,
+                      "version " + std::to_string(number) + " was read back, though " +
+                          std::to_string(newest) + " had been acknowledged");
     auto found = changes_.find(number);
     if (found == changes_.end() || found->second.is.text != text)
-        breach(Rule::forgotten, now, "what was read back as version " + std::to_string(number) +
-                                         " is not what was sent under that number");
+        breach(Rule::forgotten, now,
+               "what was read back as version " + std::to_string(number) +
+                   " is not what was sent under that number");
 }
 
 void Judge::finish(Instant now) {
@@ -433,20 +459,24 @@
     if (!readBack_ && !changes_.empty()) breach(Rule::forgotten, now, "no configuration could be read back");
     double allowed = 5 + static_cast<double>(requests_.size()) / 500;
     if (static_cast<double>(denied_) > allowed)
-        breach(Rule::denied, now, std::to_string(denied_) + " proper requests were denied, " +
-                                      std::to_string(static_cast<int>(allowed)) + " allowed");
+        breach(Rule::denied, now,
+               std::to_string(denied_) + " proper requests were denied, " +
+                   std::to_string(static_cast<int>(allowed)) + " allowed");
     Instant lastUp = Instant::longAgo();
     for (const Machine& m : machines_)
         for (const Trouble& t : m.troubles) lastUp = std::max(lastUp, t.until);
     if (lastUp == Instant::longAgo() || lastUp >= now) return;
     long after = 0, served = 0, before = 0, servedBefore = 0;
     for (const auto& [at, fine] : outcomes_) {
-        if (at > lastUp + bounds_.recovery) ++after, served += fine;
-        else ++before, servedBefore += fine;
+        if (at > lastUp + bounds_.recovery)
+            ++after, served += fine;
+        else
+            ++before, servedBefore += fine;
     }
     if (after >= 20 && served * 4 < after && servedBefore * 4 >= before)
-        breach(Rule::recover, now, "of " + std::to_string(after) + " requests after all machines were back only " +
-                                       std::to_string(served) + " were served");
+        breach(Rule::recover, now,
+               "of " + std::to_string(after) + " requests after all machines were back only " +
+                   std::to_string(served) + " were served");
 }
 
 }  // namespace petrelpond::range
--- a/fleet/system/judge.hpp
+++ b/fleet/system/judge.hpp
@@ -1,5 +1,5 @@
-// The rules of the whole system, judged from what the stand-ins saw on their sockets and from nothing that the
-// system says of itself. Free of I/O and clocks: whoever plays a part reports here, in the order of time.
+// The rules of the whole system, judged from what the stand-ins saw on their sockets and from nothing that
+// the system says of itself. Free of I/O and clocks: whoever plays a part reports here, in the order of time.
 #pragma once
 
 #include <array>
@@ -16,16 +16,31 @@
 namespace petrelpond::range {
 
 enum class Rule {
-    mixed, unasked, twice, refused, denied, route, drain, lost, config, forgotten, acks, budget, limit, recover, ends
+    mixed,
+    unasked,
+    twice,
+    refused,
+    denied,
+    route,
+    drain,
+    lost,
+    config,
+    forgotten,
+    acks,
+    budget,
+    limit,
+    recover,
+    ends
 };
 constexpr size_t kRules = 15;
 std::string_view nameOf(Rule);
 
 struct Bounds {
-    Span contact = Span::millis(4000), ack = Span::millis(5000), drain = Span::millis(3000), grace = Span::seconds(6),
-         lossSlack = Span::millis(200), configApply = Span::millis(3000), rollbackSlack = Span::millis(250),
-         stretchMost = Span::millis(12000), budgetWindow = Span::seconds(10), recovery = Span::seconds(12),
-         catchUp = Span::seconds(4), addressReuse = Span::seconds(2);
+    Span contact = Span::millis(4000), ack = Span::millis(5000), drain = Span::millis(3000),
+         grace = Span::seconds(6), lossSlack = Span::millis(200), configApply = Span::millis(3000),
+         rollbackSlack = Span::millis(250), stretchMost = Span::millis(12000),
+         budgetWindow = Span::seconds(10), recovery = Span::seconds(12), catchUp = Span::seconds(4),
+         addressReuse = Span::seconds(2);
     double retryRatio = 0.2, retrySlack = 52, rejectionSlack = 10;
 };
 
@@ -66,19 +81,19 @@
     // ---- troubles, made by us
     void down(Instant, int machine);  // killed, told to end, or frozen
     void up(Instant, int machine, bool newLife);
-    void planned(Instant, int machine);        // SIGTERM; besides down()
+    void planned(Instant, int machine);           // SIGTERM; besides down()
     void disturbed(Instant from, Instant until);  // of endpoints, links or clients
     void ownEnd(Instant, int machine, const std::string& words);
-    void platformAway(Instant, bool away);     // down or slow
+    void platformAway(Instant, bool away);  // down or slow
 
     // ---- clients
     void sent(Instant, Sent);
     // seal, echo: empty where the answer has none.
     void got(Instant, const std::string& id, int status, const std::string& seal, const std::string& echo,
              uint64_t body);
-    void stray(Instant, int machine, int status);        // an answer where no request waits; 0: bytes that are none
-    void spoilt(Instant, const std::string& id);         // bytes that are no answer in the place of one
-    void broken(Instant, const std::string& id);         // its connection ended without a whole answer
+    void stray(Instant, int machine, int status);  // an answer where no request waits; 0: bytes that are none
+    void spoilt(Instant, const std::string& id);   // bytes that are no answer in the place of one
+    void broken(Instant, const std::string& id);   // its connection ended without a whole answer
 
     // ---- endpoints
     // misdirected: it named another endpoint and is told so.
@@ -125,7 +140,8 @@
         int life = 0;
         std::vector<Trouble> troubles;
         std::vector<Instant> terms;
-        std::vector<std::pair<Instant, int64_t>> effects;  // of versions in this life, each higher than before
+        std::vector<std::pair<Instant, int64_t>>
+            effects;  // of versions in this life, each higher than before
     };
     struct Change {
         Version is;
@@ -144,7 +160,8 @@
     std::string nameOf(const Request&) const;
     // The lowest version that may still be in force for it, by its machine's bound; nothing: no bound holds.
     std::optional<int64_t> floorFor(Instant now, const Request&) const;
-    void handled(Instant now, Request&, const std::vector<int64_t>& allowing, bool effect, const std::string& how);
+    void handled(Instant now, Request&, const std::vector<int64_t>& allowing, bool effect,
+                 const std::string& how);
     void checkAck(Instant end, const Change&);
     bool lacksAnywhere(const Request&, int64_t floor) const;
     bool drainClockRan(Instant shown, Instant now) const;
--- a/fleet/system/machines.cpp
+++ b/fleet/system/machines.cpp
@@ -25,11 +25,12 @@
 }  // namespace
 
 bool Machine::running() const {
-    return !frozen && std::all_of(processes.begin(), processes.end(), [](const Process& p) { return p.pid > 0; });
+    return !frozen &&
+           std::all_of(processes.begin(), processes.end(), [](const Process& p) { return p.pid > 0; });
 }
 
-Machines::Machines(eagle::Loop& loop, Judge& judge, const Plan& plan, std::string programs, std::string folder,
-                   uint32_t network, std::vector<std::string> zones)
+Machines::Machines(eagle::Loop& loop, Judge& judge, const Plan& plan, std::string programs,
+                   std::string folder, uint32_t network, std::vector<std::string> zones)
     : loop_(loop), judge_(judge), plan_(plan), programs_(std::move(programs)), folder_(std::move(folder)),
       network_(network), zones_(std::move(zones)) {
     auto add = [&](bool core, int n) {
@@ -64,22 +65,28 @@
 void Machines::writeSettings(const Machine& m) const {
     std::ostringstream y;
     auto at = [&](uint16_t port) { return "\"" + m.ip + ":" + std::to_string(port) + "\"\n"; };
-    y << "node_name: \"" << m.name << "\"\nrole: \"" << (m.core ? "control" : "carrier") << "\"\nmachine_class: \""
-      << (m.core ? "core" : "edge") << "\"\nserved_role:\n  - \"" << (m.core ? "control_plane" : "edge")
-      << "\"\nip_address: \"" << m.ip << "\"\nzone: \"" << m.zone << "\"\nregion: \"here\"\nzones:\n";
+    y << "node_name: \"" << m.name << "\"\nrole: \"" << (m.core ? "control" : "carrier")
+      << "\"\nmachine_class: \"" << (m.core ? "core" : "edge") << "\"\nserved_role:\n  - \""
+      << (m.core ? "control_plane" : "edge") << "\"\nip_address: \"" << m.ip << "\"\nzone: \"" << m.zone
+      << "\"\nregion: \"here\"\nzones:\n";
     for (const std::string& zone : zones_) y << "  " << zone << ": \"here\"\n";
     y << "listen_addresses:\n";
-    if (m.core) y << "  control: " << at(ports.control);
-    else y << "  front: " << at(ports.front) << "  readiness: " << at(ports.readiness);
+    if (m.core)
+        y << "  control: " << at(ports.control);
+    else
+        y << "  front: " << at(ports.front) << "  readiness: " << at(ports.readiness);
     y << "internal_port_range:\n  - " << ports.first << "\n  - " << ports.last << "\nseed_nodes:\n";
     int seeds = 0;
     for (const Machine& other : machines_)
         if (other.core && seeds++ < 3) y << "  - \"" << other.ip << ":" << ports.control << "\"\n";
-    y << "bootstrap: " << (m.bootstrap ? "true" : "false") << "\nquorum_member: " << (m.core ? "true" : "false")
+    y << "bootstrap: " << (m.bootstrap ? "true" : "false")
+      << "\nquorum_member: " << (m.core ? "true" : "false")
       << "\nlimits:\n  cpu_share: 0.5\n  cpu_cores: 1\n  memory_mb: 260\n  file_descriptors: 4100\n"
-      << "  link_mbps: 1000.0\n  disk_mb: " << (m.core ? 128 : 0) << "\ndata_dir: "
-      << (m.core ? "\"" + m.folder + "/disk\"" : "null") << "\ndiscovery: \"platform\"\nheartbeat_ms: 1200\n"
-      << "contract_set:\n  - \"base\"\n  - \"drain\"\n  - \"config\"\n  - \"cost\"\n  - \"retry\"\n  - \"recover\"\n"
+      << "  link_mbps: 1000.0\n  disk_mb: " << (m.core ? 128 : 0)
+      << "\ndata_dir: " << (m.core ? "\"" + m.folder + "/disk\"" : "null")
+      << "\ndiscovery: \"platform\"\nheartbeat_ms: 1200\n"
+      << "contract_set:\n  - \"base\"\n  - \"drain\"\n  - \"config\"\n  - \"cost\"\n  - \"retry\"\n  - "
+         "\"recover\"\n"
       << "  - \"functions\"\nfault_tolerance:\n  machine_losses: " << (plan_.cores - 1) / 2
       << "\n  zones: 0\n  region_losses: 0\n";
     const Bounds& b = plan_.bounds;
@@ -87,12 +94,14 @@
       << "\n  contact_ms: " << millis(b.contact) << "\n  ack_ms: " << millis(b.ack)
       << "\n  catch_up_s: " << b.catchUp.inSeconds() << "\n  drain_ms: " << millis(b.drain)
       << "\n  grace_s: " << b.grace.inSeconds() << "\n  loss_slack_ms: " << millis(b.lossSlack)
-      << "\n  config_apply_ms: " << millis(b.configApply) << "\n  rollback_slack_ms: " << millis(b.rollbackSlack)
+      << "\n  config_apply_ms: " << millis(b.configApply)
+      << "\n  rollback_slack_ms: " << millis(b.rollbackSlack)
       << "\n  stretch_max_ms: " << millis(b.stretchMost) << "\n  retry_budget_ratio: " << b.retryRatio
       << "\n  budget_window_s: " << b.budgetWindow.inSeconds() << "\n  retry_slack: " << b.retrySlack
       << "\n  recovery_s: " << b.recovery.inSeconds() << "\n  rejection_slack: " << b.rejectionSlack
       << "\nconfig_mode: \"highest\"\nplatform_api:\n  address: \"" << ip(0, 10) << ":" << ports.platform
-      << "\"\n  rate_per_s: " << plan_.listRate << "\n  duty_set:\n    - \"startup\"\n  max_lag_ms: " << millis(plan_.lag)
+      << "\"\n  rate_per_s: " << plan_.listRate
+      << "\n  duty_set:\n    - \"startup\"\n  max_lag_ms: " << millis(plan_.lag)
       << "\n  duty_per_s: " << plan_.dutyRate << "\n";
     std::filesystem::create_directories(m.folder + (m.core ? "/disk" : ""));
     std::string path = m.folder + "/boot.yaml";
@@ -121,8 +130,8 @@
     std::vector<char*> argv;
     for (std::string& w : words) argv.push_back(w.data());
     argv.push_back(nullptr);
-    // Until the child has become the program it holds copies of our descriptors, and the loop would hear of those
-    // that we have closed meanwhile. So we wait for that moment: the pipe's other end closes with it.
+    // Until the child has become the program it holds copies of our descriptors, and the loop would hear of
+    // those that we have closed meanwhile. So we wait for that moment: the pipe's other end closes with it.
     int gate[2];
     if (pipe2(gate, O_CLOEXEC) != 0) throw std::runtime_error("no pipe to be had for " + m.name);
     p.pid = fork();
@@ -145,7 +154,9 @@
 
 // What a process that has ended used.
 void Machines::account(Machine::Process& p, const rusage& used) {
-    auto seconds = [](const timeval& t) { return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6; };
+    auto seconds = [](const timeval& t) {
+        return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6;
+    };
     p.cpuBefore += seconds(used.ru_utime) + seconds(used.ru_stime);
     mostMemory_ = std::max(mostMemory_, static_cast<double>(used.ru_maxrss) / 1000);
     p.pid = -1;
@@ -212,7 +223,8 @@
     loop_.at(loop_.now() + plan_.bounds.grace, [this, n, away] {
         Machine& again = machines_[static_cast<size_t>(n)];
         for (auto& p : again.processes) end(p);
-        loop_.at(loop_.now() + away, [this, n] { machines_[static_cast<size_t>(n)].ending = false, back(n); });
+        loop_.at(loop_.now() + away,
+                 [this, n] { machines_[static_cast<size_t>(n)].ending = false, back(n); });
     });
 }
 
@@ -229,7 +241,8 @@
             ++m.ownEnds;
             std::string how = WIFSIGNALED(status) ? "by signal " + std::to_string(WTERMSIG(status))
                                                   : "with code " + std::to_string(WEXITSTATUS(status));
-            judge_.ownEnd(loop_.now(), static_cast<int>(i), m.name + ": " + p.program + " ended by itself, " + how);
+            judge_.ownEnd(loop_.now(), static_cast<int>(i),
+                          m.name + ": " + p.program + " ended by itself, " + how);
             if (m.ownEnds >= kMostOwnEnds) continue;
             // It counts as running all the while; but a new life of the proxy begins with nothing behind it.
             loop_.at(loop_.now() + kOwnEndPause, [this, n = static_cast<int>(i)] {
--- a/fleet/system/operators.cpp
+++ b/fleet/system/operators.cpp
@@ -15,8 +15,9 @@
 
 }  // namespace
 
-Operators::Operators(eagle::Loop& loop, Judge& judge, const Plan& plan, const Machines& machines, const Door& door,
-                     Clients& clients, const std::vector<ServicePlan>& services, uint64_t seed)
+Operators::Operators(eagle::Loop& loop, Judge& judge, const Plan& plan, const Machines& machines,
+                     const Door& door, Clients& clients, const std::vector<ServicePlan>& services,
+                     uint64_t seed)
     : loop_(loop), judge_(judge), plan_(plan), machines_(machines), door_(door), clients_(clients),
       services_(services), chance_(seed) {
     for (size_t i = 0; i < machines.all().size(); ++i) {
@@ -31,8 +32,12 @@
         const std::string& group = plan.groups[static_cast<size_t>(flow.group)].name;
         for (int i = 0; i < plan.groups[static_cast<size_t>(flow.group)].count; ++i) {
             std::string n = std::to_string(i);
-            routes_.push_back({"r-" + flow.name + "-" + n, Clients::host(plan, f), Clients::prefix(plan, f, i),
-                               static_cast<int>(f), {{group + "-" + n, 1}}, flow.deadline});
+            routes_.push_back({"r-" + flow.name + "-" + n,
+                               Clients::host(plan, f),
+                               Clients::prefix(plan, f, i),
+                               static_cast<int>(f),
+                               {{group + "-" + n, 1}},
+                               flow.deadline});
         }
     }
 }
@@ -98,21 +103,28 @@
     moved.to = {{other(moved), 1}};
     RouteState& split = any();
     std::string beside = other(split);
-    if (split.to.size() > 1) split.to.resize(1);
-    else if (beside != split.to[0].first) split.to.emplace_back(beside, 1 + static_cast<double>(chance_() % 3));
+    if (split.to.size() > 1)
+        split.to.resize(1);
+    else if (beside != split.to[0].first)
+        split.to.emplace_back(beside, 1 + static_cast<double>(chance_() % 3));
     RouteState& timed = any();
     timed.timeout = plan_.flows[static_cast<size_t>(timed.flow)].deadline * (chance_() % 2 ? 1.0 : 1.5);
     std::erase_if(routes_, [](const RouteState& r) { return r.prefix.rfind("/mark-", 0) == 0; });
     // Marks are repeatable routes to the busiest function, which has an endpoint at most times.
     size_t flow = 0;
     while (flow + 1 < plan_.flows.size() && !plan_.flows[flow].repeatable) ++flow;
-    RouteState mark{"mark-" + std::to_string(version_), Clients::host(plan_, flow), markPath(version_),
-                    static_cast<int>(flow), {}, Span::seconds(2)};
+    RouteState mark{"mark-" + std::to_string(version_),
+                    Clients::host(plan_, flow),
+                    markPath(version_),
+                    static_cast<int>(flow),
+                    {},
+                    Span::seconds(2)};
     mark.to = {{plan_.groups[static_cast<size_t>(plan_.flows[flow].group)].name + "-0", 1}};
     routes_.push_back(mark);
 }
 
-int64_t Operators::offer(const std::string& text, bool valid, int64_t version, const std::vector<RouteState>& routes) {
+int64_t Operators::offer(const std::string& text, bool valid, int64_t version,
+                         const std::vector<RouteState>& routes) {
     Version v{version, valid, text, {}};
     for (const RouteState& r : routes) {
         RouteRule rule{r.host, r.prefix, {}};
@@ -166,10 +178,17 @@
     auto wrong = routes_;
     std::string bytes;
     switch (chance_() % 4) {
-        case 0: wrong.front().to = {{"nobody-here", 1}}; break;
-        case 1: wrong.push_back(wrong.front()); break;
-        case 2: wrong.front().timeout = Span(); break;
-        default: bytes = text(number, wrong), bytes.resize(bytes.size() / 2);
+        case 0:
+            wrong.front().to = {{"nobody-here", 1}};
+            break;
+        case 1:
+            wrong.push_back(wrong.front());
+            break;
+        case 2:
+            wrong.front().timeout = Span();
+            break;
+        default:
+            bytes = text(number, wrong), bytes.resize(bytes.size() / 2);
     }
     offer(bytes.empty() ? text(number, wrong) : bytes, false, number, {});
 }
@@ -189,10 +208,9 @@
     auto core = static_cast<size_t>(call->core);
     ++call->tries;
     ++results_[call->result].calls;
-    callers_[core]->call("PUT", "/configuration", "", call->text,
-                         [this, call, core](int status, const std::string&) {
-                             answered(call, cores_[core], status);
-                         });
+    callers_[core]->call(
+        "PUT", "/configuration", "", call->text,
+        [this, call, core](int status, const std::string&) { answered(call, cores_[core], status); });
 }
 
 void Operators::answered(std::shared_ptr<Call> call, int core, int status) {
@@ -252,9 +270,10 @@
     callers_[core]->call("GET", "/configuration", "", "", [this, until](int status, const std::string& body) {
         if (status == 200) {
             json read = json::parse(body, nullptr, false);
-            int64_t version = read.is_object() && read.contains("config_version") && read["config_version"].is_number()
-                                  ? read["config_version"].get<int64_t>()
-                                  : -1;
+            int64_t version =
+                read.is_object() && read.contains("config_version") && read["config_version"].is_number()
+                    ? read["config_version"].get<int64_t>()
+                    : -1;
             judge_.readBack(loop_.now(), version, body);
             readVersion_ = version;
         }
--- a/fleet/system/operators.hpp
+++ b/fleet/system/operators.hpp
@@ -1,5 +1,5 @@
-// The operators: configurations that change step by step, each call repeated over the senders that serve control
-// until it has a clear answer, and the reading back at the end.
+// The operators: configurations that change step by step, each call repeated over the senders that serve
+// control until it has a clear answer, and the reading back at the end.
 #pragma once
 
 #include <functional>
--- a/fleet/system/plan.cpp
+++ b/fleet/system/plan.cpp
@@ -1,11 +1,12 @@
 #include "fleet/system/plan.hpp"
 
+#include <toml++/toml.h>
+
 #include <algorithm>
 #include <fstream>
 #include <random>
 #include <set>
 #include <sstream>
-#include <toml++/toml.h>
 
 #include "fleet/scenario.hpp"
 
@@ -17,9 +18,10 @@
 using fleet::WrongScenario;
 
 constexpr std::string_view kWords[kKinds] = {
-    "node_kill", "node_freeze", "node_term", "disk_lost", "after_ack_kill", "after_ack_wipe", "worker_crash",
-    "worker_drain", "platform_down", "platform_slow", "answer_lost", "cut", "noise", "excess", "excess_late", "reset",
-    "burst", "config_change", "config_race", "bad_config", "config_old"};
+    "node_kill",    "node_freeze",  "node_term",     "disk_lost",     "after_ack_kill", "after_ack_wipe",
+    "worker_crash", "worker_drain", "platform_down", "platform_slow", "answer_lost",    "cut",
+    "noise",        "excess",       "excess_late",   "reset",         "burst",          "config_change",
+    "config_race",  "bad_config",   "config_old"};
 
 // One table: each key is asked for once, and what nobody asked for is a mistake.
 class Part {
@@ -44,7 +46,8 @@
         if (!node) return otherwise;
         auto value = node->value<int64_t>();
         if (node->is_integer() && value && *value >= low && *value <= high) return static_cast<int>(*value);
-        wrong(node, key, "must be a whole number from " + std::to_string(low) + " to " + std::to_string(high));
+        wrong(node, key,
+              "must be a whole number from " + std::to_string(low) + " to " + std::to_string(high));
         return otherwise;
     }
     Span millis(const char* key, Span otherwise) {
@@ -67,8 +70,10 @@
         bool fine = node->is_array();
         if (fine)
             for (const toml::node& item : *node->as_array()) {
-                if (auto one = item.value<std::string>()) out.push_back(*one);
-                else fine = false;
+                if (auto one = item.value<std::string>())
+                    out.push_back(*one);
+                else
+                    fine = false;
             }
         if (!fine) wrong(node, key, "must be a name or a list of names");
         return out;
@@ -89,7 +94,8 @@
     void tables(const char* key, Read read) {
         const toml::node* node = find(key);
         if (!node) return;
-        if (!node->is_array_of_tables()) return wrong(node, key, std::string("must be written [[") + key + "]]");
+        if (!node->is_array_of_tables())
+            return wrong(node, key, std::string("must be written [[") + key + "]]");
         for (const toml::node& item : *node->as_array()) {
             Part part(*item.as_table(), std::string(key) + ".", mistakes_);
             read(part);
@@ -111,7 +117,8 @@
     }
     void done() {
         for (const auto& [key, node] : table_)
-            if (asked_.count(std::string(key.str())) == 0) wrong(&node, std::string(key.str()), "is not known here");
+            if (asked_.count(std::string(key.str())) == 0)
+                wrong(&node, std::string(key.str()), "is not known here");
     }
 
   private:
@@ -152,7 +159,8 @@
     if (kind < 0) return f;
     if (atMachines(f.kind) && f.kind != Kind::afterAckKill && f.kind != Kind::afterAckWipe) {
         f.machines = p.texts("machines"), f.count = p.whole("count", 0, 0, 1000);
-        if (f.machines.empty()) p.wrong(nullptr, "machines", "is missing: names, or \"edge\", \"core\" or \"all\"");
+        if (f.machines.empty())
+            p.wrong(nullptr, "machines", "is missing: names, or \"edge\", \"core\" or \"all\"");
         for (const std::string& name : f.machines) {
             bool known = name == "edge" || name == "core" || name == "all";
             for (int i = 1; i <= std::max(plan.edges, plan.cores); ++i)
@@ -163,7 +171,8 @@
     }
     if (f.kind == Kind::kill) {
         static const std::vector<std::string> programs = {"timberline", "silcox", "cloudcap"};
-        if (int at = p.word("program", programs, false); at >= 0) f.program = programs[static_cast<size_t>(at)];
+        if (int at = p.word("program", programs, false); at >= 0)
+            f.program = programs[static_cast<size_t>(at)];
     }
     if (f.kind == Kind::workerCrash || f.kind == Kind::workerDrain) f.count = p.whole("count", 1, 1, 1000);
     if (atEndpoints(f.kind)) f.share = p.number("share", 0.1, 0, 1);
@@ -184,7 +193,8 @@
     try {
         root = toml::parse(text, file);
     } catch (const toml::parse_error& e) {
-        throw WrongScenario(file + ":" + std::to_string(e.source().begin.line) + ": " + std::string(e.description()));
+        throw WrongScenario(file + ":" + std::to_string(e.source().begin.line) + ": " +
+                            std::string(e.description()));
     }
     std::vector<Mistake> mistakes;
     Plan plan;
@@ -234,7 +244,8 @@
         f.deadline = p.millis("deadline_ms", f.deadline);
         if (f.deadline < f.aim || f.aim <= Span())
             p.wrong(p.find("deadline_ms"), "deadline_ms", "must be no less than aim_ms, both above 0");
-        f.priority = p.whole("priority", 1, 0, 9), f.attempts = p.whole("attempts", f.repeatable ? 2 : 1, 1, 9);
+        f.priority = p.whole("priority", 1, 0, 9),
+        f.attempts = p.whole("attempts", f.repeatable ? 2 : 1, 1, 9);
         f.tries = p.whole("tries", 3, 1, 9), f.body = p.whole("body", 600, 0, 1000000);
         plan.flows.push_back(f);
     });
@@ -246,7 +257,8 @@
     std::stable_sort(mistakes.begin(), mistakes.end(), [](auto& a, auto& b) { return a.line < b.line; });
     std::string words;
     for (const Mistake& m : mistakes)
-        words += (words.empty() ? "" : "\n") + file + ":" + std::to_string(m.line) + ": " + m.key + ": " + m.words;
+        words +=
+            (words.empty() ? "" : "\n") + file + ":" + std::to_string(m.line) + ": " + m.key + ": " + m.words;
     throw WrongScenario(words);
 }
 
@@ -359,9 +371,11 @@
         } else if (kind < 6) {  // every process of the core at the same moment: their disks survive
             f.machines = {"core"}, f.lasts = Span::millis(300 + draw(600));
         } else if (kind < 7) {
-            f.kind = Kind::freeze, f.machines = {draw(2) ? core : "edge-" + std::to_string(1 + draw(plan.edges))};
+            f.kind = Kind::freeze,
+            f.machines = {draw(2) ? core : "edge-" + std::to_string(1 + draw(plan.edges))};
         } else if (kind < 8) {
-            f.kind = Kind::term, f.machines = {draw(2) ? core : "edge-" + std::to_string(1 + draw(plan.edges))};
+            f.kind = Kind::term,
+            f.machines = {draw(2) ? core : "edge-" + std::to_string(1 + draw(plan.edges))};
             f.lasts = Span::seconds(1);
         } else if (kind < 9) {
             f.kind = Kind::afterAckKill;
--- a/fleet/system/plan.hpp
+++ b/fleet/system/plan.hpp
@@ -1,5 +1,5 @@
-// What a play of the whole system is made of: machines, services, traffic, what breaks when. Read from TOML with
-// every mistake named by its line; it does no more than read.
+// What a play of the whole system is made of: machines, services, traffic, what breaks when. Read from TOML
+// with every mistake named by its line; it does no more than read.
 #pragma once
 
 #include <cstdint>
@@ -30,8 +30,27 @@
 };
 
 enum class Kind {
-    kill, freeze, term, wipe, afterAckKill, afterAckWipe, workerCrash, workerDrain, platformDown, platformSlow, answerLost, cut,
-    noise, excess, excessLate, reset, burst, configChange, configRace, badConfig, oldConfig
+    kill,
+    freeze,
+    term,
+    wipe,
+    afterAckKill,
+    afterAckWipe,
+    workerCrash,
+    workerDrain,
+    platformDown,
+    platformSlow,
+    answerLost,
+    cut,
+    noise,
+    excess,
+    excessLate,
+    reset,
+    burst,
+    configChange,
+    configRace,
+    badConfig,
+    oldConfig
 };
 constexpr size_t kKinds = 21;
 std::string_view wordOf(Kind);
--- a/fleet/system/platform.cpp
+++ b/fleet/system/platform.cpp
@@ -51,7 +51,8 @@
 
 Platform::Platform(eagle::Loop& loop, Judge& judge, const Plan& plan, std::vector<ServicePlan> services,
                    std::vector<std::string> zones, uint32_t network, uint64_t seed)
-    : loop_(loop), judge_(judge), plan_(plan), services_(std::move(services)), network_(network), chance_(seed) {
+    : loop_(loop), judge_(judge), plan_(plan), services_(std::move(services)), network_(network),
+      chance_(seed) {
     limits_.idleTimeout = Span::seconds(30);
     lists_ = {plan.listRate, plan.listRate, loop.now()}, duties_ = {plan.dutyRate, plan.dutyRate, loop.now()};
     for (int i = 0; i < plan.workers; ++i) {
@@ -81,10 +82,13 @@
     }
     if (listener_) return;
     std::string error;
-    listener_ = eagle::Listener::open(loop_, at_, [this](int fd, Address) {
-        uint64_t id = nextVisit_++;
-        visits_[id] = std::make_unique<HttpVisit>(loop_, *this, fd, id);
-    }, error);
+    listener_ = eagle::Listener::open(
+        loop_, at_,
+        [this](int fd, Address) {
+            uint64_t id = nextVisit_++;
+            visits_[id] = std::make_unique<HttpVisit>(loop_, *this, fd, id);
+        },
+        error);
     if (!listener_) throw std::runtime_error("the platform's address " + at_.text() + ": " + error);
 }
 
@@ -109,8 +113,10 @@
     for (size_t i = 0; i < living_.size();) {
         Endpoint& e = *living_[i];
         e.look();
-        if (e.gone()) living_.erase(living_.begin() + static_cast<long>(i));
-        else ++i;
+        if (e.gone())
+            living_.erase(living_.begin() + static_cast<long>(i));
+        else
+            ++i;
     }
     for (Worker& w : workers_)
         while (w.freeMemory.size() > 1 && w.freeMemory[1].first <= now - plan_.lag) w.freeMemory.pop_front();
@@ -129,8 +135,10 @@
         auto found = visits_.find(id);
         if (found != visits_.end() && found->second->mayAnswer()) found->second->answer(status, kJson, body);
     };
-    if (slow_ > Span()) loop_.at(loop_.now() + slow_, write);
-    else write();
+    if (slow_ > Span())
+        loop_.at(loop_.now() + slow_, write);
+    else
+        write();
 }
 
 void Platform::asked(HttpVisit& visit, HttpRequest&& request) {
@@ -140,11 +148,16 @@
     if (!duty && !list) return answer(visit, 404, "{}");
     if (list) ++counts_.lists;
     if (!(duty ? duties_ : lists_).take(loop_.now())) return ++counts_.rationed, answer(visit, 429, "{}");
-    if (path == "/endpoints") endpoints(visit, request.target());
-    else if (path == "/workers") workers(visit);
-    else if (fenced(request)) ++counts_.fenced, answer(visit, 409, "{\"cause\":\"a later holder has called\"}");
-    else if (path == "/initiate") initiate(visit, request);
-    else halt(visit, request);
+    if (path == "/endpoints")
+        endpoints(visit, request.target());
+    else if (path == "/workers")
+        workers(visit);
+    else if (fenced(request))
+        ++counts_.fenced, answer(visit, 409, "{\"cause\":\"a later holder has called\"}");
+    else if (path == "/initiate")
+        initiate(visit, request);
+    else
+        halt(visit, request);
 }
 
 bool Platform::fenced(const HttpRequest& request) {
@@ -223,11 +236,13 @@
     json body = parsed(request.body);
     std::string service = field(body, "service"), on = field(body, "worker_id"), nonce = field(body, "nonce");
     auto plan = std::find_if(services_.begin(), services_.end(), [&](auto& s) { return s.name == service; });
-    if (plan == services_.end() || on.empty() || nonce.empty() || nonce.size() > 64) return answer(visit, 400, "{}");
+    if (plan == services_.end() || on.empty() || nonce.empty() || nonce.size() > 64)
+        return answer(visit, 400, "{}");
     auto tell = [&](const Endpoint& e) {
         answer(visit, 200, json{{"endpoint_id", e.id}, {"address", e.address.text()}}.dump());
     };
-    if (auto seen = nonces_.find({service, nonce}); seen != nonces_.end()) return tell(*endpoints_[seen->second]);
+    if (auto seen = nonces_.find({service, nonce}); seen != nonces_.end())
+        return tell(*endpoints_[seen->second]);
     Worker* w = worker(on);
     if (!w || w->down || w->drainsAt <= loop_.now() || w->used + plan->memoryMb > w->memory)
         return ++counts_.noRoom, answer(visit, 409, "{\"cause\":\"no room there\"}");
@@ -289,7 +304,8 @@
     Instant now = loop_.now();
     w->drainsAt = now;
     for (Endpoint* e : living_) {
-        if (e->worker != w->name || e->stoppedAt != Instant::never() || e->drainsAt != Instant::never()) continue;
+        if (e->worker != w->name || e->stoppedAt != Instant::never() || e->drainsAt != Instant::never())
+            continue;
         e->drainsAt = now;
         Instant shown = std::max(now, e->upAt) + plan_.lag;
         judge_.leaves(shown, e->id);
@@ -312,18 +328,21 @@
 void Endpoint::open() {
     if (stoppedAt != Instant::never()) return;
     std::string error;
-    listener_ = eagle::Listener::open(of_.loop_, address, [this](int fd, Address) {
-        ++of_.counts_.connects;
-        if (visits_.size() >= static_cast<size_t>(service.connections)) {
-            linger none{1, 0};
-            setsockopt(fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
-            ::close(fd);
-            return;
-        }
-        uint64_t visit = nextVisit_++;
-        Visit& v = visits_[visit];
-        v.fd = fd, v.http = std::make_unique<HttpVisit>(of_.loop_, *this, fd, visit);
-    }, error);
+    listener_ = eagle::Listener::open(
+        of_.loop_, address,
+        [this](int fd, Address) {
+            ++of_.counts_.connects;
+            if (visits_.size() >= static_cast<size_t>(service.connections)) {
+                linger none{1, 0};
+                setsockopt(fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+                ::close(fd);
+                return;
+            }
+            uint64_t visit = nextVisit_++;
+            Visit& v = visits_[visit];
+            v.fd = fd, v.http = std::make_unique<HttpVisit>(of_.loop_, *this, fd, visit);
+        },
+        error);
     if (!listener_) throw std::runtime_error("an endpoint's address " + address.text() + ": " + error);
 }
 
@@ -351,8 +370,10 @@
     if (v.work != 0) {
         of_.loop_.cancel(v.work);
         --busy_;
-        if (reset) of_.judge_.answered(of_.loop_.now(), v.attempt, 0, "", 0);
-        else of_.judge_.abandoned(v.attempt);
+        if (reset)
+            of_.judge_.answered(of_.loop_.now(), v.attempt, 0, "", 0);
+        else
+            of_.judge_.abandoned(v.attempt);
     }
     if (reset) {
         linger none{1, 0};
@@ -427,13 +448,18 @@
     for (uint64_t word = digestOf(id + v.attempt); body.size() < size; word = word * 6364136223846793005u + 1)
         body += std::to_string(word % 1000003) + " ";
     body.resize(size);
-    std::string seal = std::to_string(number) + "." + std::to_string(digestOf(v.attempt + body) % 0xffffffffu);
+    std::string seal =
+        std::to_string(number) + "." + std::to_string(digestOf(v.attempt + body) % 0xffffffffu);
     std::string fields = echo + "X-Endpoint-Seal: " + seal + "\r\nKeep-Alive: timeout=4\r\n";
     auto head = [&](const std::string& lines, size_t length) {
         return "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: " + std::to_string(length) + "\r\n\r\n";
     };
-    auto raw = [&](const std::string& bytes) { (void)!::send(v.fd, bytes.data(), bytes.size(), MSG_NOSIGNAL); };
-    std::string excess = head("X-Attempt-Id: " + (v.before.empty() ? "none" : v.before) + "\r\nX-Endpoint-Seal: 0.0\r\n", 4) + "over";
+    auto raw = [&](const std::string& bytes) {
+        (void)!::send(v.fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    };
+    std::string excess =
+        head("X-Attempt-Id: " + (v.before.empty() ? "none" : v.before) + "\r\nX-Endpoint-Seal: 0.0\r\n", 4) +
+        "over";
     auto trouble = of_.struck(service);
     if (!trouble || *trouble == Kind::excess || *trouble == Kind::excessLate) {
         said(200, seal, digestOf(body));
@@ -441,7 +467,8 @@
         if (size % 2 == 1) {  // some come in chunks
             char length[32];
             std::snprintf(length, sizeof length, "%llx\r\n", static_cast<unsigned long long>(size));
-            std::string chunks = "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + length + body + "\r\n0\r\n\r\n";
+            std::string chunks = "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" +
+                                 length + body + "\r\n0\r\n\r\n";
             v.http->answerAsIs(chunks, trouble == Kind::excess ? excess : "", last);
         } else if (last) {
             v.http->answer(200, fields, body, true);
@@ -451,15 +478,21 @@
         if (trouble == Kind::excessLate)
             of_.loop_.at(now + Span::millis(static_cast<int64_t>(of_.between(20, 300))), [this, n, excess] {
                 auto at = visits_.find(n);
-                if (at != visits_.end()) (void)!::send(at->second.fd, excess.data(), excess.size(), MSG_NOSIGNAL);
+                if (at != visits_.end())
+                    (void)!::send(at->second.fd, excess.data(), excess.size(), MSG_NOSIGNAL);
             });
         return;
     }
     said(0, "", 0);
     switch (*trouble) {
-        case Kind::cut: raw(head(fields, size + 10) + body.substr(0, size / 2)); break;
-        case Kind::noise: raw("\x16\x03\x01 no answer at all \x00\x01\r\n\r\n"); break;
-        default: break;  // answer lost, reset
+        case Kind::cut:
+            raw(head(fields, size + 10) + body.substr(0, size / 2));
+            break;
+        case Kind::noise:
+            raw("\x16\x03\x01 no answer at all \x00\x01\r\n\r\n");
+            break;
+        default:
+            break;  // answer lost, reset
     }
     drop(found, *trouble == Kind::reset);
 }
--- a/fleet/system/platform.hpp
+++ b/fleet/system/platform.hpp
@@ -1,4 +1,5 @@
-// The stand-in of the platform: workers, starts and stops of endpoints, the lists, which lag and are rationed.
+// The stand-in of the platform: workers, starts and stops of endpoints, the lists, which lag and are
+// rationed.
 #pragma once
 
 #include <deque>
@@ -20,8 +21,8 @@
 };
 
 struct PlatformCounts {
-    long lists = 0, rationed = 0, starts = 0, stops = 0, noRoom = 0, fenced = 0, crashed = 0, connects = 0, full = 0,
-         runs = 0, misdirected = 0, struck = 0;
+    long lists = 0, rationed = 0, starts = 0, stops = 0, noRoom = 0, fenced = 0, crashed = 0, connects = 0,
+         full = 0, runs = 0, misdirected = 0, struck = 0;
     size_t mostInstances = 0;
 };
 
@@ -30,7 +31,8 @@
 // One endpoint. It begins to listen once it has booted; works on so many requests at once; has no queue.
 class Endpoint final : public eagle::HttpHost {
   public:
-    Endpoint(Platform&, uint64_t number, const ServicePlan&, std::string worker, eagle::Address, Instant upAt);
+    Endpoint(Platform&, uint64_t number, const ServicePlan&, std::string worker, eagle::Address,
+             Instant upAt);
     void open();
     void stop();   // listens no more, ends its work
     void crash();  // all connections are reset
@@ -78,7 +80,7 @@
     void crashWorker(Span away);
     void drainWorker(Span away);
     void setDown(bool);
-    void setSlow(Span by);  // zero: no more
+    void setSlow(Span by);          // zero: no more
     void strike(const FaultPlan&);  // from now on, until its end
     const PlatformCounts& counts() const { return counts_; }
 
@@ -114,7 +116,9 @@
     eagle::Address freshAddress();
     Worker* drawWorker();
     void sweep();
-    double between(double low, double high) { return std::uniform_real_distribution<double>(low, high)(chance_); }
+    double between(double low, double high) {
+        return std::uniform_real_distribution<double>(low, high)(chance_);
+    }
 
     eagle::Loop& loop_;
     Judge& judge_;
--- a/fleet/system/stage.cpp
+++ b/fleet/system/stage.cpp
@@ -24,11 +24,13 @@
 class Stage {
   public:
     Stage(const Plan& plan, const StageOptions& options)
-        : plan_(plan), options_(options), began_(loop_.now()), network_(127u << 24 | (16u + static_cast<uint32_t>(getpid()) % 200) << 16),
-          zones_(zoneNames(plan)), services_(servicesOf(plan)), judge_(plan.bounds, coreFlags(plan)),
+        : plan_(plan), options_(options), began_(loop_.now()),
+          network_(127u << 24 | (16u + static_cast<uint32_t>(getpid()) % 200) << 16), zones_(zoneNames(plan)),
+          services_(servicesOf(plan)), judge_(plan.bounds, coreFlags(plan)),
           machines_(loop_, judge_, plan, options.programs, options.folder, network_, zones_),
           platform_(loop_, judge_, plan, services_, zones_, network_, plan.seed * 7 + 1),
-          door_(loop_, machines_, judge_), clients_(loop_, judge_, plan, machines_, door_, zones_, plan.seed * 7 + 2),
+          door_(loop_, machines_, judge_),
+          clients_(loop_, judge_, plan, machines_, door_, zones_, plan.seed * 7 + 2),
           operators_(loop_, judge_, plan, machines_, door_, clients_, services_, plan.seed * 7 + 3),
           chance_(plan.seed * 7 + 4) {}
 
@@ -62,7 +64,8 @@
         for (size_t g = 0; g < plan.groups.size(); ++g) {
             const GroupPlan& p = plan.groups[g];
             for (int i = 0; i < p.count; ++i)
-                all.push_back({p.name + "-" + std::to_string(i), static_cast<int>(g), p.slots, p.memoryMb, p.connections, p.boot});
+                all.push_back({p.name + "-" + std::to_string(i), static_cast<int>(g), p.slots, p.memoryMb,
+                               p.connections, p.boot});
         }
         return all;
     }
@@ -116,7 +119,8 @@
             case Kind::afterAckKill:
             case Kind::afterAckWipe:
                 operators_.onNextAck([this, &f](int core) {
-                    note(std::string(wordOf(f.kind)) + ": " + machines_.all()[static_cast<size_t>(core)].name + " has just acknowledged");
+                    note(std::string(wordOf(f.kind)) + ": " +
+                         machines_.all()[static_cast<size_t>(core)].name + " has just acknowledged");
                     machines_.kill(core, f.lasts, f.kind == Kind::afterAckWipe);
                 });
                 operators_.change();
@@ -130,26 +134,40 @@
             case Kind::platformDown:
             case Kind::platformSlow:
                 judge_.platformAway(now, true);
-                if (f.kind == Kind::platformDown) platform_.setDown(true);
-                else platform_.setSlow(f.value);
+                if (f.kind == Kind::platformDown)
+                    platform_.setDown(true);
+                else
+                    platform_.setSlow(f.value);
                 loop_.at(now + f.lasts, [this] {
                     platform_.setDown(false), platform_.setSlow(Span());
                     judge_.platformAway(loop_.now(), false);
                 });
                 break;
-            case Kind::burst: clients_.burst(f.group, f.factor, f.lasts); break;
-            case Kind::configChange: operators_.change(); break;
-            case Kind::configRace: operators_.race(); break;
-            case Kind::badConfig: operators_.bad(); break;
-            case Kind::oldConfig: operators_.old(); break;
-            default: break;
+            case Kind::burst:
+                clients_.burst(f.group, f.factor, f.lasts);
+                break;
+            case Kind::configChange:
+                operators_.change();
+                break;
+            case Kind::configRace:
+                operators_.race();
+                break;
+            case Kind::badConfig:
+                operators_.bad();
+                break;
+            case Kind::oldConfig:
+                operators_.old();
+                break;
+            default:
+                break;
         }
     }
 
     void look() {
         Instant now = loop_.now();
         // What the stage itself was late by: a host that is too busy is no fault of the system's.
-        if (lookedAt_ > Instant()) out_.stageLagMs = std::max(out_.stageLagMs, (now - lookedAt_ - kLook).inSeconds() * 1e3);
+        if (lookedAt_ > Instant())
+            out_.stageLagMs = std::max(out_.stageLagMs, (now - lookedAt_ - kLook).inSeconds() * 1e3);
         lookedAt_ = now;
         machines_.look();
         loop_.at(now + kLook, [this] { look(); });
@@ -181,8 +199,10 @@
         judge_.finish(loop_.now());
         machines_.endAll();
         out_.name = plan_.name, out_.seed = plan_.seed, out_.seconds = (loop_.now() - began_).inSeconds();
-        for (const FlowPlan& f : plan_.flows) out_.flowNames.push_back(f.name + (f.repeatable ? "" : " (once only)"));
-        out_.flows = clients_.results(), out_.breaches = judge_.breaches(), out_.changes = operators_.results();
+        for (const FlowPlan& f : plan_.flows)
+            out_.flowNames.push_back(f.name + (f.repeatable ? "" : " (once only)"));
+        out_.flows = clients_.results(), out_.breaches = judge_.breaches(),
+        out_.changes = operators_.results();
         for (size_t r = 0; r < kRules; ++r) out_.broken[r] = judge_.broken(static_cast<Rule>(r));
         out_.platform = platform_.counts(), out_.readVersion = operators_.readVersion();
         out_.reads = operators_.reads(), out_.ownEnds = machines_.ownEnds();
@@ -226,7 +246,8 @@
 Outcome play(const Plan& plan, const StageOptions& options) {
     for (const char* program : {"timberline", "silcox", "cloudcap"})
         if (access((options.programs + "/" + program).c_str(), X_OK) != 0)
-            throw std::runtime_error(options.programs + "/" + program + ": no such program; name its folder by --programs");
+            throw std::runtime_error(options.programs + "/" + program +
+                                     ": no such program; name its folder by --programs");
     allowManyDescriptors();
     return Stage(plan, options).run();
 }
@@ -239,41 +260,59 @@
         out += line;
     };
     say("%s, seed %llu, %.1f s\n\n", o.name.c_str(), static_cast<unsigned long long>(o.seed), o.seconds);
-    say("  %-24s %7s %8s %6s %8s %7s %6s %8s %8s\n", "requests", "asked", "in aim", "late", "refused", "failed", "tries",
-        "p50 ms", "p99 ms");
+    say("  %-24s %7s %8s %6s %8s %7s %6s %8s %8s\n", "requests", "asked", "in aim", "late", "refused",
+        "failed", "tries", "p50 ms", "p99 ms");
     for (size_t i = 0; i < o.flows.size(); ++i) {
         FlowResult f = o.flows[i];
         std::sort(f.millis.begin(), f.millis.end());
-        auto at = [&](double q) { return f.millis.empty() ? 0 : f.millis[static_cast<size_t>(q * static_cast<double>(f.millis.size() - 1))]; };
-        say("  %-24s %7ld %8ld %6ld %8ld %7ld %6ld %8.0f %8.0f\n", o.flowNames[i].c_str(), f.asked, f.inAim, f.late, f.refused,
-            f.failed + f.open, f.tries, at(0.5), at(0.99));
+        auto at = [&](double q) {
+            return f.millis.empty()
+                       ? 0
+                       : f.millis[static_cast<size_t>(q * static_cast<double>(f.millis.size() - 1))];
+        };
+        say("  %-24s %7ld %8ld %6ld %8ld %7ld %6ld %8.0f %8.0f\n", o.flowNames[i].c_str(), f.asked, f.inAim,
+            f.late, f.refused, f.failed + f.open, f.tries, at(0.5), at(0.99));
         if (f.lastStatus.empty()) continue;
         out += "      not served, by their last answer:";
         for (auto [status, n] : f.lastStatus)
-            out += " " + (status == 0 ? std::string("none") : std::to_string(status)) + " " + std::to_string(n);
+            out +=
+                " " + (status == 0 ? std::string("none") : std::to_string(status)) + " " + std::to_string(n);
         out += "\n";
     }
-    say("  %ld of %ld served\n\nconfiguration\n", o.served(), o.asked());
+    say("  %ld of %ld served\n\n", o.served(), o.asked());
+    if (!o.faults.empty()) out += "faults\n";
+    for (const auto& [second, words] : o.faults) say("  %5.1f s  %s\n", second, words.c_str());
+    out += o.faults.empty() ? "configuration\n" : "\nconfiguration\n";
     for (const ChangeResult& c : o.changes) {
-        say("  %5.1f s  version %lld%s: ", (c.offeredAt - o.began).inSeconds(), static_cast<long long>(c.version), c.valid ? "" : " (invalid)");
-        if (c.ackedAt != Instant::never()) say("acknowledged after %.3f s, %d calls", (c.ackedAt - c.offeredAt).inSeconds(), c.calls);
-        else if (c.refusedWith) say("refused with %d", c.refusedWith);
-        else say("no clear answer, %d calls", c.calls);
-        if (c.allActAt != Instant::never()) say("; all senders act on it %.3f s later", (c.allActAt - c.ackedAt).inSeconds());
-        else if (c.acting > 0) say("; %zu senders seen to act on it", c.acting);
+        say("  %5.1f s  version %lld%s: ", (c.offeredAt - o.began).inSeconds(),
+            static_cast<long long>(c.version), c.valid ? "" : " (invalid)");
+        if (c.ackedAt != Instant::never())
+            say("acknowledged after %.3f s, %d calls", (c.ackedAt - c.offeredAt).inSeconds(), c.calls);
+        else if (c.refusedWith)
+            say("refused with %d", c.refusedWith);
+        else
+            say("no clear answer, %d calls", c.calls);
+        if (c.allActAt != Instant::never())
+            say("; all senders act on it %.3f s later", (c.allActAt - c.ackedAt).inSeconds());
+        else if (c.acting > 0)
+            say("; %zu senders seen to act on it", c.acting);
         out += "\n";
     }
     say("  read back at the end: version %lld, %d reads\n\n", static_cast<long long>(o.readVersion), o.reads);
     const PlatformCounts& p = o.platform;
-    say("platform: %ld lists, %ld starts, %ld stops, %ld without room, %ld over the rate, %ld by an old holder; most %zu endpoints at once\n",
+    say("platform: %ld lists, %ld starts, %ld stops, %ld without room, %ld over the rate, %ld by an old "
+        "holder; most %zu endpoints at once\n",
         p.lists, p.starts, p.stops, p.noRoom, p.rationed, p.fenced, p.mostInstances);
-    say("endpoints: %ld runs, %ld turned away, %ld to a stranger, %ld answers struck, %ld crashed, %ld connections (%ld of clients)\n",
+    say("endpoints: %ld runs, %ld turned away, %ld to a stranger, %ld answers struck, %ld crashed, %ld "
+        "connections (%ld of clients)\n",
         p.runs, p.full, p.misdirected, p.struck, p.crashed, p.connects, o.connections);
-    say("processes: %.2f s of the processor, most memory of one %.0f MB, %d ended by themselves; the stage was late by %.0f ms at most\n\n",
+    say("processes: %.2f s of the processor, most memory of one %.0f MB, %d ended by themselves; the stage "
+        "was late by %.0f ms at most\n\n",
         o.cpuSeconds, o.memoryMb, o.ownEnds, o.stageLagMs);
     if (o.breaches.empty()) return out + "no rule broken\n";
     for (size_t r = 0; r < kRules; ++r)
-        if (o.broken[r] > 0) say("RULE %s BROKEN, %d times\n", std::string(nameOf(static_cast<Rule>(r))).c_str(), o.broken[r]);
+        if (o.broken[r] > 0)
+            say("RULE %s BROKEN, %d times\n", std::string(nameOf(static_cast<Rule>(r))).c_str(), o.broken[r]);
     std::array<int, kRules> shown{};
     for (const Breach& b : o.breaches) {
         if (++shown[static_cast<size_t>(b.rule)] > 5) continue;
--- a/fleet/system/stage.hpp
+++ b/fleet/system/stage.hpp
@@ -1,4 +1,5 @@
-// A play of the whole system: real processes on loopback, stand-ins of everything round them, faults, the judge.
+// A play of the whole system: real processes on loopback, stand-ins of everything round them, faults, the
+// judge.
 #pragma once
 
 #include <string>
--- a/huts/cloudcap/control.cpp
+++ b/huts/cloudcap/control.cpp
@@ -41,7 +41,8 @@
 
 Command decode(uint64_t visit, HttpRequest&& request) {
     std::string_view path = request.target().substr(0, request.target().find('?'));
-    if (path != "/configuration") return Unknown{visit, 404};
+    if (path == "/status" && request.method() == "GET") return GetStatus{visit};
+    if (path != "/configuration") return Unknown{visit, path == "/status" ? 405 : 404};
     if (request.method() == "PUT") return PutConfiguration{visit, std::move(request.body)};
     if (request.method() == "GET") return GetConfiguration{visit};
     return Unknown{visit, 405};
@@ -180,9 +181,10 @@
     (void)!read(keeperFd_, &count, sizeof count);
     for (const auto& result : keeper_->collect()) {
         if (result.ok) {
+            saveFailedLast_ = false;
             core_->saved(loop_.now(), result.token);
         } else {
-            ++saveFailures_;
+            ++saveFailures_, saveFailedLast_ = true;
             spdlog::error("state: {}", result.why);
             core_->saveFailed(loop_.now(), result.token);
         }
@@ -359,12 +361,15 @@
                     guests_.erase(old);
                 }
             }
-            guest.agent = true, guest.hello = *h;
+            guest.agent = true, guest.hello = *h, guest.version = h->version;
             agentByName_[h->name] = link.tag;
             welcome(guest);
             if (warden_) warden_->linked(h->name, h->zone);
             break;
         }
+        case Kind::beat:
+            if (auto b = eagle::unpacked<eagle::Beat>(payload)) guest.version = b->version;
+            break;
         case Kind::want:
             if (auto b = eagle::unpacked<eagle::Beat>(payload); b && value_ && b->version <= value_->version) sendConfig(link);
             break;
--- a/huts/cloudcap/control.hpp
+++ b/huts/cloudcap/control.hpp
@@ -28,11 +28,14 @@
 struct GetConfiguration {
     uint64_t visit;
 };
+struct GetStatus {
+    uint64_t visit;
+};
 struct Unknown {
     uint64_t visit;
     int status;
 };
-using Command = std::variant<PutConfiguration, GetConfiguration, Unknown>;
+using Command = std::variant<PutConfiguration, GetConfiguration, GetStatus, Unknown>;
 Command decode(uint64_t visit, eagle::HttpRequest&&);
 
 class Control final : public eagle::HttpHost, public eagle::LinkOwner, public eagle::Watcher {
@@ -59,6 +62,7 @@
         eagle::Hello hello;
         bool agent = false;
         Instant heardAt;
+        int64_t version = 0;  // of the configuration that the agent said it has
     };
     struct Peer {  // our link to a fellow core
         std::unique_ptr<eagle::Link> link;
@@ -67,7 +71,9 @@
     };
     void run(const PutConfiguration&);
     void run(const GetConfiguration&);
+    void run(const GetStatus&);
     void run(const Unknown&);
+    std::string status() const;  // JSON
     void runCommands();
     void pumpSoon();
     void pump();
@@ -109,7 +115,7 @@
     std::unique_ptr<eagle::Config> deflated_;
     muir::Duty duty_;
     uint64_t nextVisit_ = 1, nextTag_ = 1, nextTicket_ = 1;
-    bool pumping_ = false, beating_ = false, leaving_ = false;
+    bool pumping_ = false, beating_ = false, leaving_ = false, saveFailedLast_ = false;
     Instant leavingSince_, beatAt_, logAt_;
     eagle::TimerId timer_ = 0;
     uint64_t puts_ = 0, acked_ = 0, invalid_ = 0, noMajority_ = 0, gets_ = 0, agentBreaks_ = 0, saves_ = 0,
--- /dev/null
+++ b/huts/cloudcap/control_test.cpp
@@ -0,0 +1,266 @@
+// The control program whole, alone on its roll, with a disk in a folder of its own; asked over loopback.
+#include "huts/cloudcap/control.hpp"
+
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <rapidjson/document.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <thread>
+
+#include "huts/eagle/http_answer.hpp"
+
+namespace petrelpond::cloudcap {
+namespace {
+
+std::string configuration(int version, const std::string& more = "") {
+    return R"({"config_version":)" + std::to_string(version) +
+           R"(,"route_table":[{"name":"r","host_name":"h.example","path_prefix":"/r/",)"
+           R"("route_type":"idempotent","timeout_ms":100,"service":"f"}],)"
+           R"("service_table":[{"name":"f","max_connections":5}]})" +
+           more;
+}
+
+// Ports of this address that nobody has: sockets that had them for a moment.
+uint16_t freePort(const std::string& ip) {
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET, at.sin_addr.s_addr = htonl(eagle::Address::parse(ip, 1)->ip);
+    socklen_t size = sizeof at;
+    bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
+    getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+    close(fd);
+    return ntohs(at.sin_port);
+}
+
+class ControlTest : public ::testing::Test, public eagle::Watcher {
+  protected:
+    ControlTest() : wake_(eventfd(0, EFD_NONBLOCK)) {
+        // An address of this process alone, so that tests beside it take no port of ours.
+        ip_ = "127." + std::to_string(1 + getpid() / 254 % 250) + ".7." + std::to_string(1 + getpid() % 254);
+        folder_ = std::filesystem::temp_directory_path() / ("control-test-" + std::to_string(getpid()));
+        std::filesystem::remove_all(folder_);
+        std::filesystem::create_directories(folder_);
+        settings_.nodeName = "core-\"1\"", settings_.role = "core", settings_.ip = ip_, settings_.zone = "z";
+        settings_.bootstrap = settings_.quorumMember = true;
+        settings_.dataDir = folder_.string();
+        settings_.control = tilly::Address{ip_, freePort(ip_)};
+        settings_.portFirst = freePort(ip_), settings_.portLast = settings_.portFirst + 2;
+        settings_.seeds = {*settings_.control};
+        begin();
+    }
+    ~ControlTest() override {
+        end();
+        close(wake_);
+        std::filesystem::remove_all(folder_);
+    }
+    void begin() {
+        loop_ = std::make_unique<eagle::Loop>();
+        loop_->watch(wake_, EPOLLIN, this);
+        control_ = std::make_unique<Control>(*loop_, settings_, 7);
+        std::string error;
+        EXPECT_TRUE(control_->open(error)) << error;
+        thread_ = std::thread([this] { loop_->run(); });
+    }
+    void end() {
+        uint64_t one = 1;
+        (void)!write(wake_, &one, sizeof one);
+        thread_.join();
+        control_.reset();
+        loop_.reset();
+    }
+    void woke(uint32_t) override {
+        uint64_t count = 0;
+        (void)!read(wake_, &count, sizeof count);
+        loop_->stop();
+    }
+
+    struct Got {
+        int status = 0;  // 0: no whole answer
+        std::string body;
+    };
+    // Sends these bytes and ends its sending; reads till the end.
+    Got raw(const std::string& bytes) {
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        timeval patience{5, 0};  // only a failing test waits for so long
+        setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+        sockaddr_in at{};
+        at.sin_family = AF_INET, at.sin_port = htons(settings_.control->port);
+        at.sin_addr.s_addr = htonl(eagle::Address::parse(ip_, 1)->ip);
+        std::string in;
+        if (connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0) {
+            for (size_t sent = 0; sent < bytes.size();) {
+                ssize_t n = send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+                if (n <= 0) break;
+                sent += static_cast<size_t>(n);
+            }
+            shutdown(fd, SHUT_WR);
+            char some[65536];
+            for (ssize_t n; (n = recv(fd, some, sizeof some, 0)) > 0;)
+                in.append(some, static_cast<size_t>(n));
+        }
+        close(fd);
+        eagle::HttpAnswer answer;
+        if (eagle::takeAnswer(in, true, 8u << 20, answer) != eagle::Reading::whole) return {};
+        return {answer.status, answer.body};
+    }
+    // Again after a 503, as operators do: the roll has to be agreed on first.
+    Got call(const std::string& method, const std::string& target, const std::string& body = "") {
+        Got got;
+        for (int i = 0; i < 20; ++i) {
+            got =
+                raw(method + " " + target + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: " +
+                    std::to_string(body.size()) + "\r\n\r\n" + body);
+            if (got.status != 503) break;
+        }
+        return got;
+    }
+    Got put(const std::string& body) { return call("PUT", "/configuration", body); }
+    Got get() { return call("GET", "/configuration"); }
+    rapidjson::Document status() {
+        rapidjson::Document d;
+        Got got = call("GET", "/status");
+        EXPECT_EQ(got.status, 200);
+        d.Parse(got.body.c_str(), got.body.size());
+        EXPECT_FALSE(d.HasParseError()) << got.body;
+        return d;
+    }
+
+    int wake_;
+    std::string ip_;
+    std::filesystem::path folder_;
+    tilly::Settings settings_;
+    std::unique_ptr<eagle::Loop> loop_;
+    std::unique_ptr<Control> control_;
+    std::thread thread_;
+};
+
+TEST_F(ControlTest, KeepsTheNewestAsItWasSent) {
+    EXPECT_EQ(get().status, 404);
+    const std::string seven = configuration(7, " \n\t ");
+    Got got = put(seven);
+    EXPECT_EQ(got.status, 200);
+    EXPECT_EQ(got.body, R"({"config_version":7})");
+    EXPECT_EQ(get().body, seven);
+    got = put(configuration(5));  // acknowledged, alters nothing
+    EXPECT_EQ(got.status, 200);
+    EXPECT_EQ(got.body, R"({"config_version":7})");
+    EXPECT_EQ(get().body, seven);
+    EXPECT_EQ(put(seven).status, 200);
+    EXPECT_EQ(put(configuration(20)).status, 200);
+    EXPECT_EQ(get().body, configuration(20));
+}
+
+TEST_F(ControlTest, WhatIsAcknowledgedOutlastsTheProcess) {
+    EXPECT_EQ(put(configuration(7)).status, 200);
+    end();
+    settings_.bootstrap = false;  // as of a machine that comes back
+    begin();
+    EXPECT_EQ(get().body, configuration(7));
+}
+
+TEST_F(ControlTest, AnInvalidOneIsRefusedWithEveryMistakeAndKeepsNothing) {
+    EXPECT_EQ(put(configuration(3)).status, 200);
+    Got got = put(
+        R"({"config_version":9,"route_table":[)"
+        R"({"name":"r","host_name":"h","path_prefix":"/r/","route_type":"idempotent",)"
+        R"("timeout_ms":0,"service":"f"},)"
+        R"({"name":"s","host_name":"h","path_prefix":"/r/","route_type":"idempotent",)"
+        R"("timeout_ms":5,"service":"x"}],)"
+        R"("service_table":[{"name":"f","max_connections":5}]})");
+    EXPECT_EQ(got.status, 400);
+    for (const char* path :
+         {"/route_table/0/timeout_ms must", "/route_table/1/service names", "/route_table/1 shares"})
+        EXPECT_NE(got.body.find(path), std::string::npos) << path << " in " << got.body;
+    rapidjson::Document d;
+    EXPECT_FALSE(d.Parse(got.body.c_str()).HasParseError());
+    EXPECT_EQ(get().body, configuration(3));
+}
+
+TEST_F(ControlTest, GarbageAndCutTextsAreRefused) {
+    const std::string whole = configuration(9);
+    for (size_t cut = 0; cut < whole.size(); cut += 7)
+        EXPECT_EQ(put(whole.substr(0, cut)).status, 400) << cut;
+    for (const std::string& odd :
+         {std::string("\0\xff\xfe", 3), std::string(100'000, '['), std::string("[]"), whole + "x"})
+        EXPECT_EQ(put(odd).status, 400) << odd.substr(0, 20);
+    // A body that ends before its length is no request: nothing may be kept of it, though it is whole JSON.
+    Got got =
+        raw("PUT /configuration HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(whole.size() + 1) +
+            "\r\n\r\n" + whole);
+    EXPECT_NE(got.status, 200);
+    EXPECT_EQ(raw("PUT /configuration HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n").status, 413);
+    EXPECT_EQ(get().status, 404);
+}
+
+TEST_F(ControlTest, StatusTellsWhatThisCoreKnows) {
+    EXPECT_EQ(put(configuration(7)).status, 200);
+    rapidjson::Document d = status();
+    EXPECT_STREQ(d["name"].GetString(), "core-\"1\"");
+    EXPECT_EQ(d["ip"].GetString(), ip_);
+    EXPECT_EQ(d["configuration"]["on_majority"].GetInt64(), 7);
+    EXPECT_EQ(d["configuration"]["held"].GetInt64(), 7);
+    EXPECT_TRUE(d["disk"]["counts"].GetBool());
+    EXPECT_FALSE(d["disk"]["recovering"].GetBool());
+    EXPECT_FALSE(d["disk"]["last_save_failed"].GetBool());
+    ASSERT_EQ(d["roll"].Size(), 1u);
+    EXPECT_EQ(d["roll"][0].GetString(), ip_);
+    EXPECT_EQ(d["agents_linked"].GetUint64(), 0u);
+    // Alone, it comes to hold the duty; then it tells of the planner.
+    const Instant until = eagle::Loop::clock() + Span::seconds(10);
+    while (!d["duty"]["held_here"].GetBool() && eagle::Loop::clock() < until) d = status();
+    ASSERT_TRUE(d["duty"]["held_here"].GetBool());
+    EXPECT_EQ(d["duty"]["holder"].GetString(), ip_);
+    EXPECT_GT(d["duty"]["left_s"].GetDouble(), 0);
+    ASSERT_EQ(d["planner"]["services"].Size(), 1u);
+    EXPECT_STREQ(d["planner"]["services"][0]["name"].GetString(), "f");
+    EXPECT_EQ(d["planner"]["services_known"].GetUint64(), 1u);
+}
+
+TEST_F(ControlTest, AgentsAreListedWithTheVersionTheySaidAndNamesThatAreNoTextDoNoHarm) {
+    EXPECT_EQ(put(configuration(7)).status, 200);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET, at.sin_port = htons(static_cast<uint16_t>(settings_.portFirst));
+    at.sin_addr.s_addr = htonl(eagle::Address::parse(ip_, 1)->ip);
+    ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
+    auto say = [&](eagle::Kind kind, const std::string& payload) {
+        const uint32_t length = static_cast<uint32_t>(payload.size() + 1);
+        std::string frame;
+        for (int shift : {0, 8, 16, 24}) frame += static_cast<char>(length >> shift & 255);
+        frame += static_cast<char>(kind);
+        frame += payload;
+        ASSERT_EQ(send(fd, frame.data(), frame.size(), MSG_NOSIGNAL), static_cast<ssize_t>(frame.size()));
+    };
+    auto versionWhen = [&](auto reached) {
+        const Instant until = eagle::Loop::clock() + Span::seconds(5);
+        rapidjson::Document d = status();
+        while (!reached(d) && eagle::Loop::clock() < until) d = status();
+        EXPECT_TRUE(reached(d));
+        return d;
+    };
+    say(eagle::Kind::hello,
+        eagle::packed(eagle::Hello{"edge\xff" + std::string(500, 'x'), "10.0.0.9", "z", 1, 4}));
+    rapidjson::Document d = versionWhen([](const auto& s) { return s["agents"].Size() == 1; });
+    ASSERT_EQ(d["agents"].Size(), 1u);
+    EXPECT_EQ(d["agents"][0]["version"].GetInt64(), 4);
+    EXPECT_EQ(d["agents"][0]["name"].GetString(), "edge?" + std::string(123, 'x'));  // cut to 128
+    say(eagle::Kind::beat, eagle::packed(eagle::Beat{7, 0, 1, "", 0}));
+    versionWhen(
+        [](const auto& s) { return s["agents"].Size() == 1 && s["agents"][0]["version"].GetInt64() == 7; });
+    close(fd);
+}
+
+TEST_F(ControlTest, OtherCallsAreToldApart) {
+    EXPECT_EQ(call("POST", "/configuration").status, 405);
+    EXPECT_EQ(call("PUT", "/status", "{}").status, 405);
+    EXPECT_EQ(call("GET", "/other").status, 404);
+}
+
+}  // namespace
+}  // namespace petrelpond::cloudcap
--- a/huts/cloudcap/warden.hpp
+++ b/huts/cloudcap/warden.hpp
@@ -23,6 +23,7 @@
     void reported(const std::string& sender, const crest::Report&);
     void unlinked(const std::string& sender, bool closed);
     uint64_t term() const { return term_; }
+    const crest::Planner& planner() const { return planner_; }
     void logCounters() const;
 
   private:
--- a/huts/crest/planner.cpp
+++ b/huts/crest/planner.cpp
@@ -1307,4 +1307,19 @@
 
 const Counts& Planner::counts() const { return state_->counts; }
 
+std::vector<ServiceState> Planner::services() const {
+    std::vector<ServiceState> out;
+    for (const auto& [name, s] : state_->services) {
+        ServiceState one;
+        one.name = name, one.waiting = s->waiting, one.busy = s->busy, one.booting = s->pending;
+        for (const Instance* i : s->instances) {
+            if (i->phase == Phase::up) ++one.up, one.slots += i->slots;
+            else if (i->phase == Phase::booting) ++one.booting;
+            else if (i->phase != Phase::gone) ++one.draining;
+        }
+        out.push_back(std::move(one));
+    }
+    return out;
+}
+
 }  // namespace petrelpond::crest
--- a/huts/crest/planner.hpp
+++ b/huts/crest/planner.hpp
@@ -60,6 +60,15 @@
     uint64_t instances = 0, booting = 0, slots = 0, waiting = 0;  // of now, as of the last tick
 };
 
+// One service as it stands, for operators.
+struct ServiceState {
+    std::string name;
+    uint32_t up = 0, booting = 0;  // instances; a start without an answer counts as booting
+    uint32_t draining = 0;         // instances that end, by our will or the platform's
+    uint32_t slots = 0;            // of the instances that are up
+    uint32_t waiting = 0, busy = 0;  // requests, as the senders reported them
+};
+
 // What a sender's agent owes, and the planner relies on:
 //  - per link, Tells are read and Reports are sent in order; the first Report of a link is whole;
 //  - every instance named in Grants, or whose slots or busy changed, is named in the next Report, with 0 too;
@@ -94,6 +103,7 @@
     std::optional<Output> next();
 
     const Counts& counts() const;
+    std::vector<ServiceState> services() const;  // goes through all instances: for a question now and then
 
   private:
     struct State;
--- /dev/null
+++ b/huts/skyline/courier.cpp
@@ -0,0 +1,90 @@
+#include "huts/skyline/courier.hpp"
+
+#include <cstdio>
+#include <cstring>
+#include <memory>
+
+#include "huts/eagle/http_answer.hpp"
+#include "huts/eagle/loop.hpp"
+
+namespace petrelpond::skyline {
+
+namespace {
+
+constexpr size_t kMostBody = 8u << 20;  // bytes; a configuration has 4 MB at most
+
+// One question on a connection of its own: operators ask seldom, and a fresh connection is never one that the
+// other side has just closed.
+class Call final : public eagle::StreamOwner {
+  public:
+    Call(eagle::Loop& loop, const Question& q, Reply& reply, size_t& open)
+        : loop_(loop), reply_(reply), open_(open) {
+        stream_ = eagle::Stream::connect(loop, *this, q.to, Span());
+        if (!stream_) {
+            fail("no connection could be begun");
+            return;
+        }
+        std::string bytes =
+            q.method + " " + q.target + " HTTP/1.1\r\nHost: " + q.to.text() + "\r\nConnection: close\r\n";
+        if (!q.body.empty() || q.method != "GET")
+            bytes +=
+                "Content-Type: application/json\r\nContent-Length: " + std::to_string(q.body.size()) + "\r\n";
+        stream_->send(bytes + "\r\n" + q.body);
+        char why[48];
+        std::snprintf(why, sizeof why, "no answer within %.2g s", q.patience.inSeconds());
+        timer_ = loop.at(eagle::Loop::clock() + q.patience, [this, said = std::string(why)] { fail(said); });
+    }
+
+    void data(eagle::Stream&) override { take(false); }
+    void ended(eagle::Stream&, int error) override {
+        if (done_) return;
+        if (error == 0) take(true);
+        if (!done_) fail(error == 0 ? "the connection ended before a whole answer" : std::strerror(error));
+    }
+
+  private:
+    void take(bool atEnd) {
+        if (done_) return;
+        eagle::HttpAnswer answer;
+        eagle::Reading how = eagle::takeAnswer(stream_->in(), atEnd, kMostBody, answer);
+        if (how == eagle::Reading::incomplete) return;
+        if (how == eagle::Reading::malformed) return fail("the answer can't be read");
+        reply_.status = answer.status, reply_.body = std::move(answer.body);
+        if (auto location = answer.head.field("Location")) reply_.location = *location;
+        finish();
+    }
+    void fail(const std::string& why) {
+        if (done_) return;
+        reply_.why = why;
+        finish();
+    }
+    void finish() {
+        done_ = true;
+        if (timer_ != 0) loop_.cancel(timer_);
+        if (stream_) stream_->close();
+        if (--open_ == 0) loop_.stop();
+    }
+
+    eagle::Loop& loop_;
+    Reply& reply_;
+    size_t& open_;
+    std::unique_ptr<eagle::Stream> stream_;
+    eagle::TimerId timer_ = 0;
+    bool done_ = false;
+};
+
+}  // namespace
+
+std::vector<Reply> ask(const std::vector<Question>& questions) {
+    std::vector<Reply> replies(questions.size());
+    if (questions.empty()) return replies;
+    eagle::Loop loop;
+    std::vector<std::unique_ptr<Call>> calls;
+    size_t open = questions.size();
+    for (size_t i = 0; i < questions.size(); ++i)
+        calls.push_back(std::make_unique<Call>(loop, questions[i], replies[i], open));
+    loop.run();
+    return replies;
+}
+
+}  // namespace petrelpond::skyline
--- /dev/null
+++ b/huts/skyline/courier.hpp
@@ -0,0 +1,27 @@
+// Questions to cores over HTTP/1.1, asked side by side; returns once each has its answer or its time is over.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "huts/eagle/stream.hpp"
+#include "petrelpond/time.hpp"
+
+namespace petrelpond::skyline {
+
+struct Question {
+    eagle::Address to;
+    std::string method, target, body;
+    Span patience;  // from now to the whole answer
+};
+
+struct Reply {
+    int status = 0;        // 0: no whole answer; the call may have been carried out all the same
+    std::string body;
+    std::string location;  // of a 307
+    std::string why;       // where status is 0
+};
+
+std::vector<Reply> ask(const std::vector<Question>& questions);  // in the order of the questions
+
+}  // namespace petrelpond::skyline
--- /dev/null
+++ b/huts/skyline/overview.hpp
@@ -0,0 +1,88 @@
+// Many cores' answers to GET /status made into one picture, with what they disagree on and what nobody could
+// tell. No I/O.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "huts/eagle/result.hpp"
+#include "huts/eagle/stream.hpp"
+
+namespace petrelpond::skyline {
+
+struct PeerView {
+    std::string ip;
+    std::optional<double> heardAgo;  // seconds; nothing: it has no link to that core now
+};
+struct AgentView {
+    std::string name, ip, zone;
+    double heardAgo = 0;  // seconds
+    int64_t version = 0;  // of the configuration that it has; 0: none
+};
+struct ServiceView {
+    std::string name;
+    uint64_t up = 0, booting = 0, draining = 0, slots = 0, waiting = 0, busy = 0;
+};
+struct CoreView {
+    std::string name, ip, zone;
+    bool leaving = false;
+    int64_t onMajority = 0, held = 0;  // versions; 0: none
+    bool counts = false, onRoll = false, recovering = false, saveFailed = false;
+    std::vector<std::string> roll, seeds;
+    std::vector<PeerView> peers;
+    std::string holder;  // of the duty, its ip; empty: nobody known
+    uint64_t term = 0;
+    bool heldHere = false;
+    std::optional<double> left;  // seconds that the duty is surely held here
+    uint64_t agentsLinked = 0;   // agents may list fewer
+    std::vector<AgentView> agents;
+    bool plans = false;  // it told of services
+    uint64_t servicesKnown = 0;
+    std::vector<ServiceView> services;
+    std::vector<std::pair<std::string, uint64_t>> plannerCounts;  // of the planner, in the order told
+};
+// What is missing stands as its default, so that cores of another version can be asked; no object at all is a
+// Problem. `from` is named in it.
+eagle::Result<CoreView> readStatus(std::string_view json, const std::string& from);
+
+struct Answer {  // of one address that was asked
+    eagle::Address address;
+    std::optional<CoreView> core;
+    std::string why;     // where there is no core
+    bool guessed = false;  // its port was told by nobody
+};
+
+// Addresses worth asking that have not been asked: seeds as told; peers' and roll's ip at the port of the
+// core that told of them.
+struct Hint {
+    eagle::Address address;
+    bool guessed = false;
+};
+std::vector<Hint> hints(const std::vector<Answer>& asked);
+
+struct Overview {
+    std::vector<Answer> cores;  // by ip, each once
+    std::vector<std::string> roll;
+    bool rollAgreed = false;
+    size_t countedHere = 0;  // disks of the roll that answered and count
+    bool majority = false;
+    int64_t version = 0;  // the newest known to lie on a majority
+    std::optional<std::string> holder;  // ip; nothing: not agreed on, or nobody
+    uint64_t term = 0;
+    std::vector<AgentView> agents;  // by name; the lowest version that a core told
+    bool agentsWhole = true;        // false: some core listed fewer than it has links to
+    const CoreView* planner = nullptr;  // points into cores
+    std::vector<std::string> disagreements, unknown;
+};
+Overview merge(std::vector<Answer> answers);
+
+std::string overviewText(const Overview&);
+std::string overviewJson(const Overview&);
+
+// Which agents lack a version, by name.
+std::vector<std::string> lacking(const Overview&, int64_t version);
+
+}  // namespace petrelpond::skyline
--- a/tests/system/judge_test.cpp
+++ b/tests/system/judge_test.cpp
@@ -24,21 +24,24 @@
     void offer(int64_t at, int64_t number, std::vector<RouteRule> routes, bool valid = true) {
         judge.offered(ms(at), {number, valid, "text " + std::to_string(number), std::move(routes)});
     }
-    std::string ask(int64_t at, const std::string& path = "/a/x", bool repeatable = true, int machine = kEdge) {
+    std::string ask(int64_t at, const std::string& path = "/a/x", bool repeatable = true,
+                    int machine = kEdge) {
         std::string id = "t" + std::to_string(++tries);
         judge.sent(ms(at), {id, "GET", "h", path, 5, repeatable, machine, ms(at + 4000)});
         return id;
     }
-    void run(int64_t at, const std::string& id, const std::string& service = "a", const std::string& path = "/a/x",
-             const std::string& endpoint = "i-1") {
+    void run(int64_t at, const std::string& id, const std::string& service = "a",
+             const std::string& path = "/a/x", const std::string& endpoint = "i-1") {
         judge.reached(ms(at), id, endpoint, service);
         judge.ran(ms(at), id, service, "GET", path, 5);
     }
     void answer(int64_t at, const std::string& id) { judge.answered(ms(at), id, 200, "seal " + id, 9); }
     void get(int64_t at, const std::string& id, int status = 200) {
-        judge.got(ms(at), id, status, status == 200 ? "seal " + id : "", status == 200 ? id : "", status == 200 ? 9 : 0);
+        judge.got(ms(at), id, status, status == 200 ? "seal " + id : "", status == 200 ? id : "",
+                  status == 200 ? 9 : 0);
     }
-    void serve(int64_t at, const std::string& id, const std::string& service = "a", const std::string& path = "/a/x") {
+    void serve(int64_t at, const std::string& id, const std::string& service = "a",
+               const std::string& path = "/a/x") {
         run(at, id, service, path), answer(at, id), get(at + 1, id);
     }
     // Ends the history properly and says which rules it broke.
@@ -47,7 +50,8 @@
         judge.finish(ms(at));
         std::string out;
         for (size_t r = 0; r < kRules; ++r)
-            if (judge.broken(static_cast<Rule>(r)) > 0) out += std::string(nameOf(static_cast<Rule>(r))) + " ";
+            if (judge.broken(static_cast<Rule>(r)) > 0)
+                out += std::string(nameOf(static_cast<Rule>(r))) + " ";
         return out;
     }
 };
@@ -60,7 +64,8 @@
     auto once = p.ask(10100, "/a/x", false);
     p.get(10110, once, 503);  // a promise that holds
     auto twice = p.ask(10200);
-    p.run(10210, twice), p.judge.answered(ms(10220), twice, 0, "", 0);  // its answer was lost; it may run again
+    p.run(10210, twice),
+        p.judge.answered(ms(10220), twice, 0, "", 0);  // its answer was lost; it may run again
     p.run(10230, twice), p.answer(10240, twice), p.get(10250, twice);
     p.get(10300, p.ask(10290, "/nowhere/"), 404);
     CHECK(p.verdict() == "");
@@ -84,7 +89,8 @@
     CHECK(p.verdict() == "MIXED ");
 }
 
-TEST_CASE("an answer that the endpoint broke off is not the system's noise, nor is a 408 to an idle connection") {
+TEST_CASE(
+    "an answer that the endpoint broke off is not the system's noise, nor is a 408 to an idle connection") {
     Play p;
     auto id = p.ask(10000);
     p.run(10010, id), p.judge.answered(ms(10020), id, 0, "", 0);
@@ -377,8 +383,10 @@
     int served = GENERATE(2, 10);
     for (int i = 0; i < 40; ++i) {
         auto id = p.ask(34000 + i);
-        if (i < served) p.serve(34010 + i, id);
-        else p.judge.broken(ms(34010 + i), id);
+        if (i < served)
+            p.serve(34010 + i, id);
+        else
+            p.judge.broken(ms(34010 + i), id);
     }
     CHECK(p.verdict() == (served < 10 ? "RECOVER " : ""));
 }
--- a/tests/system/plan_test.cpp
+++ b/tests/system/plan_test.cpp
@@ -19,7 +19,8 @@
     return "";
 }
 
-const std::string kLeast = "[[group]]\nname = \"g\"\n[[traffic]]\nname = \"t\"\ngroup = \"g\"\nkind = \"idempotent\"\n";
+const std::string kLeast =
+    "[[group]]\nname = \"g\"\n[[traffic]]\nname = \"t\"\ngroup = \"g\"\nkind = \"idempotent\"\n";
 
 }  // namespace
 
@@ -40,9 +41,13 @@
     std::string two = mistakesIn(kLeast + "rate = \"many\"\n[[fault]]\nkind = \"node_kil\"\nat = 1\n");
     CHECK(two.find("f:7: traffic.rate: must be a number") == 0);
     CHECK(two.find("f:9: fault.kind: knows no 'node_kil'; one of: node_kill, ") != std::string::npos);
-    CHECK(mistakesIn(kLeast + "[[fault]]\nkind = \"node_kill\"\nat = 1\nmachines = [\"edge-7\"]\n").find("f:10: fault.machines: knows no 'edge-7'") == 0);
-    CHECK(mistakesIn(kLeast + "[[fault]]\nkind = \"burst\"\n").find("fault.at: is missing") != std::string::npos);
-    CHECK(mistakesIn(kLeast + "deadline_ms = 10\n").find("traffic.deadline_ms: must be no less than aim_ms") != std::string::npos);
+    CHECK(mistakesIn(kLeast + "[[fault]]\nkind = \"node_kill\"\nat = 1\nmachines = [\"edge-7\"]\n")
+              .find("f:10: fault.machines: knows no 'edge-7'") == 0);
+    CHECK(mistakesIn(kLeast + "[[fault]]\nkind = \"burst\"\n").find("fault.at: is missing") !=
+          std::string::npos);
+    CHECK(
+        mistakesIn(kLeast + "deadline_ms = 10\n").find("traffic.deadline_ms: must be no less than aim_ms") !=
+        std::string::npos);
 }
 
 TEST_CASE("a long play is the same for the same seed, and leaves room between losses") {
