--- a/huts/timberline/dispatch.cpp
+++ b/huts/timberline/dispatch.cpp
@@ -199,11 +199,9 @@
     auto still = requests_.find(a.id);
     if (still == requests_.end() || still->second.out) return;
     // It waits. Where it surely can't be had in time it is told now, with when to come back.
-    size_t ahead = 0;
-    for (const auto& [key, id] : s.waiting) {
-        if (id == a.id) break;
-        ++ahead;
-    }
+    size_t behind = 0;  // of lower priority: it is the last of its own
+    for (auto at = s.waiting.rbegin(); at != s.waiting.rend() && at->first.first > a.priority; ++at) ++behind;
+    size_t ahead = s.waiting.size() - behind - 1;
     Span wait = expectedWait(now, s, ahead);
     if (now + wait + callTime(s, still->second) > a.deadline) return refuse(now, still->second, true);
     holds_.emplace(r.holdUntil, a.id);
@@ -327,7 +325,7 @@
     if (!s.changed) s.changed = true, changed_.push_back(r.service);
     ++r.attempts;
     if (r.attempts > 1) s.budget.further(now, options_.budgetWindow), ++counters_.again;
-    r.out = true, r.offered = true, r.freed = false, r.at = ix, r.sentAt = now;
+    r.out = true, r.at = ix, r.sentAt = now;
     // An answer may be lost and the connection stay silent. What may run again is given up once it is far
     // beyond what this kind takes, while there is time for another; else it is waited for to its deadline.
     // Harm: an endpoint that suddenly got that slow has its work thrown away once.
--- a/huts/timberline/dispatch.hpp
+++ b/huts/timberline/dispatch.hpp
@@ -162,7 +162,7 @@
         uint32_t service = 0, kind = 0;
         uint64_t order = 0;
         int attempts = 0;
-        bool out = false, mayHaveRun = false, offered = false, freed = false;
+        bool out = false, mayHaveRun = false;
         InstanceIx at = 0, avoid = UINT32_MAX;
         Ending last = Ending::notRun;
     };
