--- a/fleet/system/clients.cpp
+++ b/fleet/system/clients.cpp
@@ -25,7 +25,7 @@
 
 // --- the door ----------------------------------------------------------------------------------------------
 
-Door::Door(eagle::Loop& loop, const Machines& machines, Judge&) : loop_(loop), machines_(machines) {
+Door::Door(eagle::Loop& loop, const Machines& machines) : loop_(loop), machines_(machines) {
     for (size_t i = 0; i < machines.all().size(); ++i) {
         in_.push_back(false), misses_.push_back(0), callers_.push_back(nullptr);
         const Machine& m = machines.all()[i];
--- a/fleet/system/clients.hpp
+++ b/fleet/system/clients.hpp
@@ -17,7 +17,7 @@
 // Which senders get new connections: asked for readiness every second, out after two misses.
 class Door {
   public:
-    Door(eagle::Loop&, const Machines&, Judge&);
+    Door(eagle::Loop&, const Machines&);
     // The sender for this client's try; other tries go to others.
     int pick(const std::string& zone, uint64_t client, int tryNo) const;
     bool isIn(int machine) const { return in_[static_cast<size_t>(machine)]; }
--- a/fleet/system/stage.cpp
+++ b/fleet/system/stage.cpp
@@ -29,8 +29,7 @@
           services_(servicesOf(plan)), judge_(plan.bounds, coreFlags(plan)),
           machines_(loop_, judge_, plan, options.programs, options.folder, network_, zones_),
           platform_(loop_, judge_, plan, services_, zones_, network_, plan.seed * 7 + 1),
-          door_(loop_, machines_, judge_),
-          clients_(loop_, judge_, plan, machines_, door_, zones_, plan.seed * 7 + 2),
+          door_(loop_, machines_), clients_(loop_, judge_, plan, machines_, door_, zones_, plan.seed * 7 + 2),
           operators_(loop_, judge_, plan, machines_, door_, clients_, services_, plan.seed * 7 + 3),
           chance_(plan.seed * 7 + 4) {}
 
@@ -281,7 +280,10 @@
     }
     say("  %ld of %ld served\n\n", o.served(), o.asked());
     if (!o.faults.empty()) out += "faults\n";
-    for (const auto& [second, words] : o.faults) say("  %5.1f s  %s\n", second, words.c_str());
+    for (const auto& [second, words] : o.faults) {
+        say("  %5.1f s  ", second);
+        out += words + "\n";
+    }
     out += o.faults.empty() ? "configuration\n" : "\nconfiguration\n";
     for (const ChangeResult& c : o.changes) {
         say("  %5.1f s  version %lld%s: ", (c.offeredAt - o.began).inSeconds(),
--- a/huts/cloudcap/control.cpp
+++ b/huts/cloudcap/control.cpp
@@ -135,14 +135,16 @@
     value->digest = tilly::digest(c.text);
     value->body = c.text;
     uint64_t ticket = nextTicket_++;
-    tickets_[ticket] = {c.visit, true, value->version};
-    core_->write(loop_.now(), ticket, std::move(value));
+    // What a majority holds is read first: a version that does not exceed it alters nothing, another text under the
+    // same number included. Only two that cross on their way are told apart by their digests. Harm: a round trip.
+    tickets_[ticket] = {c.visit, true, value->version, std::move(value)};
+    core_->read(loop_.now(), ticket);
 }
 
 void Control::run(const GetConfiguration& c) {
     ++gets_;
     uint64_t ticket = nextTicket_++;
-    tickets_[ticket] = {c.visit, false, 0};
+    tickets_[ticket] = {c.visit, false, 0, nullptr};
     core_->read(loop_.now(), ticket);
 }
 
@@ -158,6 +160,14 @@
         spdlog::warn("configuration {}: no majority in time", t.put ? "write" : "read");
         return visit->second->answer(503, std::string(kJson) + "Retry-After: 0.3\r\n", json("no majority of the disks answered in time"));
     }
+    if (t.put && t.toWrite && (!a.value || a.value->version < t.version)) {
+        uint64_t ticket = nextTicket_++;
+        auto value = std::move(t.toWrite);
+        t.toWrite = nullptr;
+        tickets_[ticket] = t;
+        core_->write(loop_.now(), ticket, std::move(value));
+        return pumpSoon();
+    }
     if (t.put) {
         ++acked_;
         spdlog::info("configuration {} acknowledged", t.version);
--- a/huts/cloudcap/control.hpp
+++ b/huts/cloudcap/control.hpp
@@ -108,6 +108,7 @@
         uint64_t visit;
         bool put;
         int64_t version;
+        std::shared_ptr<const muir::Value> toWrite;  // of a put whose majority is still being read
     };
     std::map<uint64_t, Ticket> tickets_;
     std::shared_ptr<const muir::Value> value_;  // the newest that is known to lie on a majority
--- a/huts/cloudcap/control_test.cpp
+++ b/huts/cloudcap/control_test.cpp
@@ -152,6 +152,11 @@
     EXPECT_EQ(got.body, R"({"config_version":7})");
     EXPECT_EQ(get().body, seven);
     EXPECT_EQ(put(seven).status, 200);
+    // Another text under the number that is held alters nothing either, whatever its digest.
+    for (const char* space : {"  ", "\n", "\t\t", " \t", "\n\n", "   "}) {
+        EXPECT_EQ(put(configuration(7, space)).status, 200);
+        EXPECT_EQ(get().body, seven);
+    }
     EXPECT_EQ(put(configuration(20)).status, 200);
     EXPECT_EQ(get().body, configuration(20));
 }
--- a/huts/silcox/agent.cpp
+++ b/huts/silcox/agent.cpp
@@ -133,8 +133,7 @@
     if (kind == Kind::hello) {  // the proxy, by loopback
         proxy_ = link.tag;
         toldAny_ = false;
-        auto hello = eagle::unpacked<eagle::Hello>(payload);
-        if (config_ && (!hello || hello->version < config_->version)) link.say(Kind::config, *config_);
+        if (config_) link.say(Kind::config, *config_);  // it keeps what it has where that is as new
         tellProxy();
     } else if (kind == Kind::report && link.tag == proxy_) {
         auto core = cores_.find(holder_);
--- a/huts/skyline/commands.cpp
+++ b/huts/skyline/commands.cpp
@@ -201,7 +201,9 @@
         s.err << "skyline: warning: version " << now->version
               << " is in force with another text; cores keep one of the "
               << "two, the same everywhere. Give it a higher version\n";
-    } else if (now && to->version <= now->version) {
+    } else if (now && to->version == now->version) {
+        s.err << "skyline: warning: version " << now->version << " is in force already, with this text\n";
+    } else if (now && to->version < now->version) {
         s.err << "skyline: warning: version " << to->version << " is not higher than " << now->version
               << ", which is in force: it is acknowledged and alters nothing\n";
     }
--- a/huts/skyline/commands_test.cpp
+++ b/huts/skyline/commands_test.cpp
@@ -244,6 +244,9 @@
     write(configuration(7, "\n"));
     EXPECT_EQ(run({"put", file_, "--control", one.text()}), 0);
     EXPECT_NE(err().find("version 7 is in force with another text"), std::string::npos);
+    write(configuration(7));
+    EXPECT_EQ(run({"put", file_, "--control", one.text()}), 0);
+    EXPECT_EQ(err(), "skyline: warning: version 7 is in force already, with this text\n");
     write(configuration(8));
     EXPECT_EQ(run({"put", file_, "--control", one.text()}), 0);
     EXPECT_EQ(err(), "");
@@ -319,6 +322,11 @@
     one.says("GET /status", {with(7)});
     EXPECT_EQ(run({"wait", "8", "--timeout", "3"}, one.text().c_str()), 1);
     EXPECT_EQ(out(), "version 8: 0 of 1 linked agents have it\n  without it: e (7)\n");
+    Said fewer = with(8);  // it has two agents and lists one
+    fewer.body.replace(fewer.body.find(R"("agents_linked":1)"), 17, R"("agents_linked":2)");
+    one.says("GET /status", {fewer});
+    EXPECT_EQ(run({"wait", "8", "--timeout", "1"}, one.text().c_str()), 1);
+    EXPECT_NE(err().find("more agents than it lists"), std::string::npos);
     one.says("GET /status", {with(0, false)});
     EXPECT_EQ(run({"wait", "8", "--timeout", "1", "--json"}, one.text().c_str()), 1);
     EXPECT_NE(err().find("no agent is linked"), std::string::npos);
--- a/huts/skyline/courier.cpp
+++ b/huts/skyline/courier.cpp
@@ -35,18 +35,16 @@
         timer_ = loop.at(eagle::Loop::clock() + q.patience, [this, said = std::string(why)] { fail(said); });
     }
 
-    void data(eagle::Stream&) override { take(false); }
+    void data(eagle::Stream&) override { take(); }
     void ended(eagle::Stream&, int error) override {
-        if (done_) return;
-        if (error == 0) take(true);
-        if (!done_) fail(error == 0 ? "the connection ended before a whole answer" : std::strerror(error));
+        fail(error == 0 ? "the connection ended before a whole answer" : std::strerror(error));
     }
 
   private:
-    void take(bool atEnd) {
+    void take() {
         if (done_) return;
         eagle::HttpAnswer answer;
-        eagle::Reading how = eagle::takeAnswer(stream_->in(), atEnd, kMostBody, answer);
+        eagle::Reading how = eagle::takeAnswer(stream_->in(), false, kMostBody, answer);
         if (how == eagle::Reading::incomplete) return;
         if (how == eagle::Reading::malformed) return fail("the answer can't be read");
         reply_.status = answer.status, reply_.body = std::move(answer.body);
--- a/huts/timberline/proxy.cpp
+++ b/huts/timberline/proxy.cpp
@@ -211,7 +211,7 @@
 
 void Proxy::configure(const eagle::Config& c) {
     // Never backwards: what an older version allows is not served once a newer one was.
-    if (routes_ && routes_->configuration()->version >= c.version) return;
+    if (routes_ && std::pair(routes_->configuration()->version, digest_) >= std::pair(c.version, c.digest)) return;
     std::string text(c.size, '\0');
     uLongf size = c.size;
     if (uncompress(reinterpret_cast<Bytef*>(text.data()), &size, reinterpret_cast<const Bytef*>(c.deflated.data()),
@@ -223,6 +223,7 @@
     std::vector<ServiceSpec> specs;
     for (const auto& s : made->services) specs.push_back({s.name, s.maxConcurrency, s.boot});
     routes_ = std::make_unique<tilly::RouteTable>(std::move(made));
+    digest_ = c.digest;
     dispatch_.configured(loop_.now(), specs);
     spdlog::info("configuration {} in force, {} routes, {} services", c.version, routes_->configuration()->routes.size(),
                  specs.size());
--- a/huts/timberline/proxy.hpp
+++ b/huts/timberline/proxy.hpp
@@ -93,6 +93,7 @@
     policy::Chance chance_;
     eagle::HttpLimits limits_;
     std::unique_ptr<tilly::RouteTable> routes_;
+    uint64_t digest_ = 0;  // of the configuration in routes_
     std::unique_ptr<eagle::Listener> listener_;
     Readiness readiness_;
     std::unordered_map<uint64_t, std::unique_ptr<eagle::HttpVisit>> visits_;
