--- a/huts/cloudcap/control.cpp
+++ b/huts/cloudcap/control.cpp
@@ -35,6 +35,8 @@
 const Span kDutyBeat = Span::millis(150);
 const Span kDutyLapse = Span::millis(700);
 
+const Span kConnectAgain = Span::millis(250);  // several round trips between regions
+
 constexpr const char* kJson = "Content-Type: application/json\r\n";
 
 }  // namespace
@@ -239,7 +241,10 @@
         return;
     }
     if (peer.waiting.size() < 16) peer.waiting.push_back(std::move(bytes));
-    if (peer.link || loop_.now() - peer.triedAt < Span::millis(200)) return;
+    if (loop_.now() - peer.triedAt < kConnectAgain) return;
+    // To a machine that is still dark a connection's first packet is lost, and is sent again after a second only:
+    // so long all cores that came back would be without a majority.
+    if (peer.link) peer.link->close(), loop_.bury(std::move(peer.link));
     peer.triedAt = loop_.now();
     auto to = eagle::Address::parse(ip, static_cast<uint16_t>(settings_.portFirst));
     if (to) peer.link = Link::connect(loop_, *this, *to, Span::millis(1500));
@@ -260,7 +265,10 @@
     bool was = duty_.held;
     uint64_t term = duty_.term;
     duty_ = d;
-    if (was && (!d.held || d.term != term)) {
+    if (was && d.held && d.term > term) {  // voted for again: nobody else has held it in between
+        spdlog::info("startup duty won again, term {}", d.term);
+        warden_->renewed(d.term);
+    } else if (was && !d.held) {
         warden_->logCounters();
         warden_.reset();
         spdlog::info("startup duty of term {} given up", term);
--- a/huts/cloudcap/warden.cpp
+++ b/huts/cloudcap/warden.cpp
@@ -54,8 +54,8 @@
         lists_ = std::make_unique<eagle::HttpCaller>(loop_, *at, 2, Span::millis(1500));
         duties_ = std::make_unique<eagle::HttpCaller>(loop_, *at, 8, Span::millis(1000));
         // All senders together may make so many calls for lists; this one takes a part of it.
-        double each = 2.0 / std::max(0.5, settings_.platform->ratePerS * 0.4);
-        listEvery_ = std::max(Span::millis(800), Span::seconds(each));
+        double each = 2.5 / std::max(0.5, settings_.platform->ratePerS * 0.4);
+        listEvery_ = std::max(Span::millis(600), Span::seconds(each));
     }
     tick();
 }
@@ -79,6 +79,12 @@
     pumpSoon();
 }
 
+void Warden::renewed(uint64_t term) {
+    term_ = term;
+    planner_.renewed(loop_.now(), term);
+    pumpSoon();
+}
+
 void Warden::linked(const std::string& sender, const std::string& zone) {
     planner_.linked(loop_.now(), sender, zone);
     pumpSoon();
@@ -135,7 +141,7 @@
         if (!listing_) listing_ = true, askEndpoints("", {});
     }
     if (now >= workersAt_) {
-        workersAt_ = now + listEvery_ * 1.5;
+        workersAt_ = now + listEvery_ * 0.75;  // a worker that is gone is first seen here
         if (!askingWorkers_) askingWorkers_ = true, askWorkers();
     }
 }
--- a/huts/cloudcap/warden.hpp
+++ b/huts/cloudcap/warden.hpp
@@ -19,6 +19,7 @@
     Warden(eagle::Loop&, const tilly::Settings&, uint64_t term, uint32_t chance, TellSender);
     ~Warden();
     void configured(const tilly::Configuration&);
+    void renewed(uint64_t term);
     void linked(const std::string& sender, const std::string& zone);
     void reported(const std::string& sender, const crest::Report&);
     void unlinked(const std::string& sender, bool closed);
--- a/huts/crest/planner.cpp
+++ b/huts/crest/planner.cpp
@@ -70,6 +70,7 @@
     Phase phase = Phase::booting;
     uint32_t slots = 1;
     Instant startedAt, goneAt, stopAt;
+    Instant upAt;  // since when it is known to be up; its own id is on the list soon after
     bool listedOnce = false, stopSent = false;
     int missed = 0;
     std::vector<Share> shares;
@@ -327,9 +328,10 @@
 
     // --- life of instances ---------------------------------------------------------------------------------
 
-    void cameUp(Instance* i) {
+    void cameUp(Instant now, Instance* i) {
         if (i->phase != Phase::booting) return;
         i->phase = Phase::up;
+        i->upAt = now;
         mark(i->service);
     }
     void drain(Instant now, Instance* i) {
@@ -405,7 +407,7 @@
     }
 
     void heldNow(Instant now, Instance* i, Share& s, uint32_t slots, uint32_t busy, bool sync) {
-        if (busy > 0 && i->phase == Phase::booting) cameUp(i);
+        if (busy > 0 && i->phase == Phase::booting) cameUp(now, i);
         uint32_t idle = slots > busy ? slots - busy : 0, idleWas = s.held > s.busy ? s.held - s.busy : 0;
         if (idle > 0 && (idleWas == 0 || busy != s.busy)) s.idleSince = now;
         bool fewer = slots < s.reserved();
@@ -1049,6 +1051,15 @@
     st.pass(now);
 }
 
+void Planner::renewed(Instant now, uint64_t term) {
+    State& st = *state_;
+    if (term <= st.term) return;
+    st.term = term;
+    st.prefix = std::to_string(term) + "-" + std::to_string(st.random()) + "-";
+    for (auto& [id, sender] : st.senders) sender->synced = false;  // their whole reports for this term come
+    st.pass(now);
+}
+
 void Planner::linked(Instant now, const SenderId& sender, const std::string& zone) {
     State& st = *state_;
     auto& p = st.senders[sender];
@@ -1123,7 +1134,7 @@
         auto it = st.instances.find(id);
         if (it == st.instances.end()) continue;
         it->second->voter = nullptr;
-        st.cameUp(it->second.get());
+        st.cameUp(now, it->second.get());
     }
     for (const auto& id : report.dead) {
         auto it = st.instances.find(id);
@@ -1184,7 +1195,7 @@
             continue;
         }
         if (l.draining) st.drain(now, i);
-        else st.cameUp(i);
+        else st.cameUp(now, i);
         st.mark(i->service);
     }
     std::vector<Instance*> lost;
@@ -1194,9 +1205,10 @@
             st.closing.erase(i.get());
             continue;
         }
-        bool due = i->listedOnce || (i->phase != Phase::booting && i->busy() == 0 &&
-                                     now > i->startedAt + i->service->spec.boot * st.tuning.bootsToDead +
-                                               st.listLag * 2 + Span::seconds(3));
+        // One that a sender called up is on the list within its lag. An instance that died as the duty changed
+        // hands was adopted from reports and kept for seconds though no list named it, and nothing was started.
+        bool due = i->listedOnce ||
+                   (i->phase != Phase::booting && now > i->upAt + st.listLag * 1.5 + Span::millis(300));
         // One list without it may be older than the last one that had it.
         if (due && ++i->missed >= 2) lost.push_back(i.get());
     }
--- a/huts/crest/planner.hpp
+++ b/huts/crest/planner.hpp
@@ -86,6 +86,8 @@
     Planner& operator=(Planner&&) noexcept;
 
     void configured(Instant now, std::vector<FunctionSpec> functions);  // all of them; services come and go
+    // The same holder won again under a higher term, without another between: what it knows stays.
+    void renewed(Instant now, uint64_t term);
     void linked(Instant now, const SenderId& sender, const std::string& zone);
     void reported(Instant now, const SenderId& sender, const Report& report);  // of another term: ignored
     // closed: its process ended (reset or close); else it is silent and may still use its slots for a while.
--- a/huts/crest/planner_test.cpp
+++ b/huts/crest/planner_test.cpp
@@ -266,6 +266,54 @@
     }
 }
 
+// Adopted from a sender's report, dead before this holder saw a list: no list ever names it.
+TEST(Planner, WhatDiedBeforeTheDutyChangedHandsIsLostByTheList) {
+    Instant now = Instant::atMicros(1'000'000);
+    Planner p(now, 7, 1, 150, ms(800));
+    p.configured(now, {{"f", 128, ms(900), 1, ms(1500)}});
+    p.workers(now, {{"w1", "a", 4096, 4096, false}});
+    p.linked(now, "s1", "a");
+    Report r;
+    r.term = 7, r.whole = true, r.spanMs = 100;
+    r.held = {{"dead", "f", "x:1", 1, 0}};
+    r.up = {"dead"};
+    r.demands = {{"f", 1, 0, 1, 1, 0}};
+    p.reported(now, "s1", r);
+    bool takenBack = false, started = false;
+    for (int i = 0; i < 4; ++i) {
+        p.listed(now, {});
+        p.tick(now);
+        while (auto o = p.next()) {
+            started |= std::holds_alternative<StartCall>(*o);
+            if (auto* t = std::get_if<Tell>(&*o))
+                for (const auto& g : t->grants.grants) takenBack |= g.instance == "dead" && g.slots == 0;
+        }
+        now = now + ms(800);
+    }
+    EXPECT_TRUE(takenBack);
+    EXPECT_TRUE(started);
+}
+
+// The same holder under a higher term knows what it knew; it gives nothing before the senders' new reports.
+TEST(Planner, AHolderThatIsVotedForAgainKeepsWhatItKnows) {
+    Bench b(2, 1500);
+    b.planner.listed(b.now, {{"i1", "f", "x:1", "a", "w1", 2, false}});
+    b.planner.renewed(b.now, 9);
+    b.tells.clear();
+    Report r = b.whole();
+    r.demands = {{"f", 1, 0, 1, 1, 0}};
+    b.planner.reported(b.now, "s1", r);  // still of the former term
+    b.wait(10);
+    EXPECT_TRUE(b.tells.empty());
+    r.term = 9;
+    b.planner.reported(b.now, "s1", r);
+    b.wait(10);
+    ASSERT_FALSE(b.tells.empty());
+    EXPECT_EQ(b.tells.back().grants.term, 9u);
+    EXPECT_EQ(b.tells.back().grants.grants.at(0).instance, "i1");
+    EXPECT_TRUE(b.starts.empty());
+}
+
 TEST(Planner, aServiceThatBootsLongerThanItsAimHasOneInstanceBeforeItsFirstCall) {
     Bench b(2, 400);
     ASSERT_EQ(b.starts.size(), 1u);
--- a/huts/silcox/agent.cpp
+++ b/huts/silcox/agent.cpp
@@ -17,6 +17,7 @@
 const Span kBeat = Span::millis(1000);
 const Span kCoreSilence = Span::millis(2200);  // without a word from a core for so long its link is made anew
 const Span kAskAgain = Span::millis(600);
+const Span kConnectAgain = Span::millis(240);  // several round trips between regions
 
 // Rises with each start of this machine's agent. A time of day that was set back makes our word look old to
 // others until they have forgotten us; nothing but the count of senders suffers.
@@ -82,7 +83,7 @@
     for (auto& [ip, core] : cores_) {
         if (core.link || loop_.now() - core.triedAt < core.pause) continue;
         core.triedAt = core.heardAt = loop_.now();
-        core.pause = std::min(core.pause * 2, Span::millis(1000));
+        core.pause = std::min(core.pause * 2, Span::millis(400));
         auto address = eagle::Address::parse(ip, static_cast<uint16_t>(settings_.portFirst));
         if (!address) continue;
         core.link = Link::connect(loop_, *this, *address, Span::millis(2000));
@@ -228,8 +229,12 @@
 void Agent::tick() {
     Instant now = loop_.now();
     std::vector<Link*> silent;
-    for (auto& [ip, core] : cores_)
-        if (core.link && now - core.heardAt > kCoreSilence) silent.push_back(core.link.get());
+    for (auto& [ip, core] : cores_) {
+        if (!core.link) continue;
+        // A connection's first packet that was lost at a dark machine is sent again after a second only.
+        bool lost = !core.link->isUp() && now - core.triedAt > kConnectAgain;
+        if (lost || now - core.heardAt > kCoreSilence) silent.push_back(core.link.get());
+    }
     for (Link* link : silent) linkDown(*link, false);
     connectCores();
     if (now - beatAt_ >= kBeat) {
--- a/huts/timberline/dispatch.cpp
+++ b/huts/timberline/dispatch.cpp
@@ -12,6 +12,8 @@
 const Span kUrgentAgain = Span::millis(150);    // a want that was not met is said again
 const Span kProbeEvery = Span::millis(60);
 const Span kRest = Span::millis(250);           // of an instance that just refused a connection
+const Span kDeadAgain = Span::millis(200);
+const Span kUnheard = Span::millis(400);        // thought to pass until the holder's first word
 const Span kSweep = Span::millis(50);
 constexpr double kHoldShare = 0.45;             // of the time that a request had; then it is told
 
@@ -179,6 +181,8 @@
         first = std::min(first, i.up ? std::max(now, i.restsUntil) : std::max(now, i.upAt));
     }
     double mean = s.mean > 0 ? s.mean : kUnknownMean;
+    // Without a word of the holder yet only this sender's slots are unknown; the instances may well run.
+    if (slots == 0 && (!linked_ || grantedTerm_ < term_)) return kUnheard;
     if (slots == 0) return s.spec.boot + Span::millis(150) + Span::seconds(mean * static_cast<double>(ahead) / 4);
     return (first - now) + Span::seconds(mean * static_cast<double>(ahead) / slots);
 }
@@ -260,7 +264,10 @@
 
 // A request is held: the service's concurrency is taken, or its instance boots. From here on the bucket binds.
 void Dispatch::hold(Instant now, Service& s) {
+    bool fresh = !s.bucket.bound;
     s.bucket.bind(now, slice(s), chance_);
+    // The source's bucket starts full: with no call out the first one held owes no wait.
+    if (fresh && s.busy == 0) s.bucket.tokens = 1;
     if (!s.wanting || now - s.wantedAt > kUrgentAgain) {
         s.wanting = true, s.wantedAt = now;
         tellNow(now);
@@ -353,8 +360,9 @@
     ++i.misses;
     i.restsUntil = std::max(i.restsUntil, now + kRest * std::min(i.misses, 4));
     wakeBy(i.restsUntil);
-    if (i.misses >= 2 && !i.deadTold) {
-        i.deadTold = true;
+    // Told again at each further miss: one sender's second word counts for the holder, and a word may be lost.
+    if (i.misses >= 2 && now - i.deadToldAt > kDeadAgain) {
+        i.deadTold = true, i.deadToldAt = now;
         tellNow(now);
         dead_.push_back(i.view.id);
     }
--- a/huts/timberline/dispatch.hpp
+++ b/huts/timberline/dispatch.hpp
@@ -142,6 +142,7 @@
         Instant idleSince;
         int misses = 0;  // failed connects and breaks since it last answered
         bool deadTold = false;
+        Instant deadToldAt = Instant::longAgo();
     };
     struct Service {
         ServiceSpec spec;
--- a/huts/timberline/dispatch_test.cpp
+++ b/huts/timberline/dispatch_test.cpp
@@ -251,8 +251,18 @@
     EXPECT_FALSE(p.sent(three));
 }
 
+// A proxy that just started, or has no holder, knows only that it has no slots: the instances may well run.
+TEST(Dispatch, WithoutAWordOfTheHolderNothingIsTakenForABoot) {
+    Play p;
+    auto id = p.come(900);
+    EXPECT_FALSE(p.got<Refuse>(id));
+    p.grants({grant("a", 1)});
+    EXPECT_TRUE(p.sent(id));
+}
+
 TEST(Dispatch, WhatCannotBeServedInTimeIsRefusedAtOnce) {
     Play p;
+    p.grants({});           // the holder has spoken: there is nothing for us
     auto id = p.come(600);  // a start alone takes a second
     auto refused = p.got<Refuse>(id);
     ASSERT_TRUE(refused);
@@ -481,9 +491,11 @@
     ASSERT_EQ(p.told("a", &crest::Report::dead), 1);
     p.core.standing(p.now, 2, true, 1);
     p.take();
+    EXPECT_EQ(p.told("a", &crest::Report::dead), 2);
+    // And again at a further miss: the holder believes one sender at its second word.
     p.end(id, Ending::unconnected);
     p.pass(1500);
-    EXPECT_EQ(p.told("a", &crest::Report::dead), 2);
+    EXPECT_EQ(p.told("a", &crest::Report::dead), 3);
 }
 
 TEST(Dispatch, ACallFarBeyondItsKindIsGivenUpWhileThereIsTime) {
--- a/huts/timberline/proxy.cpp
+++ b/huts/timberline/proxy.cpp
@@ -235,7 +235,7 @@
     };
     if (!routes_) {  // without a configuration nothing is known of any route: no 404
         ++notReady_;
-        return notRun(Span::millis(300));
+        return notRun(Span::millis(300) + Span::seconds(chance_.between(0.05, 0.25)));  // the design's random extra
     }
     // Where few senders are left the platform goes on sending here to the end. What could no more be finished
     // before the process is killed is told at once that it has not run. Harm: what would have been quick.
