Every grant is answered, so that slots lying idle can be asked back at once

Cause: the holder lowers no number that it has not seen arrive; a proxy answered a raise only with its next change, so a second slot given to a sender without calls stood there for 3 s while others waited 2.25 s for it and were told 503. Seen in the holder's table: told 2 held 1 busy 0, rising, beside waiting 1. Ruled out: boots (instance up), endpoints (no failed connect), the bucket (no slot known).

--- a/huts/timberline/dispatch.cpp
+++ b/huts/timberline/dispatch.cpp
@@ -109,11 +109,12 @@
         Instance& i = *instances_[found->second];
         if (g.upInMs == 0 && !i.up) i.up = true, i.restsUntil = Instant::longAgo();
         if (g.slots == 0 && i.misses > 0) i.deadTold = false;
-        bool fewer = g.slots < i.told, more = g.slots > i.slots;
+        bool more = g.slots > i.slots;
         i.slots = g.slots;
         if (i.slots > 0) i.dropped = false;
-        if (fewer || g.slots == 0) noteHeld(i);
-        i.told = std::max(i.slots, i.busy);
+        // Every number is answered, a higher one too: the holder lowers none that it has not seen arrive. Unanswered,
+        // a slot that lay idle here could not be asked back for three seconds while others waited for it.
+        noteHeld(i);
         services_[i.service].fleetSlots = g.fleetSlots;
         (more ? grown : touched).push_back(i.service);
     }
@@ -131,7 +132,6 @@
 // What is still held of an instance after fewer slots were granted, or after a slot that was asked back ended.
 void Dispatch::noteHeld(Instance& i) {
     uint32_t held = std::max(i.slots, i.busy);
-    i.told = held;
     heldChanges_[i.view.id] = {i.view.id, services_[i.service].spec.name, i.view.address, held, i.busy};
 }
 
--- a/huts/timberline/dispatch.hpp
+++ b/huts/timberline/dispatch.hpp
@@ -134,7 +134,7 @@
     struct Instance {
         InstanceView view;
         uint32_t service = 0;
-        uint32_t slots = 0, busy = 0, told = 0;  // told: slots last reported as held
+        uint32_t slots = 0, busy = 0;
         bool up = false, probing = false, dropped = false;
         Instant upAt;                            // when its start is thought to be over
         Instant probeAt = Instant::longAgo();
--- a/huts/timberline/dispatch_test.cpp
+++ b/huts/timberline/dispatch_test.cpp
@@ -234,6 +234,17 @@
     EXPECT_EQ(p.reports().size(), reports.size() + 1);
 }
 
+// The holder asks back only what it knows to have arrived.
+TEST(Dispatch, EveryGrantIsAnsweredAHigherOneToo) {
+    Play p;
+    p.grants({grant("a", 1)});
+    ASSERT_TRUE(p.held("a"));
+    EXPECT_EQ(p.held("a")->slots, 1u);
+    p.grants({grant("a", 2)});
+    EXPECT_EQ(p.held("a")->slots, 2u);
+    EXPECT_EQ(p.held("a")->busy, 0u);
+}
+
 TEST(Dispatch, AWholeGrantTakesBackWhatItDoesNotName) {
     Play p;
     p.grants({grant("a", 1), grant("b", 1), grant("c", 1)});
