--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -156,7 +156,8 @@
     return length && *length > most ? Fault::bodyTooLong : Fault::none;
 }
 
-Chunks unchunk(std::string_view bytes, std::string& body, size_t& taken, size_t most) {
+Chunks unchunk(std::string_view bytes, std::string& body, size_t& taken, std::optional<size_t> bound) {
+    size_t most = bound.value_or(kMostBody);
     std::string_view rest = bytes;
     body.clear();
     while (true) {
@@ -169,7 +170,7 @@
         auto [end, error] = std::from_chars(line.data(), line.data() + line.size(), size, 16);
         if (line.empty() || error != std::errc() || end != line.data() + line.size())
             return Chunks::malformed;
-        if (size > most || body.size() + size > most) return Chunks::tooLong;
+        if (size > most || body.size() + size > most) return bound ? Chunks::tooLong : Chunks::malformed;
         if (size == 0) break;
         if (rest.size() < size + 2) return Chunks::incomplete;
         body.append(rest.substr(0, size));
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -34,8 +34,8 @@
 // The body's length: absent where none is told. Several that differ, odd ones and other codings are faults.
 Fault bodyLength(const Head& head, std::optional<size_t>& length, size_t most = kMostBody);
 // A body in chunks: decodes it, and tells how many bytes it took once it is whole. Only answers come so.
-enum class Chunks { incomplete, malformed, whole, tooLong };  // tooLong: told to be over `most`
-Chunks unchunk(std::string_view bytes, std::string& body, size_t& taken, size_t most = kMostBody);
+enum class Chunks { incomplete, malformed, whole, tooLong };  // tooLong: over `most`, where that was given
+Chunks unchunk(std::string_view bytes, std::string& body, size_t& taken, std::optional<size_t> most = {});
 // Whether a response's first line stands whole in bytes that broke off, and its status.
 int firstLineStatus(std::string_view bytes);
 // Whether bytes without a whole head can still become one, so that noise is not waited on.
--- a/src/routing/exchange.cpp
+++ b/src/routing/exchange.cpp
@@ -68,7 +68,7 @@
                    http::Chunks::incomplete) {
                 if (more() <= 0) return broken();
             }
-            if (state != http::Chunks::whole) return broken();
+            if (state == http::Chunks::malformed) return broken();
             reply.keep = have == *end + taken && !reply.head.closes();
             std::memcpy(at + *end, body.data(), body.size());  // it takes less room than its chunks
             reply.body = {at + *end, body.size()};
