--- a/huts/cloudcap/control.cpp
+++ b/huts/cloudcap/control.cpp
@@ -1,5 +1,6 @@
 #include "huts/cloudcap/control.hpp"
 
+#include <spdlog/spdlog.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -7,8 +8,6 @@
 
 #include <algorithm>
 
-#include <spdlog/spdlog.h>
-
 namespace petrelpond::cloudcap {
 
 using eagle::HttpRequest;
@@ -30,8 +29,8 @@
     return out + "\"}";
 }
 
-// A vacancy is a time without new instances: short, but several round trips between regions and the hiccups of
-// a small machine. A needless ballot costs the new holder its learning, some 0.2 s.
+// A vacancy is a time without new instances: short, but several round trips between regions and the hiccups
+// of a small machine. A needless ballot costs the new holder its learning, some 0.2 s.
 const Span kDutyBeat = Span::millis(150);
 const Span kDutyLapse = Span::millis(700);
 
@@ -61,7 +60,8 @@
 }
 
 bool Control::open(std::string& error) {
-    if (!settings_.control) return error = "listen_addresses: control expected for a role that serves control_plane", false;
+    if (!settings_.control)
+        return error = "listen_addresses: control expected for a role that serves control_plane", false;
     if (!settings_.dataDir) return error = "data_dir: a folder on a disk expected", false;
     keeperFd_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     keeper_ = std::make_unique<muir::Keeper>(*settings_.dataDir, keeperFd_);
@@ -77,21 +77,28 @@
     o.machineLosses = settings_.tolerance.machineLosses;
     o.chance = chance_;
     o.beat = kDutyBeat, o.lapse = kDutyLapse;
-    spdlog::info("state: {} bootstrap={} counted={}", found ? "found on disk" : "disk is empty", o.bootstrap, o.counted);
+    spdlog::info("state: {} bootstrap={} counted={}", found ? "found on disk" : "disk is empty", o.bootstrap,
+                 o.counted);
     core_ = std::make_unique<muir::Core>(loop_.now(), o, std::move(found));
     loop_.watch(keeperFd_, EPOLLIN, this);
-    control_ = eagle::Listener::open(loop_, *eagle::Address::parse(settings_.control->text()), [this](int fd, eagle::Address) {
-        uint64_t id = nextVisit_++;
-        visits_[id] = std::make_unique<HttpVisit>(loop_, *this, fd, id);
-    }, error);
+    control_ = eagle::Listener::open(
+        loop_, *eagle::Address::parse(settings_.control->text()),
+        [this](int fd, eagle::Address) {
+            uint64_t id = nextVisit_++;
+            visits_[id] = std::make_unique<HttpVisit>(loop_, *this, fd, id);
+        },
+        error);
     if (!control_) return error = settings_.control->text() + ": " + error, false;
     auto inner = eagle::Address::parse(settings_.ip, static_cast<uint16_t>(settings_.portFirst));
-    inner_ = eagle::Listener::open(loop_, *inner, [this](int fd, eagle::Address) {
-        uint64_t tag = nextTag_++;
-        Guest& g = guests_[tag];
-        g.link = Link::adopt(loop_, *this, fd, Span::millis(2500));
-        g.link->tag = tag, g.heardAt = loop_.now();
-    }, error);
+    inner_ = eagle::Listener::open(
+        loop_, *inner,
+        [this](int fd, eagle::Address) {
+            uint64_t tag = nextTag_++;
+            Guest& g = guests_[tag];
+            g.link = Link::adopt(loop_, *this, fd, Span::millis(2500));
+            g.link->tag = tag, g.heardAt = loop_.now();
+        },
+        error);
     if (!inner_) return error = inner->text() + ": " + error, false;
     housekeep();
     pump();
@@ -137,8 +144,9 @@
     value->digest = tilly::digest(c.text);
     value->body = c.text;
     uint64_t ticket = nextTicket_++;
-    // What a majority holds is read first: a version that does not exceed it alters nothing, another text under the
-    // same number included. Only two that cross on their way are told apart by their digests. Harm: a round trip.
+    // What a majority holds is read first: a version that does not exceed it alters nothing, another text
+    // under the same number included. Only two that cross on their way are told apart by their digests. Harm:
+    // a round trip.
     tickets_[ticket] = {c.visit, true, value->version, std::move(value)};
     core_->read(loop_.now(), ticket);
 }
@@ -160,7 +168,8 @@
     if (a.how != muir::Answer::done) {
         ++noMajority_;
         spdlog::warn("configuration {}: no majority in time", t.put ? "write" : "read");
-        return visit->second->answer(503, std::string(kJson) + "Retry-After: 0.3\r\n", json("no majority of the disks answered in time"));
+        return visit->second->answer(503, std::string(kJson) + "Retry-After: 0.3\r\n",
+                                     json("no majority of the disks answered in time"));
     }
     if (t.put && t.toWrite && (!a.value || a.value->version < t.version)) {
         uint64_t ticket = nextTicket_++;
@@ -173,7 +182,9 @@
     if (t.put) {
         ++acked_;
         spdlog::info("configuration {} acknowledged", t.version);
-        return visit->second->answer(200, kJson, "{\"config_version\":" + std::to_string(a.value ? a.value->version : t.version) + "}");
+        return visit->second->answer(
+            200, kJson,
+            "{\"config_version\":" + std::to_string(a.value ? a.value->version : t.version) + "}");
     }
     if (!a.value) return visit->second->answer(404, kJson, json("no configuration yet"));
     visit->second->answer(200, kJson, a.value->body);
@@ -213,11 +224,16 @@
 void Control::pump() {
     pumping_ = false;
     while (auto output = core_->next()) {
-        if (auto* s = std::get_if<muir::Send>(&*output)) toPeer(s->to, s->message);
-        else if (auto* s = std::get_if<muir::Save>(&*output)) ++saves_, keeper_->save(std::move(*s));
-        else if (auto* a = std::get_if<muir::Answer>(&*output)) answered(*a);
-        else if (auto* n = std::get_if<muir::News>(&*output)) news(n->value);
-        else if (auto* d = std::get_if<muir::Duty>(&*output)) duty(*d);
+        if (auto* s = std::get_if<muir::Send>(&*output))
+            toPeer(s->to, s->message);
+        else if (auto* s = std::get_if<muir::Save>(&*output))
+            ++saves_, keeper_->save(std::move(*s));
+        else if (auto* a = std::get_if<muir::Answer>(&*output))
+            answered(*a);
+        else if (auto* n = std::get_if<muir::News>(&*output))
+            news(n->value);
+        else if (auto* d = std::get_if<muir::Duty>(&*output))
+            duty(*d);
     }
     arm();
 }
@@ -242,8 +258,8 @@
     }
     if (peer.waiting.size() < 16) peer.waiting.push_back(std::move(bytes));
     if (loop_.now() - peer.triedAt < kConnectAgain) return;
-    // To a machine that is still dark a connection's first packet is lost, and is sent again after a second only:
-    // so long all cores that came back would be without a majority.
+    // To a machine that is still dark a connection's first packet is lost, and is sent again after a second
+    // only: so long all cores that came back would be without a majority.
     if (peer.link) peer.link->close(), loop_.bury(std::move(peer.link));
     peer.triedAt = loop_.now();
     auto to = eagle::Address::parse(ip, static_cast<uint16_t>(settings_.portFirst));
@@ -277,11 +293,12 @@
         spdlog::info("startup duty won, term {}", d.term);
         warden_ = std::make_unique<Warden>(loop_, settings_, d.term, chance_ + static_cast<uint32_t>(d.term),
                                            [this](const std::string& sender, const crest::Grants& grants) {
-            auto tag = agentByName_.find(sender);
-            if (tag == agentByName_.end()) return;
-            auto guest = guests_.find(tag->second);
-            if (guest != guests_.end()) guest->second.link->say(Kind::grants, grants);
-        });
+                                               auto tag = agentByName_.find(sender);
+                                               if (tag == agentByName_.end()) return;
+                                               auto guest = guests_.find(tag->second);
+                                               if (guest != guests_.end())
+                                                   guest->second.link->say(Kind::grants, grants);
+                                           });
         if (configuration_) warden_->configured(*configuration_);
         for (auto& [name, tag] : agentByName_) warden_->linked(name, guests_[tag].hello.zone);
     }
@@ -326,8 +343,9 @@
 }
 
 void Control::beatAgent(Guest& guest) {
-    guest.link->say(Kind::beat, eagle::Beat{value_ ? value_->version : 0, value_ ? value_->digest : 0, duty_.term,
-                                            duty_.holder, static_cast<uint32_t>(agentByName_.size())});
+    guest.link->say(Kind::beat,
+                    eagle::Beat{value_ ? value_->version : 0, value_ ? value_->digest : 0, duty_.term,
+                                duty_.holder, static_cast<uint32_t>(agentByName_.size())});
 }
 
 void Control::welcome(Guest& guest) {
@@ -389,7 +407,8 @@
             if (auto b = eagle::unpacked<eagle::Beat>(payload)) guest.version = b->version;
             break;
         case Kind::want:
-            if (auto b = eagle::unpacked<eagle::Beat>(payload); b && value_ && b->version <= value_->version) sendConfig(link);
+            if (auto b = eagle::unpacked<eagle::Beat>(payload); b && value_ && b->version <= value_->version)
+                sendConfig(link);
             break;
         case Kind::report:
             if (!warden_ || !guest.agent) break;
@@ -449,17 +468,21 @@
 
 void Control::mayEnd() {
     Span lasts = loop_.now() - leavingSince_;
-    if ((tickets_.empty() && lasts > Span::millis(500)) || lasts > settings_.bounds.grace - Span::millis(800)) {
+    if ((tickets_.empty() && lasts > Span::millis(500)) ||
+        lasts > settings_.bounds.grace - Span::millis(800)) {
         logCounters();
         loop_.stop();
     }
 }
 
 void Control::logCounters() const {
-    spdlog::info("counters puts={} acknowledged={} invalid={} no_majority={} gets={} agents={} agent_breaks={} peers={} saves={} "
-                 "save_failures={} roll={} recovering={} version={} term={} holder={}",
-                 puts_, acked_, invalid_, noMajority_, gets_, agentByName_.size(), agentBreaks_, core_->peers().size(), saves_,
-                 saveFailures_, core_->roll().size(), core_->recovering(), value_ ? value_->version : 0, duty_.term, duty_.holder);
+    spdlog::info(
+        "counters puts={} acknowledged={} invalid={} no_majority={} gets={} agents={} agent_breaks={} "
+        "peers={} saves={} "
+        "save_failures={} roll={} recovering={} version={} term={} holder={}",
+        puts_, acked_, invalid_, noMajority_, gets_, agentByName_.size(), agentBreaks_, core_->peers().size(),
+        saves_, saveFailures_, core_->roll().size(), core_->recovering(), value_ ? value_->version : 0,
+        duty_.term, duty_.holder);
     if (warden_) warden_->logCounters();
 }
 
--- a/huts/cloudcap/control_test.cpp
+++ b/huts/cloudcap/control_test.cpp
@@ -171,13 +171,12 @@
 
 TEST_F(ControlTest, AnInvalidOneIsRefusedWithEveryMistakeAndKeepsNothing) {
     EXPECT_EQ(put(configuration(3)).status, 200);
-    Got got = put(
-        R"({"config_version":9,"route_table":[)"
-        R"({"name":"r","host_name":"h","path_prefix":"/r/","route_type":"idempotent",)"
-        R"("timeout_ms":0,"service":"f"},)"
-        R"({"name":"s","host_name":"h","path_prefix":"/r/","route_type":"idempotent",)"
-        R"("timeout_ms":5,"service":"x"}],)"
-        R"("service_table":[{"name":"f","max_connections":5}]})");
+    Got got = put(R"({"config_version":9,"route_table":[)"
+                  R"({"name":"r","host_name":"h","path_prefix":"/r/","route_type":"idempotent",)"
+                  R"("timeout_ms":0,"service":"f"},)"
+                  R"({"name":"s","host_name":"h","path_prefix":"/r/","route_type":"idempotent",)"
+                  R"("timeout_ms":5,"service":"x"}],)"
+                  R"("service_table":[{"name":"f","max_connections":5}]})");
     EXPECT_EQ(got.status, 400);
     for (const char* path :
          {"/route_table/0/timeout_ms must", "/route_table/1/service names", "/route_table/1 shares"})
--- a/huts/cloudcap/main.cpp
+++ b/huts/cloudcap/main.cpp
@@ -9,7 +9,8 @@
 
 int main(int argc, char** argv) {
     int code = 0;
-    auto start = trailhead::start("cloudcap", "keeps the configuration and plans instances", argc, argv, code);
+    auto start =
+        trailhead::start("cloudcap", "keeps the configuration and plans instances", argc, argv, code);
     if (!start) return code;
     eagle::Loop loop;
     cloudcap::Control control(loop, start->settings, start->chance);
@@ -23,7 +24,8 @@
     loop.onSignal(SIGUSR1, [&] { control.logCounters(); });
     loop.onSignal(SIGHUP, [&] {
         auto read = tilly::readSettings(start->settingsPath);
-        if (auto* problem = std::get_if<eagle::Problem>(&read)) return spdlog::error("settings kept: {}", problem->line());
+        if (auto* problem = std::get_if<eagle::Problem>(&read))
+            return spdlog::error("settings kept: {}", problem->line());
         control.newSettings(std::get<tilly::Settings>(read));
     });
     loop.run();
--- a/huts/cloudcap/warden.cpp
+++ b/huts/cloudcap/warden.cpp
@@ -1,13 +1,12 @@
 #include "huts/cloudcap/warden.hpp"
 
 #include <rapidjson/document.h>
+#include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <cstdio>
 #include <map>
 
-#include <spdlog/spdlog.h>
-
 namespace petrelpond::cloudcap {
 
 namespace {
@@ -26,9 +25,14 @@
     std::string out;
     for (char c : s) {
         auto u = static_cast<unsigned char>(c);
-        if (c == '"' || c == '\\') out += '\\', out += c;
-        else if (u < 0x20) { char hex[8]; std::snprintf(hex, sizeof hex, "\\u%04x", u); out += hex; }
-        else out += c;
+        if (c == '"' || c == '\\')
+            out += '\\', out += c;
+        else if (u < 0x20) {
+            char hex[8];
+            std::snprintf(hex, sizeof hex, "\\u%04x", u);
+            out += hex;
+        } else
+            out += c;
     }
     return out;
 }
@@ -36,15 +40,21 @@
 std::string queryEscaped(std::string_view s) {
     std::string out;
     for (char c : s) {
-        if (std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.' || c == '~') out += c;
-        else { char hex[4]; std::snprintf(hex, sizeof hex, "%%%02X", static_cast<unsigned char>(c)); out += hex; }
+        if (std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.' || c == '~')
+            out += c;
+        else {
+            char hex[4];
+            std::snprintf(hex, sizeof hex, "%%%02X", static_cast<unsigned char>(c));
+            out += hex;
+        }
     }
     return out;
 }
 
 }  // namespace
 
-Warden::Warden(eagle::Loop& loop, const tilly::Settings& settings, uint64_t term, uint32_t chance, TellSender tell)
+Warden::Warden(eagle::Loop& loop, const tilly::Settings& settings, uint64_t term, uint32_t chance,
+               TellSender tell)
     : loop_(loop), settings_(settings), term_(term), tell_(std::move(tell)),
       planner_(loop.now(), term, chance, settings.platform ? settings.platform->dutyPerS : 10.0,
                Span::millis(settings.platform ? settings.platform->maxLagMs : 1000)),
@@ -111,9 +121,12 @@
 void Warden::pump() {
     pumping_ = false;
     while (auto output = planner_.next()) {
-        if (auto* t = std::get_if<crest::Tell>(&*output)) tell_(t->to, t->grants);
-        else if (auto* s = std::get_if<crest::StartCall>(&*output)) start(*s);
-        else if (auto* s = std::get_if<crest::StopCall>(&*output)) stop(*s);
+        if (auto* t = std::get_if<crest::Tell>(&*output))
+            tell_(t->to, t->grants);
+        else if (auto* s = std::get_if<crest::StartCall>(&*output))
+            start(*s);
+        else if (auto* s = std::get_if<crest::StopCall>(&*output))
+            stop(*s);
     }
     Instant wake = std::min({planner_.wakeAt(), listAt_, workersAt_});
     wake = std::max(wake, loop_.now() + Span::millis(2));
@@ -149,51 +162,57 @@
 void Warden::askEndpoints(const std::string& page, std::vector<crest::Listed> sofar) {
     ++listCalls_;
     std::string target = page.empty() ? "/endpoints" : "/endpoints?page_token=" + queryEscaped(page);
-    lists_->call("GET", target, "", "", [this, sofar = std::move(sofar), alive = std::weak_ptr<bool>(alive_)](
-                                             int status, const std::string& body) mutable {
-        if (!alive.lock()) return;
-        rapidjson::Document d;
-        if (status == 200) d.Parse(body.c_str(), body.size());
-        if (status != 200 || d.HasParseError() || !d.IsObject() || !d.HasMember("endpoints") || !d["endpoints"].IsArray()) {
-            listing_ = false, ++listFailures_;
-            listAt_ = loop_.now() + Span::millis(300);
-            return pumpSoon();
-        }
-        for (const auto& e : d["endpoints"].GetArray()) {
-            if (!e.IsObject()) continue;
-            sofar.push_back({text(e, "endpoint_id"), text(e, "service"), text(e, "address"), text(e, "zone"),
-                             text(e, "worker_id"), number(e, "concurrency_slots", 1),
-                             text(e, "endpoint_state") == "draining"});
-        }
-        std::string next = text(d, "next_token");
-        if (!next.empty()) return askEndpoints(next, std::move(sofar));
-        listing_ = false;
-        planner_.listed(loop_.now(), std::move(sofar));
-        pumpSoon();
-    });
+    lists_->call(
+        "GET", target, "", "",
+        [this, sofar = std::move(sofar), alive = std::weak_ptr<bool>(alive_)](
+            int status, const std::string& body) mutable {
+            if (!alive.lock()) return;
+            rapidjson::Document d;
+            if (status == 200) d.Parse(body.c_str(), body.size());
+            if (status != 200 || d.HasParseError() || !d.IsObject() || !d.HasMember("endpoints") ||
+                !d["endpoints"].IsArray()) {
+                listing_ = false, ++listFailures_;
+                listAt_ = loop_.now() + Span::millis(300);
+                return pumpSoon();
+            }
+            for (const auto& e : d["endpoints"].GetArray()) {
+                if (!e.IsObject()) continue;
+                sofar.push_back({text(e, "endpoint_id"), text(e, "service"), text(e, "address"),
+                                 text(e, "zone"), text(e, "worker_id"), number(e, "concurrency_slots", 1),
+                                 text(e, "endpoint_state") == "draining"});
+            }
+            std::string next = text(d, "next_token");
+            if (!next.empty()) return askEndpoints(next, std::move(sofar));
+            listing_ = false;
+            planner_.listed(loop_.now(), std::move(sofar));
+            pumpSoon();
+        });
 }
 
 void Warden::askWorkers() {
     ++listCalls_;
-    lists_->call("GET", "/workers", "", "", [this, alive = std::weak_ptr<bool>(alive_)](int status, const std::string& body) {
-        if (!alive.lock()) return;
-        askingWorkers_ = false;
-        rapidjson::Document d;
-        if (status == 200) d.Parse(body.c_str(), body.size());
-        if (status != 200 || d.HasParseError() || !d.IsObject() || !d.HasMember("worker_set") || !d["worker_set"].IsArray()) {
-            ++listFailures_;
-            workersAt_ = loop_.now() + Span::millis(300);
-            return pumpSoon();
-        }
-        std::vector<crest::Worker> all;
-        for (const auto& w : d["worker_set"].GetArray()) {
-            if (!w.IsObject()) continue;
-            all.push_back({text(w, "name"), text(w, "zone"), number(w, "memory_mb", 0), number(w, "free_memory_mb", 0),
-                           text(w, "endpoint_state") == "draining"});
-        }
-        planner_.workers(loop_.now(), std::move(all));
-        pumpSoon();
-    });
+    lists_->call(
+        "GET", "/workers", "", "",
+        [this, alive = std::weak_ptr<bool>(alive_)](int status, const std::string& body) {
+            if (!alive.lock()) return;
+            askingWorkers_ = false;
+            rapidjson::Document d;
+            if (status == 200) d.Parse(body.c_str(), body.size());
+            if (status != 200 || d.HasParseError() || !d.IsObject() || !d.HasMember("worker_set") ||
+                !d["worker_set"].IsArray()) {
+                ++listFailures_;
+                workersAt_ = loop_.now() + Span::millis(300);
+                return pumpSoon();
+            }
+            std::vector<crest::Worker> all;
+            for (const auto& w : d["worker_set"].GetArray()) {
+                if (!w.IsObject()) continue;
+                all.push_back({text(w, "name"), text(w, "zone"), number(w, "memory_mb", 0),
+                               number(w, "free_memory_mb", 0), text(w, "endpoint_state") == "draining"});
+            }
+            planner_.workers(loop_.now(), std::move(all));
+            pumpSoon();
+        });
 }
 
 std::string Warden::dutyFields() const {
@@ -205,38 +224,43 @@
     ++startCalls_;
     std::string body = "{\"service\":\"" + escaped(s.service) + "\",\"worker_id\":\"" + escaped(s.worker) +
                        "\",\"nonce\":\"" + escaped(s.nonce) + "\"}";
-    duties_->call("POST", "/initiate", dutyFields(), std::move(body),
-                  [this, nonce = s.nonce, alive = std::weak_ptr<bool>(alive_)](int status, const std::string& answer) {
-        if (!alive.lock()) return;
-        rapidjson::Document d;
-        if (status == 200) d.Parse(answer.c_str(), answer.size());
-        if (status == 200 && !d.HasParseError() && d.IsObject() && !text(d, "endpoint_id").empty()) {
-            planner_.started(loop_.now(), nonce, text(d, "endpoint_id"), text(d, "address"));
-        } else {
-            spdlog::debug("start: platform: status {}", status);
-            planner_.startFailed(loop_.now(), nonce, status == 200 ? 0 : status);
-        }
-        pumpSoon();
-    });
+    duties_->call(
+        "POST", "/initiate", dutyFields(), std::move(body),
+        [this, nonce = s.nonce, alive = std::weak_ptr<bool>(alive_)](int status, const std::string& answer) {
+            if (!alive.lock()) return;
+            rapidjson::Document d;
+            if (status == 200) d.Parse(answer.c_str(), answer.size());
+            if (status == 200 && !d.HasParseError() && d.IsObject() && !text(d, "endpoint_id").empty()) {
+                planner_.started(loop_.now(), nonce, text(d, "endpoint_id"), text(d, "address"));
+            } else {
+                spdlog::debug("start: platform: status {}", status);
+                planner_.startFailed(loop_.now(), nonce, status == 200 ? 0 : status);
+            }
+            pumpSoon();
+        });
 }
 
 void Warden::stop(const crest::StopCall& s) {
     if (!duties_) return planner_.stopped(loop_.now(), s.instance, 0);
     ++stopCalls_;
-    duties_->call("POST", "/stop", dutyFields(), "{\"endpoint_id\":\"" + escaped(s.instance) + "\"}",
-                  [this, instance = s.instance, alive = std::weak_ptr<bool>(alive_)](int status, const std::string&) {
-        if (!alive.lock()) return;
-        planner_.stopped(loop_.now(), instance, status);
-        pumpSoon();
-    });
+    duties_->call(
+        "POST", "/stop", dutyFields(), "{\"endpoint_id\":\"" + escaped(s.instance) + "\"}",
+        [this, instance = s.instance, alive = std::weak_ptr<bool>(alive_)](int status, const std::string&) {
+            if (!alive.lock()) return;
+            planner_.stopped(loop_.now(), instance, status);
+            pumpSoon();
+        });
 }
 
 void Warden::logCounters() const {
     const crest::Counts& c = planner_.counts();
-    spdlog::info("counters duty term={} starts={} starts_failed={} stops={} tells={} recalls={} adopted={} lost={} drained={} "
-                 "wrong_term={} overheld={} instances={} booting={} slots={} waiting={} list_calls={} list_failures={}",
-                 term_, c.starts, c.startsFailed, c.stops, c.tells, c.recalls, c.adopted, c.lost, c.drained, c.wrongTerm,
-                 c.overheld, c.instances, c.booting, c.slots, c.waiting, listCalls_, listFailures_);
+    spdlog::info(
+        "counters duty term={} starts={} starts_failed={} stops={} tells={} recalls={} adopted={} lost={} "
+        "drained={} "
+        "wrong_term={} overheld={} instances={} booting={} slots={} waiting={} list_calls={} "
+        "list_failures={}",
+        term_, c.starts, c.startsFailed, c.stops, c.tells, c.recalls, c.adopted, c.lost, c.drained,
+        c.wrongTerm, c.overheld, c.instances, c.booting, c.slots, c.waiting, listCalls_, listFailures_);
 }
 
 }  // namespace petrelpond::cloudcap
--- a/huts/crest/messages.hpp
+++ b/huts/crest/messages.hpp
@@ -2,11 +2,10 @@
 #pragma once
 
 #include <cstdint>
+#include <msgpack.hpp>
 #include <string>
 #include <vector>
 
-#include <msgpack.hpp>
-
 namespace petrelpond::crest {
 
 // One service as one sender sees it since its last report.
@@ -29,8 +28,8 @@
 
 // Sender to holder. Comes at once where a request waits without a slot, else at most every 100 ms.
 struct Report {
-    uint64_t term = 0;  // of the holder it is meant for
-    bool whole = false; // held is all that is held, not only what changed; always so at a new link or term
+    uint64_t term = 0;     // of the holder it is meant for
+    bool whole = false;    // held is all that is held, not only what changed; always so at a new link or term
     bool leaving = false;  // the sender ends: what it no longer uses may go to others
     uint32_t spanMs = 0;   // since the last report
     std::vector<Demand> demands;
@@ -40,7 +39,8 @@
     MSGPACK_DEFINE(term, whole, leaving, spanMs, demands, held, dead, up)
 };
 
-// Holder to sender: from now on so many slots of this instance are yours (an absolute number; 0 takes all back).
+// Holder to sender: from now on so many slots of this instance are yours (an absolute number; 0 takes all
+// back).
 struct Grant {
     std::string instance, service, address, zone;
     uint32_t slots = 0;
--- a/huts/eagle/http_answer.cpp
+++ b/huts/eagle/http_answer.cpp
@@ -21,7 +21,8 @@
         size_t taken = 0;
         std::string body;
         if (auto coding = head.field("Transfer-Encoding")) {
-            if (!http::sameName(*coding, "chunked") || head.field("Content-Length")) return Reading::malformed;
+            if (!http::sameName(*coding, "chunked") || head.field("Content-Length"))
+                return Reading::malformed;
             http::Chunks found = http::unchunk(std::string_view(in).substr(*end), body, taken, mostBody);
             if (found == http::Chunks::malformed || found == http::Chunks::tooLong) return Reading::malformed;
             if (found == http::Chunks::incomplete) return ended ? Reading::malformed : Reading::incomplete;
--- a/huts/eagle/http_answer.hpp
+++ b/huts/eagle/http_answer.hpp
@@ -17,8 +17,8 @@
 
 enum class Reading { incomplete, malformed, whole };
 
-// Takes one answer off the front of `in`. ended: no more bytes will come. An answer without a length that only
-// the connection's end ends can't be told from one that was cut, so it is malformed.
+// Takes one answer off the front of `in`. ended: no more bytes will come. An answer without a length that
+// only the connection's end ends can't be told from one that was cut, so it is malformed.
 Reading takeAnswer(std::string& in, bool ended, size_t mostBody, HttpAnswer& out);
 
 }  // namespace petrelpond::eagle
--- a/huts/eagle/http_caller.cpp
+++ b/huts/eagle/http_caller.cpp
@@ -12,8 +12,10 @@
         if (!job) return of.end(*this, -1, "");  // bytes that nobody asked for end the connection
         HttpAnswer answer;
         switch (takeAnswer(s.in(), false, 8u << 20, answer)) {
-            case Reading::incomplete: return;
-            case Reading::malformed: return of.end(*this, 0, "");
+            case Reading::incomplete:
+                return;
+            case Reading::malformed:
+                return of.end(*this, 0, "");
             case Reading::whole: {
                 Done done = std::move(job->done);
                 job.reset();
--- a/huts/eagle/http_server.cpp
+++ b/huts/eagle/http_server.cpp
@@ -10,18 +10,30 @@
 
 const char* reasonOf(int status) {
     switch (status) {
-        case 200: return "OK";
-        case 400: return "Bad Request";
-        case 404: return "Not Found";
-        case 405: return "Method Not Allowed";
-        case 408: return "Request Timeout";
-        case 413: return "Content Too Large";
-        case 429: return "Too Many Requests";
-        case 431: return "Request Header Fields Too Large";
-        case 502: return "Bad Gateway";
-        case 503: return "Service Unavailable";
-        case 504: return "Gateway Timeout";
-        default: return "Unknown";
+        case 200:
+            return "OK";
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 408:
+            return "Request Timeout";
+        case 413:
+            return "Content Too Large";
+        case 429:
+            return "Too Many Requests";
+        case 431:
+            return "Request Header Fields Too Large";
+        case 502:
+            return "Bad Gateway";
+        case 503:
+            return "Service Unavailable";
+        case 504:
+            return "Gateway Timeout";
+        default:
+            return "Unknown";
     }
 }
 
@@ -60,7 +72,8 @@
         if (!end && in.size() <= limits.headerBytes) return;
         if (!end || *end > limits.headerBytes) return refuse(431);
         http::Head head;
-        http::Fault fault = http::parseRequest(std::string_view(in).substr(0, *end), head, limits.headerBytes, kMostFields);
+        http::Fault fault =
+            http::parseRequest(std::string_view(in).substr(0, *end), head, limits.headerBytes, kMostFields);
         if (fault != http::Fault::none) return refuse(fault == http::Fault::headTooLong ? 431 : 400);
         int hosts = 0, codings = 0, lengths = 0;
         for (const auto& [name, value] : head.fields) {
@@ -80,7 +93,7 @@
         }
         headLength_ = *end;
         if (auto expect = head.field("Expect"); expect && http::sameName(*expect, "100-continue") &&
-                                                 in.size() == headLength_ && (chunked_ || bodyLength_ > 0))
+                                                in.size() == headLength_ && (chunked_ || bodyLength_ > 0))
             stream_->send("HTTP/1.1 100 Continue\r\n\r\n");
     }
     HttpRequest request;
--- a/huts/eagle/http_server.hpp
+++ b/huts/eagle/http_server.hpp
@@ -1,6 +1,6 @@
-// One connection of a client, an operator or the platform's readiness check: requests in, answers out, one at a
-// time. Heads and bodies are bounded; what can't be told apart for certain is refused and the connection ends,
-// so that nothing is smuggled inside another request.
+// One connection of a client, an operator or the platform's readiness check: requests in, answers out, one at
+// a time. Heads and bodies are bounded; what can't be told apart for certain is refused and the connection
+// ends, so that nothing is smuggled inside another request.
 #pragma once
 
 #include <memory>
@@ -31,8 +31,8 @@
   public:
     virtual ~HttpHost() = default;
     virtual void asked(HttpVisit&, HttpRequest&&) = 0;
-    virtual void left(HttpVisit&) = 0;     // its connection is over; the host forgets (and buries) it
-    virtual void hungUp(HttpVisit&) {}     // it sends no more while its request is under way
+    virtual void left(HttpVisit&) = 0;  // its connection is over; the host forgets (and buries) it
+    virtual void hungUp(HttpVisit&) {}  // it sends no more while its request is under way
     virtual const HttpLimits& limits() const = 0;
 };
 
@@ -47,7 +47,7 @@
     void answerAsIs(std::string_view head, std::string_view body, bool last);  // head with its blank line
     // Where nothing is under way, nothing has come, and that for so long: one just opened is about to ask.
     void closeWhenIdle(Span least = Span());
-    void look();           // time bounds; called some times a second
+    void look();  // time bounds; called some times a second
     bool wantsClose() const { return lastAsked_; }
     uint64_t tag = 0;  // the host's
 
--- a/huts/eagle/http_test.cpp
+++ b/huts/eagle/http_test.cpp
@@ -3,8 +3,8 @@
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <poll.h>
-#include <sys/eventfd.h>
 #include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -98,11 +98,10 @@
 }
 
 TEST(TakeAnswer, NoiseIsSeenAtOnce) {
-    for (const char* noise : {"garbage", "\r\n", "GET / HTTP/1.1\r\n\r\n", "HTTP/2 200 OK\r\n\r\n",
-                              "\x01\x02",
-                              "HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 99 OK\r\n\r\n",
-                              "HTTP/1.1 200 OK\r\nno colon here\r\n\r\n",
-                              "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nbb"})
+    for (const char* noise :
+         {"garbage", "\r\n", "GET / HTTP/1.1\r\n\r\n", "HTTP/2 200 OK\r\n\r\n", "\x01\x02",
+          "HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 99 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nno colon here\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nbb"})
         EXPECT_EQ(take(noise), Reading::malformed) << noise;
 }
 
@@ -114,17 +113,19 @@
 }
 
 TEST(TakeAnswer, LengthsThatContradictAreMalformed) {
-    for (const char* fields : {"Content-Length: 2\r\nContent-Length: 3", "Content-Length: 2, 2",
-                               "Content-Length: -2",
-                               "Content-Length: +2", "Content-Length: 2\r\nTransfer-Encoding: chunked",
-                               "Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked",
-                               "Content-Length: 100001", "Content-Length: 99999999999999999999"})
+    for (const char* fields :
+         {"Content-Length: 2\r\nContent-Length: 3", "Content-Length: 2, 2", "Content-Length: -2",
+          "Content-Length: +2", "Content-Length: 2\r\nTransfer-Encoding: chunked", "Transfer-Encoding: gzip",
+          "Transfer-Encoding: gzip, chunked", "Content-Length: 100001",
+          "Content-Length: 99999999999999999999"})
         EXPECT_EQ(take(std::string("HTTP/1.1 200 OK\r\n") + fields + "\r\n\r\n2\r\nbb\r\n0\r\n\r\n"),
-                  Reading::malformed) << fields;
-    for (const char* body : {"x\r\nbb", "-2\r\nbb\r\n", "2\r\nbbb\r\n0\r\n\r\n", "fffffffffffffffff\r\n",
-                             "186a1\r\n"})
+                  Reading::malformed)
+            << fields;
+    for (const char* body :
+         {"x\r\nbb", "-2\r\nbb\r\n", "2\r\nbbb\r\n0\r\n\r\n", "fffffffffffffffff\r\n", "186a1\r\n"})
         EXPECT_EQ(take(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") + body),
-                  Reading::malformed) << body;
+                  Reading::malformed)
+            << body;
 }
 
 TEST(TakeAnswer, TellsWhetherTheConnectionEnds) {
@@ -145,7 +146,9 @@
     Loop loop;
     Turning() : wake_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) { loop.watch(wake_, EPOLLIN, this); }
     ~Turning() override { ::close(wake_); }
-    void start() { thread_ = std::thread([this] { loop.run(); }); }
+    void start() {
+        thread_ = std::thread([this] { loop.run(); });
+    }
     void end() {
         ask([this] { loop.stop(); });
         thread_.join();
@@ -207,14 +210,16 @@
         }
     }
     std::string some(size_t bytes) {
-        while (in_.size() < bytes && more()) {}
+        while (in_.size() < bytes && more()) {
+        }
         std::string out = in_.substr(0, bytes);
         in_.erase(0, out.size());
         return out;
     }
     // All that comes up to the end; nothing if it does not end in time.
     std::optional<std::string> toTheEnd() {
-        while (more()) {}
+        while (more()) {
+        }
         if (!over_) return std::nullopt;
         return std::exchange(in_, "");
     }
@@ -290,7 +295,8 @@
     }
     void untilAsked(size_t n) {
         auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(kPatience);
-        while (askedSoFar() < n && std::chrono::steady_clock::now() < until) {}
+        while (askedSoFar() < n && std::chrono::steady_clock::now() < until) {
+        }
         EXPECT_GE(askedSoFar(), n);
     }
     void answerNow(uint64_t visit, const std::string& body, bool last = false) {
@@ -386,44 +392,44 @@
     auto post = [&](const std::string& fields, const std::string& body) {
         return "POST /x HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n\r\n" + body + inner;
     };
-    for (const std::string& bytes : {
-             post("Content-Length: 4\r\nTransfer-Encoding: chunked", chunked),
-             post("Transfer-Encoding: chunked\r\nContent-Length: 15", chunked),
-             post("Transfer-Encoding: chunked\r\ncontent-length: 0", chunked),
-             post("Content-Length: 0\r\nContent-Length: 36", ""),
-             post("Content-Length: 36\r\nContent-Length: 0", ""),
-             post("Content-Length: 0, 36", ""),
-             post("Content-Length: +0", ""),
-             post("Content-Length: -1", ""),
-             post("Content-Length: 0x0", ""),
-             post("Content-Length: 99999999999999999999", ""),
-             post("Content-Length:", ""),
-             post("Transfer-Encoding: gzip", chunked),
-             post("Transfer-Encoding: gzip, chunked", chunked),
-             post("Transfer-Encoding: chunked, identity", chunked),
-             post("Transfer-Encoding: xchunked", chunked),
-             post("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", chunked),
-             post("Transfer-Encoding: chunked\r\nTransfer-Encoding: identity", chunked),
-             post("Transfer-Encoding : chunked", chunked),
-             post("Transfer-Encoding\t: chunked", chunked),
-             post(" Transfer-Encoding: chunked", chunked),
-             post("X: y\r\n Transfer-Encoding: chunked", chunked),
-             post("X: y\r\n\tfolded", ""),
-             post("Transfer-Encoding:\r\n chunked", chunked),
-             post("Host: other", ""),
-             post("X: a\rContent-Length: 36", ""),
-             post(std::string("X: a\0b", 6), ""),
-             post("no colon", ""),
-             post(": empty name", ""),
-             post("Transfer-Encoding: chunked", "5\r\nabcdefg\r\n0\r\n\r\n"),
-             post("Transfer-Encoding: chunked", "-5\r\nabcde\r\n0\r\n\r\n"),
-             post("Transfer-Encoding: chunked", "0x5\r\nabcde\r\n0\r\n\r\n"),
-             post("Transfer-Encoding: chunked", "\r\n\r\n"),
-             std::string("GET /x HTTP/1.1 HTTP/1.1\r\nHost: h\r\n\r\n"),
-             std::string("GET  /x HTTP/1.1\r\nHost: h\r\n\r\n"),
-             std::string("GET /x HTTP/3\r\nHost: h\r\n\r\n"),
-             std::string("GET /x\r\nHost: h\r\n\r\n"),
-             std::string("G(T /x HTTP/1.1\r\nHost: h\r\n\r\n")})
+    for (const std::string& bytes :
+         {post("Content-Length: 4\r\nTransfer-Encoding: chunked", chunked),
+          post("Transfer-Encoding: chunked\r\nContent-Length: 15", chunked),
+          post("Transfer-Encoding: chunked\r\ncontent-length: 0", chunked),
+          post("Content-Length: 0\r\nContent-Length: 36", ""),
+          post("Content-Length: 36\r\nContent-Length: 0", ""),
+          post("Content-Length: 0, 36", ""),
+          post("Content-Length: +0", ""),
+          post("Content-Length: -1", ""),
+          post("Content-Length: 0x0", ""),
+          post("Content-Length: 99999999999999999999", ""),
+          post("Content-Length:", ""),
+          post("Transfer-Encoding: gzip", chunked),
+          post("Transfer-Encoding: gzip, chunked", chunked),
+          post("Transfer-Encoding: chunked, identity", chunked),
+          post("Transfer-Encoding: xchunked", chunked),
+          post("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", chunked),
+          post("Transfer-Encoding: chunked\r\nTransfer-Encoding: identity", chunked),
+          post("Transfer-Encoding : chunked", chunked),
+          post("Transfer-Encoding\t: chunked", chunked),
+          post(" Transfer-Encoding: chunked", chunked),
+          post("X: y\r\n Transfer-Encoding: chunked", chunked),
+          post("X: y\r\n\tfolded", ""),
+          post("Transfer-Encoding:\r\n chunked", chunked),
+          post("Host: other", ""),
+          post("X: a\rContent-Length: 36", ""),
+          post(std::string("X: a\0b", 6), ""),
+          post("no colon", ""),
+          post(": empty name", ""),
+          post("Transfer-Encoding: chunked", "5\r\nabcdefg\r\n0\r\n\r\n"),
+          post("Transfer-Encoding: chunked", "-5\r\nabcde\r\n0\r\n\r\n"),
+          post("Transfer-Encoding: chunked", "0x5\r\nabcde\r\n0\r\n\r\n"),
+          post("Transfer-Encoding: chunked", "\r\n\r\n"),
+          std::string("GET /x HTTP/1.1 HTTP/1.1\r\nHost: h\r\n\r\n"),
+          std::string("GET  /x HTTP/1.1\r\nHost: h\r\n\r\n"),
+          std::string("GET /x HTTP/3\r\nHost: h\r\n\r\n"),
+          std::string("GET /x\r\nHost: h\r\n\r\n"),
+          std::string("G(T /x HTTP/1.1\r\nHost: h\r\n\r\n")})
         expectRefused(bytes, 400);
 }
 
@@ -509,8 +515,9 @@
 }
 
 TEST_F(Visits, BodiesInChunksAndInPieces) {
-    const std::string whole = "PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: Chunked\r\n\r\n"
-                              "5\r\nhello\r\n1;ext=\"1\"\r\n \r\nA\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\n";
+    const std::string whole =
+        "PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: Chunked\r\n\r\n"
+        "5\r\nhello\r\n1;ext=\"1\"\r\n \r\nA\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\n";
     auto client = connect();
     for (char c : whole) client->send(std::string_view(&c, 1));
     EXPECT_TRUE(endsWith(client->answer(), "PUT /c 16"));
@@ -580,7 +587,8 @@
     while (hungUps_ == 0 && std::chrono::steady_clock::now() < until) askedSoFar();
     answerNow(1, "one");
     EXPECT_TRUE(endsWith(client->answer(), "one"));
-    for (int i = 0; i < 100 && askedSoFar() < 2; ++i) {}
+    for (int i = 0; i < 100 && askedSoFar() < 2; ++i) {
+    }
     ASSERT_EQ(askedSoFar(), 2u);
     answerNow(1, "two");
     EXPECT_TRUE(endsWith(client->answer(), "two"));
@@ -588,9 +596,9 @@
 }
 
 TEST_F(Visits, CloseIsHonoured) {
-    for (const char* first : {"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
-                              "GET /a HTTP/1.1\r\nHost: h\r\nconnection: Close\r\n\r\n",
-                              "GET /a HTTP/1.0\r\nHost: h\r\n\r\n"}) {
+    for (const char* first :
+         {"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+          "GET /a HTTP/1.1\r\nHost: h\r\nconnection: Close\r\n\r\n", "GET /a HTTP/1.0\r\nHost: h\r\n\r\n"}) {
         size_t before = askedSoFar();
         auto client = connect();
         client->send(first + kGet);
--- a/huts/eagle/link.cpp
+++ b/huts/eagle/link.cpp
@@ -39,7 +39,8 @@
     size_t at = 0;
     while (in.size() - at >= 4) {
         uint32_t length = 0;
-        for (int i = 0; i < 4; ++i) length |= static_cast<uint32_t>(static_cast<uint8_t>(in[at + i])) << (8 * i);
+        for (int i = 0; i < 4; ++i)
+            length |= static_cast<uint32_t>(static_cast<uint8_t>(in[at + i])) << (8 * i);
         if (length == 0 || length > kMostFrame) {
             stream.close();
             return owner_.linkDown(*this, true);
@@ -53,6 +54,8 @@
     stream.in().insert(0, in, at, std::string::npos);
 }
 
-void Link::ended(Stream&, int error) { owner_.linkDown(*this, error == 0 || error == ECONNRESET || error == ECONNREFUSED || error == EPIPE); }
+void Link::ended(Stream&, int error) {
+    owner_.linkDown(*this, error == 0 || error == ECONNRESET || error == ECONNREFUSED || error == EPIPE);
+}
 
 }  // namespace petrelpond::eagle
--- a/huts/eagle/link.hpp
+++ b/huts/eagle/link.hpp
@@ -1,4 +1,5 @@
-// A stream of frames between two of the system's processes: four bytes of length (of what follows), one of kind.
+// A stream of frames between two of the system's processes: four bytes of length (of what follows), one of
+// kind.
 #pragma once
 
 #include <functional>
@@ -25,7 +26,9 @@
     static std::unique_ptr<Link> adopt(Loop&, LinkOwner&, int fd, Span silence);
     void send(Kind, std::string_view payload);
     template <class T>
-    void say(Kind kind, const T& value) { send(kind, packed(value)); }
+    void say(Kind kind, const T& value) {
+        send(kind, packed(value));
+    }
     bool isUp() const { return stream_ && stream_->isConnected() && !stream_->isClosed(); }
     size_t unsent() const { return stream_->unsent(); }
     void close() { stream_->close(); }
--- a/huts/eagle/loop.hpp
+++ b/huts/eagle/loop.hpp
@@ -1,4 +1,5 @@
-// One thread's round: what became readable, what falls due, and then sleep. Every program of the system has one.
+// One thread's round: what became readable, what falls due, and then sleep. Every program of the system has
+// one.
 #pragma once
 
 #include <cstdint>
@@ -35,7 +36,7 @@
     void forget(int fd);
 
     TimerId at(Instant when, std::function<void()> what);
-    void cancel(TimerId& id);  // sets it to 0
+    void cancel(TimerId& id);               // sets it to 0
     void soon(std::function<void()> what);  // at the end of this round
     // Lives on to the round's end, as events of this round may still name it.
     template <class T>
--- a/huts/eagle/stream.cpp
+++ b/huts/eagle/stream.cpp
@@ -105,7 +105,8 @@
 
 void Stream::rewatch() {
     if (fd_ < 0) return;
-    uint32_t want = (paused_ ? 0u : static_cast<uint32_t>(EPOLLIN)) | (!up_ || unsent() > 0 ? static_cast<uint32_t>(EPOLLOUT) : 0u);
+    uint32_t want = (paused_ ? 0u : static_cast<uint32_t>(EPOLLIN)) |
+                    (!up_ || unsent() > 0 ? static_cast<uint32_t>(EPOLLOUT) : 0u);
     if (want == watched_) return;
     watched_ = want;
     loop_.change(fd_, want, this);
@@ -169,7 +170,10 @@
         up_ = true;
         owner_->connected(*this);
         if (fd_ < 0) return;
-        if (unsent() > 0) flush(); else rewatch();
+        if (unsent() > 0)
+            flush();
+        else
+            rewatch();
         return;
     }
     if (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) {
--- a/huts/eagle/stream.hpp
+++ b/huts/eagle/stream.hpp
@@ -26,14 +26,15 @@
   public:
     virtual ~StreamOwner() = default;
     virtual void connected(Stream&) {}
-    virtual void data(Stream&) = 0;    // something was added to in()
+    virtual void data(Stream&) = 0;              // something was added to in()
     virtual void ended(Stream&, int error) = 0;  // 0: the peer closed in order; once, and not after close()
-    virtual void written(Stream&) {}   // all bytes have gone to the kernel, where some had to wait
+    virtual void written(Stream&) {}             // all bytes have gone to the kernel, where some had to wait
 };
 
 class Stream final : public Watcher {
   public:
-    // silence: a peer that acknowledges nothing for so long is taken for gone (machines without power are silent).
+    // silence: a peer that acknowledges nothing for so long is taken for gone (machines without power are
+    // silent).
     static std::unique_ptr<Stream> connect(Loop&, StreamOwner&, Address, Span silence);
     static std::unique_ptr<Stream> adopt(Loop&, StreamOwner&, int fd, Span silence);
     ~Stream() override;
@@ -44,7 +45,7 @@
     bool isClosed() const { return fd_ < 0; }
     size_t unsent() const { return out_.size() - sent_; }
     void close();
-    void finishWriting();           // half-closes once all has gone out
+    void finishWriting();  // half-closes once all has gone out
     void pauseReading(bool paused);
     // The peer's end of sending is told by ended(0) but does not close this side.
     void keepAtEnd() { keepAtEnd_ = true; }
@@ -59,7 +60,8 @@
     Loop& loop_;
     StreamOwner* owner_;
     int fd_;
-    bool up_, paused_ = false, keepAtEnd_ = false, finishing_ = false, finished_ = false, anythingSent_ = false;
+    bool up_, paused_ = false, keepAtEnd_ = false, finishing_ = false, finished_ = false,
+              anythingSent_ = false;
     uint32_t watched_ = 0;
     std::string in_, out_;
     size_t sent_ = 0;
--- a/huts/eagle/words.hpp
+++ b/huts/eagle/words.hpp
@@ -2,13 +2,12 @@
 #pragma once
 
 #include <cstdint>
+#include <msgpack.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include <msgpack.hpp>
-
 namespace petrelpond::eagle {
 
 enum class Kind : uint8_t {
@@ -51,8 +50,8 @@
 struct Beat {
     int64_t version = 0;  // newest configuration that is known to lie on a majority, or that is had
     uint64_t digest = 0;
-    uint64_t term = 0;   // of the startup duty
-    std::string holder;  // its IP; empty: vacant, as far as known
+    uint64_t term = 0;     // of the startup duty
+    std::string holder;    // its IP; empty: vacant, as far as known
     uint32_t senders = 0;  // how many the core has links to
     MSGPACK_DEFINE(version, digest, term, holder, senders)
 };
--- a/huts/silcox/agent.cpp
+++ b/huts/silcox/agent.cpp
@@ -1,12 +1,11 @@
 #include "huts/silcox/agent.hpp"
 
+#include <spdlog/spdlog.h>
 #include <time.h>
 
 #include <algorithm>
 #include <cmath>
 
-#include <spdlog/spdlog.h>
-
 namespace petrelpond::silcox {
 
 using eagle::Kind;
@@ -51,17 +50,22 @@
         g.link = Link::adopt(loop_, *this, fd, silence);
         g.link->tag = tag;
     };
-    own_ = eagle::Listener::open(loop_, *own, [guest](int fd, eagle::Address) { guest(fd, Span::seconds(3)); }, error);
+    own_ = eagle::Listener::open(
+        loop_, *own, [guest](int fd, eagle::Address) { guest(fd, Span::seconds(3)); }, error);
     if (!own_) return error = own->text() + ": " + error, false;
-    loopback_ = eagle::Listener::open(loop_, *loopback, [guest](int fd, eagle::Address) { guest(fd, Span()); }, error);
+    loopback_ = eagle::Listener::open(
+        loop_, *loopback, [guest](int fd, eagle::Address) { guest(fd, Span()); }, error);
     if (!loopback_) return error = loopback->text() + ": " + error, false;
-    datagrams_ = eagle::Datagrams::open(loop_, *own, [this](eagle::Address from, std::string_view bytes) {
-        if (auto message = wonderland::decode(bytes)) {
-            std::string ip = from.text();
-            views_.heard(loop_.now(), ip.substr(0, ip.find(':')), *message);
-            pump();
-        }
-    }, error);
+    datagrams_ = eagle::Datagrams::open(
+        loop_, *own,
+        [this](eagle::Address from, std::string_view bytes) {
+            if (auto message = wonderland::decode(bytes)) {
+                std::string ip = from.text();
+                views_.heard(loop_.now(), ip.substr(0, ip.find(':')), *message);
+                pump();
+            }
+        },
+        error);
     if (!datagrams_) return error = own->text() + ": " + error, false;
     newSettings(settings_);
     tick();
@@ -102,7 +106,8 @@
     }
     auto guest = guests_.find(link.tag);
     if (guest != guests_.end() && !guest->second.fetchFrom.empty())
-        link.say(Kind::want, eagle::Beat{config_ ? config_->version : 0, config_ ? config_->digest : 0, 0, "", 0});
+        link.say(Kind::want,
+                 eagle::Beat{config_ ? config_->version : 0, config_ ? config_->digest : 0, 0, "", 0});
 }
 
 void Agent::frame(Link& link, Kind kind, std::string_view payload) {
@@ -187,7 +192,8 @@
 void Agent::askConfig(CoreLink& core, const eagle::Beat& b) {
     if (!newer(b.version, b.digest) || loop_.now() - askedAt_ < kAskAgain) return;
     askedAt_ = loop_.now(), askedCore_ = core.ip;
-    core.link->say(Kind::want, eagle::Beat{config_ ? config_->version : 0, config_ ? config_->digest : 0, 0, "", 0});
+    core.link->say(Kind::want,
+                   eagle::Beat{config_ ? config_->version : 0, config_ ? config_->digest : 0, 0, "", 0});
 }
 
 void Agent::take(const eagle::Config& c) {
@@ -291,8 +297,8 @@
 void Agent::logCounters() const {
     size_t up = 0;
     for (const auto& [ip, core] : cores_) up += core.link && core.link->isUp();
-    spdlog::info("counters cores={} cores_up={} core_breaks={} configs={} fetches={} term={} senders={:.0f}", cores_.size(),
-                 up, coreBreaks_, configs_, fetches_, term_, views_.count(loop_.now()));
+    spdlog::info("counters cores={} cores_up={} core_breaks={} configs={} fetches={} term={} senders={:.0f}",
+                 cores_.size(), up, coreBreaks_, configs_, fetches_, term_, views_.count(loop_.now()));
 }
 
 }  // namespace petrelpond::silcox
--- a/huts/silcox/main.cpp
+++ b/huts/silcox/main.cpp
@@ -9,7 +9,8 @@
 
 int main(int argc, char** argv) {
     int code = 0;
-    auto start = trailhead::start("silcox", "keeps the proxy's link to the cores and to the other agents", argc, argv, code);
+    auto start = trailhead::start("silcox", "keeps the proxy's link to the cores and to the other agents",
+                                  argc, argv, code);
     if (!start) return code;
     eagle::Loop loop;
     silcox::Agent agent(loop, start->settings, start->chance, start->loopback);
@@ -23,7 +24,8 @@
     loop.onSignal(SIGUSR1, [&] { agent.logCounters(); });
     loop.onSignal(SIGHUP, [&] {
         auto read = tilly::readSettings(start->settingsPath);
-        if (auto* problem = std::get_if<eagle::Problem>(&read)) return spdlog::error("settings kept: {}", problem->line());
+        if (auto* problem = std::get_if<eagle::Problem>(&read))
+            return spdlog::error("settings kept: {}", problem->line());
         agent.newSettings(std::get<tilly::Settings>(read));
     });
     loop.run();
--- a/huts/timberline/dispatch.cpp
+++ b/huts/timberline/dispatch.cpp
@@ -7,15 +7,15 @@
 
 namespace {
 
-constexpr double kUnknownMean = 0.1;            // seconds; of a kind never answered
-const Span kReportEvery = Span::millis(100);    // what is not urgent gathers for so long
-const Span kUrgentAgain = Span::millis(150);    // a want that was not met is said again
+constexpr double kUnknownMean = 0.1;          // seconds; of a kind never answered
+const Span kReportEvery = Span::millis(100);  // what is not urgent gathers for so long
+const Span kUrgentAgain = Span::millis(150);  // a want that was not met is said again
 const Span kProbeEvery = Span::millis(60);
-const Span kRest = Span::millis(250);           // of an instance that just refused a connection
+const Span kRest = Span::millis(250);  // of an instance that just refused a connection
 const Span kDeadAgain = Span::millis(200);
-const Span kUnheard = Span::millis(400);        // thought to pass until the holder's first word
+const Span kUnheard = Span::millis(400);  // thought to pass until the holder's first word
 const Span kSweep = Span::millis(50);
-constexpr double kHoldShare = 0.45;             // of the time that a request had; then it is told
+constexpr double kHoldShare = 0.45;  // of the time that a request had; then it is told
 
 }  // namespace
 
@@ -67,8 +67,8 @@
 }
 
 void Dispatch::granted(Instant now, const crest::Grants& grants) {
-    // A holder that was overtaken, as one that slept, decides nothing here. What was granted under a higher term
-    // shows that as well as the standing does.
+    // A holder that was overtaken, as one that slept, decides nothing here. What was granted under a higher
+    // term shows that as well as the standing does.
     if (grants.term < std::max(term_, grantedTerm_)) return;
     grantedTerm_ = grants.term;
     if (grants.whole) {
@@ -112,8 +112,9 @@
         bool more = g.slots > i.slots;
         i.slots = g.slots;
         if (i.slots > 0) i.dropped = false;
-        // Every number is answered, a higher one too: the holder lowers none that it has not seen arrive. Unanswered,
-        // a slot that lay idle here could not be asked back for three seconds while others waited for it.
+        // Every number is answered, a higher one too: the holder lowers none that it has not seen arrive.
+        // Unanswered, a slot that lay idle here could not be asked back for three seconds while others waited
+        // for it.
         noteHeld(i);
         services_[i.service].fleetSlots = g.fleetSlots;
         (more ? grown : touched).push_back(i.service);
@@ -129,7 +130,8 @@
     if (!heldChanges_.empty()) report(now, false);
 }
 
-// What is still held of an instance after fewer slots were granted, or after a slot that was asked back ended.
+// What is still held of an instance after fewer slots were granted, or after a slot that was asked back
+// ended.
 void Dispatch::noteHeld(Instance& i) {
     uint32_t held = std::max(i.slots, i.busy);
     heldChanges_[i.view.id] = {i.view.id, services_[i.service].spec.name, i.view.address, held, i.busy};
@@ -183,7 +185,8 @@
     double mean = s.mean > 0 ? s.mean : kUnknownMean;
     // Without a word of the holder yet only this sender's slots are unknown; the instances may well run.
     if (slots == 0 && (!linked_ || grantedTerm_ < term_)) return kUnheard;
-    if (slots == 0) return s.spec.boot + Span::millis(150) + Span::seconds(mean * static_cast<double>(ahead) / 4);
+    if (slots == 0)
+        return s.spec.boot + Span::millis(150) + Span::seconds(mean * static_cast<double>(ahead) / 4);
     return (first - now) + Span::seconds(mean * static_cast<double>(ahead) / slots);
 }
 
@@ -253,8 +256,8 @@
     wakeBy(now);
 }
 
-// More slots are a higher rate at once, and a wait reckoned by the old rate is shortened in step: bound while it
-// had no slot at all, a sender would else let one call a second go, however many slots it was given since.
+// More slots are a higher rate at once, and a wait reckoned by the old rate is shortened in step: bound while
+// it had no slot at all, a sender would else let one call a second go, however many slots it was given since.
 void Dispatch::raise(Instant now, Service& s) {
     double rate = slice(s);
     if (!s.bucket.bound || s.bucket.rate >= rate) return;
@@ -262,7 +265,8 @@
     s.bucket.rate = rate;
 }
 
-// A request is held: the service's concurrency is taken, or its instance boots. From here on the bucket binds.
+// A request is held: the service's concurrency is taken, or its instance boots. From here on the bucket
+// binds.
 void Dispatch::hold(Instant now, Service& s) {
     bool fresh = !s.bucket.bound;
     s.bucket.bind(now, slice(s), chance_);
@@ -341,7 +345,8 @@
     if (r.is.repeatable && r.attempts < r.is.maxAttempts && times.count >= 8 && r.last != Ending::silent) {
         Span cut = Span::seconds(std::max({2.5 * times.high, 1.5 * times.slowest, 0.15}));
         if (now + cut + callTime(s, r) * 2 < r.is.deadline &&
-            s.budget.allows(now, options_.budgetWindow, options_.budgetRatio, options_.budgetSlack / senders_ / 2))
+            s.budget.allows(now, options_.budgetWindow, options_.budgetRatio,
+                            options_.budgetSlack / senders_ / 2))
             patience = cut;
     }
     out_.push_back(SendTo{r.is.id, ix, patience});
@@ -360,7 +365,8 @@
     ++i.misses;
     i.restsUntil = std::max(i.restsUntil, now + kRest * std::min(i.misses, 4));
     wakeBy(i.restsUntil);
-    // Told again at each further miss: one sender's second word counts for the holder, and a word may be lost.
+    // Told again at each further miss: one sender's second word counts for the holder, and a word may be
+    // lost.
     if (i.misses >= 2 && now - i.deadToldAt > kDeadAgain) {
         i.deadTold = true, i.deadToldAt = now;
         tellNow(now);
@@ -472,8 +478,10 @@
     if (r.mayHaveRun) {  // the promise can't be given
         unqueue(r);
         ++counters_.gaveUp;
-        if (r.last == Ending::failed) out_.push_back(PassOn{r.is.id});
-        else out_.push_back(GiveUp{r.is.id, r.last == Ending::silent ? 504 : 502});
+        if (r.last == Ending::failed)
+            out_.push_back(PassOn{r.is.id});
+        else
+            out_.push_back(GiveUp{r.is.id, r.last == Ending::silent ? 504 : 502});
         return close(r);
     }
     ++(atOnce ? counters_.refusedAtOnce : counters_.refusedHeld);
@@ -481,7 +489,8 @@
     unqueue(r);
     Span wait = expectedWait(now, s, s.waiting.size() / 2);
     wait = wait + Span::seconds(chance_.between(0.05, 0.25));  // the design's random extra on every wait
-    out_.push_back(Refuse{r.is.id, 503, std::min(wait, std::max((r.is.deadline - now) * 0.33, Span::millis(50)))});
+    out_.push_back(
+        Refuse{r.is.id, 503, std::min(wait, std::max((r.is.deadline - now) * 0.33, Span::millis(50)))});
     close(r);
 }
 
@@ -510,7 +519,8 @@
     if (whole) {
         changed_.clear();
         for (uint32_t i = 0; i < services_.size(); ++i)
-            if (services_[i].changed || services_[i].busy > 0 || !services_[i].waiting.empty()) changed_.push_back(i);
+            if (services_[i].changed || services_[i].busy > 0 || !services_[i].waiting.empty())
+                changed_.push_back(i);
         heldChanges_.clear();
         for (auto& i : instances_)
             if (i) {
@@ -524,13 +534,14 @@
     for (uint32_t ix : changed_) {
         Service& s = services_[ix];
         s.changed = false;
-        out.demands.push_back({s.spec.name, static_cast<uint32_t>(s.waiting.size()), s.busy, s.peak, s.arrived,
-                               static_cast<uint32_t>(s.mean * 1e6)});
+        out.demands.push_back({s.spec.name, static_cast<uint32_t>(s.waiting.size()), s.busy, s.peak,
+                               s.arrived, static_cast<uint32_t>(s.mean * 1e6)});
         s.peak = s.busy + static_cast<uint32_t>(s.waiting.size()), s.arrived = 0;
         for (InstanceIx i : s.instances) {
             Instance& each = *instances_[i];
             if (heldChanges_.count(each.view.id) == 0)
-                heldChanges_[each.view.id] = {each.view.id, "", "", std::max(each.slots, each.busy), each.busy};
+                heldChanges_[each.view.id] = {each.view.id, "", "", std::max(each.slots, each.busy),
+                                              each.busy};
         }
     }
     changed_.clear();
@@ -561,8 +572,10 @@
         for (uint32_t i : all) run(now, i);
     }
     bool anything = !changed_.empty() || !heldChanges_.empty() || !dead_.empty() || !up_.empty();
-    if (urgent_ || (anything && now - reportedAt_ >= kReportEvery)) report(now, false);
-    else if (anything) wakeBy(reportedAt_ + kReportEvery);
+    if (urgent_ || (anything && now - reportedAt_ >= kReportEvery))
+        report(now, false);
+    else if (anything)
+        wakeBy(reportedAt_ + kReportEvery);
     if (held_ > 0) wakeBy(now + kUrgentAgain);
 }
 
--- a/huts/timberline/dispatch.hpp
+++ b/huts/timberline/dispatch.hpp
@@ -48,14 +48,14 @@
 
 // How a request that was sent ended. One place says what that means for running it again: mayHaveRun().
 enum class Ending : uint8_t {
-    passed,      // an answer that is the client's
-    failed,      // the endpoint's own failure (5xx), which counts as run
-    notRun,      // the endpoint says that it did not run it: full
-    misdirected, // 421: another endpoint has the address
-    unconnected, // no connection came up; nothing was sent
-    unsent,      // the connection ended before any byte of the request had left
-    broken,      // reset, closed, or bytes that are no answer, after something was sent
-    silent,      // given up by us after something was sent
+    passed,       // an answer that is the client's
+    failed,       // the endpoint's own failure (5xx), which counts as run
+    notRun,       // the endpoint says that it did not run it: full
+    misdirected,  // 421: another endpoint has the address
+    unconnected,  // no connection came up; nothing was sent
+    unsent,       // the connection ended before any byte of the request had left
+    broken,       // reset, closed, or bytes that are no answer, after something was sent
+    silent,       // given up by us after something was sent
 };
 bool mayHaveRun(Ending);
 
@@ -136,9 +136,9 @@
         uint32_t service = 0;
         uint32_t slots = 0, busy = 0;
         bool up = false, probing = false, dropped = false;
-        Instant upAt;                            // when its start is thought to be over
+        Instant upAt;  // when its start is thought to be over
         Instant probeAt = Instant::longAgo();
-        Instant restsUntil = Instant::longAgo(); // it just refused: not before
+        Instant restsUntil = Instant::longAgo();  // it just refused: not before
         Instant idleSince;
         int misses = 0;  // failed connects and breaks since it last answered
         bool deadTold = false;
--- a/huts/timberline/main.cpp
+++ b/huts/timberline/main.cpp
@@ -9,7 +9,8 @@
 
 int main(int argc, char** argv) {
     int code = 0;
-    auto start = trailhead::start("timberline", "carries requests from clients to instances", argc, argv, code);
+    auto start =
+        trailhead::start("timberline", "carries requests from clients to instances", argc, argv, code);
     if (!start) return code;
     eagle::Loop loop;
     timberline::Proxy proxy(loop, start->settings, start->chance, start->loopback);
--- a/huts/timberline/proxy.cpp
+++ b/huts/timberline/proxy.cpp
@@ -1,13 +1,12 @@
 #include "huts/timberline/proxy.hpp"
 
+#include <spdlog/spdlog.h>
 #include <unistd.h>
 #include <zlib.h>
 
 #include <algorithm>
 #include <cstdio>
 
-#include <spdlog/spdlog.h>
-
 namespace petrelpond::timberline {
 
 using eagle::HttpAnswer;
@@ -20,17 +19,18 @@
 
 namespace {
 
-const Span kConnect = Span::millis(700);      // for a connection to an instance to come up
-const Span kSilence = Span::millis(2500);     // unacknowledged for so long: the machine is gone
+const Span kConnect = Span::millis(700);   // for a connection to an instance to come up
+const Span kSilence = Span::millis(2500);  // unacknowledged for so long: the machine is gone
 constexpr size_t kMostAnswer = 16u << 20;
-const Span kIdleMost = Span::seconds(8);      // a kept connection that nobody uses
-const Span kLastCalls = Span::millis(1600);    // before the kill: no request is taken on any more
-const Span kLastHeld = Span::millis(1300);     // before the kill: none waits any more
-const Span kIdleOnce = Span::millis(900);     // one that a once-only request may still trust
+const Span kIdleMost = Span::seconds(8);     // a kept connection that nobody uses
+const Span kLastCalls = Span::millis(1600);  // before the kill: no request is taken on any more
+const Span kLastHeld = Span::millis(1300);   // before the kill: none waits any more
+const Span kIdleOnce = Span::millis(900);    // one that a once-only request may still trust
 
 bool hopByHop(std::string_view name) {
-    for (const char* each : {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding",
-                             "Upgrade", "Content-Length", "Expect", "Proxy-Authorization", "Proxy-Authenticate"})
+    for (const char* each :
+         {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
+          "Content-Length", "Expect", "Proxy-Authorization", "Proxy-Authenticate"})
         if (http::sameName(name, each)) return true;
     return false;
 }
@@ -55,7 +55,8 @@
     bool lists = head.field("Connection").has_value();
     for (const auto& [name, value] : head.fields) {
         if (hopByHop(name) || (lists && named(head, name))) continue;
-        if (std::any_of(but.begin(), but.end(), [n = name](auto b) { return http::sameName(n, b); })) continue;
+        if (std::any_of(but.begin(), but.end(), [n = name](auto b) { return http::sameName(n, b); }))
+            continue;
         out.append(name).append(": ").append(value).append("\r\n");
     }
 }
@@ -72,10 +73,13 @@
 
 bool Readiness::open(eagle::Address at, std::string& error) {
     limits_.idleTimeout = Span::seconds(30);
-    listener_ = eagle::Listener::open(loop_, at, [this](int fd, eagle::Address) {
-        uint64_t id = nextVisit_++;
-        visits_[id] = std::make_unique<HttpVisit>(loop_, *this, fd, id);
-    }, error);
+    listener_ = eagle::Listener::open(
+        loop_, at,
+        [this](int fd, eagle::Address) {
+            uint64_t id = nextVisit_++;
+            visits_[id] = std::make_unique<HttpVisit>(loop_, *this, fd, id);
+        },
+        error);
     return listener_ != nullptr;
 }
 
@@ -113,7 +117,8 @@
     Span keep = kIdleMost;  // as the endpoint told
     bool told = false;      // it told one
 
-    Line(Proxy& p, uint64_t i, InstanceIx a, std::string name) : of(p), id(i), at(a), instance(std::move(name)) {}
+    Line(Proxy& p, uint64_t i, InstanceIx a, std::string name)
+        : of(p), id(i), at(a), instance(std::move(name)) {}
     void connected(Stream&) override {
         if (!probe) return;
         probe = false;
@@ -134,7 +139,9 @@
             if (probe && of.isStill(*this)) of.dispatch_.probed(of.loop_.now(), at, false), of.pumpSoon();
             return of.buryLine(*this);
         }
-        of.endLine(*this, !s.isConnected() ? Ending::unconnected : s.anythingSent() ? Ending::broken : Ending::unsent);
+        of.endLine(*this, !s.isConnected()   ? Ending::unconnected
+                          : s.anythingSent() ? Ending::broken
+                                             : Ending::unsent);
     }
 };
 
@@ -144,8 +151,7 @@
     : loop_(loop), settings_(settings), loopback_(std::move(loopback)),
       dispatch_(loop.now(), Dispatch::Options{chance, settings.zone, settings.bounds.retryBudgetRatio,
                                               settings.bounds.retrySlack, settings.bounds.budgetWindow}),
-      chance_{std::mt19937(chance + 1)},
-      readiness_(loop, [this] { return routes_ && !leaving_; }) {}
+      chance_{std::mt19937(chance + 1)}, readiness_(loop, [this] { return routes_ && !leaving_; }) {}
 
 Proxy::~Proxy() = default;
 
@@ -156,19 +162,22 @@
     }
     auto front = eagle::Address::parse(settings_.front->text());
     auto ready = eagle::Address::parse(settings_.readiness->text());
-    // Descriptors are for requests under way first: beyond the bound a new connection ends unread, and its client
-    // goes elsewhere. 200 are the platform's for files, some our own; each request may take two.
+    // Descriptors are for requests under way first: beyond the bound a new connection ends unread, and its
+    // client goes elsewhere. 200 are the platform's for files, some our own; each request may take two.
     mostVisits_ = static_cast<size_t>(std::max(64, settings_.limits.fileDescriptors - 300)) * 2 / 3;
-    listener_ = eagle::Listener::open(loop_, *front, [this](int fd, eagle::Address) {
-        if (visits_.size() >= mostVisits_) {
-            ++turnedAway_;
-            ::close(fd);
-            return;
-        }
-        uint64_t id = nextVisit_++;
-        lastCame_ = loop_.now();
-        visits_[id] = std::make_unique<HttpVisit>(loop_, *this, fd, id);
-    }, error);
+    listener_ = eagle::Listener::open(
+        loop_, *front,
+        [this](int fd, eagle::Address) {
+            if (visits_.size() >= mostVisits_) {
+                ++turnedAway_;
+                ::close(fd);
+                return;
+            }
+            uint64_t id = nextVisit_++;
+            lastCame_ = loop_.now();
+            visits_[id] = std::make_unique<HttpVisit>(loop_, *this, fd, id);
+        },
+        error);
     if (!listener_) return error = settings_.front->text() + ": " + error, false;
     if (!readiness_.open(*ready, error)) return error = settings_.readiness->text() + ": " + error, false;
     connectAgent();
@@ -179,7 +188,8 @@
 
 void Proxy::connectAgent() {
     if (agent_) return;
-    agent_ = Link::connect(loop_, *this, *eagle::Address::parse(loopback_, static_cast<uint16_t>(settings_.portFirst + 2)),
+    agent_ = Link::connect(loop_, *this,
+                           *eagle::Address::parse(loopback_, static_cast<uint16_t>(settings_.portFirst + 2)),
                            Span());
     if (!agent_) loop_.at(loop_.now() + Span::millis(100), [this] { connectAgent(); });
 }
@@ -211,31 +221,33 @@
 
 void Proxy::configure(const eagle::Config& c) {
     // Never backwards: what an older version allows is not served once a newer one was.
-    if (routes_ && std::pair(routes_->configuration()->version, digest_) >= std::pair(c.version, c.digest)) return;
+    if (routes_ && std::pair(routes_->configuration()->version, digest_) >= std::pair(c.version, c.digest))
+        return;
     std::string text(c.size, '\0');
     uLongf size = c.size;
-    if (uncompress(reinterpret_cast<Bytef*>(text.data()), &size, reinterpret_cast<const Bytef*>(c.deflated.data()),
-                   c.deflated.size()) != Z_OK || size != c.size)
+    if (uncompress(reinterpret_cast<Bytef*>(text.data()), &size,
+                   reinterpret_cast<const Bytef*>(c.deflated.data()), c.deflated.size()) != Z_OK ||
+        size != c.size)
         return spdlog::error("configuration {}: agent: can't be read", c.version);
     auto made = tilly::trusted(text);
     if (!made) return spdlog::error("configuration {}: agent: can't be read", c.version);
-    limits_ = {made->limits.headerBytes, made->limits.bodyBytes, made->limits.headerTimeout, made->limits.idleTimeout};
+    limits_ = {made->limits.headerBytes, made->limits.bodyBytes, made->limits.headerTimeout,
+               made->limits.idleTimeout};
     std::vector<ServiceSpec> specs;
     for (const auto& s : made->services) specs.push_back({s.name, s.maxConcurrency, s.boot});
     routes_ = std::make_unique<tilly::RouteTable>(std::move(made));
     digest_ = c.digest;
     dispatch_.configured(loop_.now(), specs);
-    spdlog::info("configuration {} in force, {} routes, {} services", c.version, routes_->configuration()->routes.size(),
-                 specs.size());
+    spdlog::info("configuration {} in force, {} routes, {} services", c.version,
+                 routes_->configuration()->routes.size(), specs.size());
 }
 
 void Proxy::asked(HttpVisit& visit, HttpRequest&& request) {
-    auto notRun = [&](Span wait) {
-        visit.answer(503, retryAfter(wait), "", leaving_);
-    };
+    auto notRun = [&](Span wait) { visit.answer(503, retryAfter(wait), "", leaving_); };
     if (!routes_) {  // without a configuration nothing is known of any route: no 404
         ++notReady_;
-        return notRun(Span::millis(300) + Span::seconds(chance_.between(0.05, 0.25)));  // the design's random extra
+        return notRun(Span::millis(300) +
+                      Span::seconds(chance_.between(0.05, 0.25)));  // the design's random extra
     }
     // Where few senders are left the platform goes on sending here to the end. What could no more be finished
     // before the process is killed is told at once that it has not run. Harm: what would have been quick.
@@ -273,7 +285,8 @@
     a.repeatable = route->repeatable, a.priority = route->priority, a.maxAttempts = route->maxAttempts;
     a.deadline = loop_.now() + left, a.target = route->target, a.timeout = route->timeout;
     Exchange& e = exchanges_[a.id];
-    e.visit = visit.id(), e.attemptId = std::string(*id), e.deadline = a.deadline, e.repeatable = a.repeatable;
+    e.visit = visit.id(), e.attemptId = std::string(*id), e.deadline = a.deadline,
+    e.repeatable = a.repeatable;
     e.request = std::move(request);
     visit.tag = a.id;
     dispatch_.arrived(loop_.now(), a);
@@ -298,7 +311,8 @@
         auto found = exchanges_.find(visit.tag);
         if (found != exchanges_.end()) {
             found->second.visit = 0;
-            if (dispatch_.waits(visit.tag)) dispatch_.withdrawn(loop_.now(), visit.tag), exchanges_.erase(found);
+            if (dispatch_.waits(visit.tag))
+                dispatch_.withdrawn(loop_.now(), visit.tag), exchanges_.erase(found);
         }
     }
     auto at = visits_.find(visit.id());
@@ -317,12 +331,18 @@
     pumping_ = false;
     if (dispatch_.wakeAt() <= loop_.now()) dispatch_.tick(loop_.now());
     while (auto output = dispatch_.next()) {
-        if (auto* s = std::get_if<SendTo>(&*output)) carry(*s);
-        else if (auto* r = std::get_if<Refuse>(&*output)) answerPlain(r->id, r->status, retryAfter(r->comeBack));
-        else if (auto* g = std::get_if<GiveUp>(&*output)) answerPlain(g->id, g->status, "");
-        else if (auto* p = std::get_if<PassOn>(&*output)) passOn(p->id);
-        else if (auto* b = std::get_if<Probe>(&*output)) probe(b->at);
-        else if (auto* d = std::get_if<Drop>(&*output)) drop(d->at);
+        if (auto* s = std::get_if<SendTo>(&*output))
+            carry(*s);
+        else if (auto* r = std::get_if<Refuse>(&*output))
+            answerPlain(r->id, r->status, retryAfter(r->comeBack));
+        else if (auto* g = std::get_if<GiveUp>(&*output))
+            answerPlain(g->id, g->status, "");
+        else if (auto* p = std::get_if<PassOn>(&*output))
+            passOn(p->id);
+        else if (auto* b = std::get_if<Probe>(&*output))
+            probe(b->at);
+        else if (auto* d = std::get_if<Drop>(&*output))
+            drop(d->at);
         else if (auto* t = std::get_if<Tell>(&*output)) {
             if (agent_ && agent_->isUp()) agent_->say(Kind::report, t->report);
         }
@@ -373,8 +393,8 @@
     Instant now = loop_.now();
     Place& p = place(s.at);
     Line* line = nullptr;
-    // The one used last, as it is the least likely to be about to close. What may run only once does not trust
-    // one that lay long: a close that crosses it would leave open whether it ran.
+    // The one used last, as it is the least likely to be about to close. What may run only once does not
+    // trust one that lay long: a close that crosses it would leave open whether it ran.
     while (!p.idle.empty()) {
         Line* last = p.idle.back();
         p.idle.pop_back();
@@ -420,7 +440,8 @@
     if (!line.stream->isConnected() && now >= line.connectBy) return endLine(line, Ending::unconnected);
     if (now >= line.patientUntil || now >= line.deadline)
         return endLine(line, line.stream->anythingSent() ? Ending::silent : Ending::unsent);
-    line.timer = loop_.at(std::min(line.patientUntil, line.deadline), [this, &line] { line.timer = 0, lineTimed(line); });
+    line.timer = loop_.at(std::min(line.patientUntil, line.deadline),
+                          [this, &line] { line.timer = 0, lineTimed(line); });
 }
 
 // Indices of instances come again: what a probe of an earlier one showed says nothing of the next.
@@ -469,8 +490,8 @@
         }
         auto id = answer->head.field("X-Attempt-Id");
         if (id && *id != e.attemptId) {
-            // An answer in excess, to an earlier request, in the place of this one's: it belongs to nobody. Ours
-            // is still to come; the connection ends behind it.
+            // An answer in excess, to an earlier request, in the place of this one's: it belongs to nobody.
+            // Ours is still to come; the connection ends behind it.
             ++excess_;
             line.spoilt = true;
             if (in.empty() && line.stream->isClosed()) return endLine(line, Ending::broken);
@@ -480,25 +501,32 @@
         bool notRun = answer->head.field("X-Not-Executed").has_value();
         Ending how = Ending::passed;
         int status = answer->status;
-        if (status == 421) how = Ending::misdirected;
-        else if (notRun) how = Ending::notRun;
-        else if (!id) how = Ending::broken;  // not told whose it is
+        if (status == 421)
+            how = Ending::misdirected;
+        else if (notRun)
+            how = Ending::notRun;
+        else if (!id)
+            how = Ending::broken;  // not told whose it is
         else if (status >= 200 && status < 300 &&
                  (!answer->head.field("X-Endpoint-Seal") || answer->head.field("Content-Encoding")))
             how = Ending::broken;  // not the endpoint's body
-        // Without the word that it has not run, these may have: passed on to who may send it but once they would
-        // promise what nobody knows.
-        else if ((status == 429 || status == 503 || status == 408) && !e.repeatable) how = Ending::broken;
-        else if (status >= 500 || status == 429 || status == 408) how = Ending::failed;
+        // Without the word that it has not run, these may have: passed on to who may send it but once they
+        // would promise what nobody knows.
+        else if ((status == 429 || status == 503 || status == 408) && !e.repeatable)
+            how = Ending::broken;
+        else if (status >= 500 || status == 429 || status == 408)
+            how = Ending::failed;
         if (how == Ending::broken) ++spoilt_;
-        bool keeps = !answer->closes && in.empty() && !line.spoilt && !line.stream->isClosed() && how != Ending::broken;
+        bool keeps = !answer->closes && in.empty() && !line.spoilt && !line.stream->isClosed() &&
+                     how != Ending::broken;
         if (!in.empty()) ++excess_;
         if (auto keep = answer->head.field("Keep-Alive")) {
             if (size_t at = keep->find("timeout="); at != std::string_view::npos) {
                 auto digits = keep->substr(at + 8);
                 digits = digits.substr(0, digits.find_first_not_of("0123456789"));
                 if (auto s = http::wholeNumber(digits))
-                    line.keep = std::max(Span(), Span::seconds(static_cast<double>(*s) - 0.3)), line.told = true;
+                    line.keep = std::max(Span(), Span::seconds(static_cast<double>(*s) - 0.3)),
+                    line.told = true;
             }
         }
         RequestId request = line.request;
@@ -524,7 +552,8 @@
     if (visit != visits_.end() && e.answer) {
         const HttpAnswer& a = *e.answer;
         std::string head = "HTTP/1.1 " + std::to_string(a.status) + " ";
-        head.append(a.head.third.empty() ? eagle::reasonOf(a.status) : std::string(a.head.third)).append("\r\n");
+        head.append(a.head.third.empty() ? eagle::reasonOf(a.status) : std::string(a.head.third))
+            .append("\r\n");
         copyFields(head, a.head, {});
         head.append("Content-Length: ").append(std::to_string(a.body.size())).append("\r\n");
         bool last = leaving_ || visit->second->wantsClose();
@@ -540,8 +569,9 @@
     auto found = exchanges_.find(id);
     if (found == exchanges_.end()) return;
     if (spdlog::should_log(spdlog::level::debug))
-        spdlog::debug("request {}: {} {}: {} with {} ms left", found->second.attemptId, found->second.request.method(),
-                      found->second.request.target(), status, (found->second.deadline - loop_.now()).inMicros() / 1000);
+        spdlog::debug("request {}: {} {}: {} with {} ms left", found->second.attemptId,
+                      found->second.request.method(), found->second.request.target(), status,
+                      (found->second.deadline - loop_.now()).inMicros() / 1000);
     if (Line* line = found->second.line) line->request = 0, buryLine(*line);
     auto visit = visits_.find(found->second.visit);
     if (visit != visits_.end()) visit->second->tag = 0, visit->second->answer(status, fields, "", leaving_);
@@ -569,8 +599,10 @@
     for (auto& [id, line] : lines_)
         if (line->at == at) mine.push_back(line.get());
     for (Line* line : mine) {
-        if (line->request != 0) endLine(*line, line->stream->anythingSent() ? Ending::broken : Ending::unsent);
-        else buryLine(*line);
+        if (line->request != 0)
+            endLine(*line, line->stream->anythingSent() ? Ending::broken : Ending::unsent);
+        else
+            buryLine(*line);
     }
     place(at).idle.clear();
 }
@@ -582,7 +614,8 @@
     for (HttpVisit* visit : all) visit->look();
     readiness_.look();
     for (Place& p : places_)
-        while (!p.idle.empty() && now - p.idle.front()->idleSince > p.idle.front()->keep) buryLine(*p.idle.front());
+        while (!p.idle.empty() && now - p.idle.front()->idleSince > p.idle.front()->keep)
+            buryLine(*p.idle.front());
     if (now >= logAt_) logAt_ = now + Span::seconds(10), logCounters();
     if (leaving_) mayEnd();
     sweepTimer_ = loop_.at(now + Span::millis(leaving_ ? 100 : 500), [this] { sweep(); });
@@ -625,12 +658,13 @@
 
 void Proxy::logCounters() const {
     const Counters& c = dispatch_.counters();
-    spdlog::info("counters arrived={} sent={} passed={} refused={} refused_held={} again={} gave_up={} full={} "
-                 "misdirected={} broken={} silent={} unconnected={} probes={} reports={} no_route={} not_ready={} "
-                 "excess={} spoilt={} connects={} open={} waiting={} turned_away={}",
-                 c.arrived, c.sent, c.passed, c.refusedAtOnce, c.refusedHeld, c.again, c.gaveUp, c.full, c.misdirected,
-                 c.broken, c.silent, c.unconnected, c.probes, c.reports, noRoute_, notReady_, excess_, spoilt_,
-                 connects_, visits_.size(), dispatch_.held(), turnedAway_);
+    spdlog::info(
+        "counters arrived={} sent={} passed={} refused={} refused_held={} again={} gave_up={} full={} "
+        "misdirected={} broken={} silent={} unconnected={} probes={} reports={} no_route={} not_ready={} "
+        "excess={} spoilt={} connects={} open={} waiting={} turned_away={}",
+        c.arrived, c.sent, c.passed, c.refusedAtOnce, c.refusedHeld, c.again, c.gaveUp, c.full, c.misdirected,
+        c.broken, c.silent, c.unconnected, c.probes, c.reports, noRoute_, notReady_, excess_, spoilt_,
+        connects_, visits_.size(), dispatch_.held(), turnedAway_);
 }
 
 }  // namespace petrelpond::timberline
--- a/huts/timberline/proxy.hpp
+++ b/huts/timberline/proxy.hpp
@@ -74,7 +74,7 @@
     void probe(InstanceIx);
     void drop(InstanceIx);
     void passOn(RequestId);
-    void endLine(Line&, Ending how);   // with its request, if any
+    void endLine(Line&, Ending how);  // with its request, if any
     void buryLine(Line&);
     bool isStill(const Line&) const;
     void lineAnswered(Line&);
--- a/huts/trailhead/start.cpp
+++ b/huts/trailhead/start.cpp
@@ -19,9 +19,12 @@
     char* loopback = nullptr;
     int check = 0, version = 0, seed = 0;
     poptOption options[] = {
-        {"settings", 's', POPT_ARG_STRING, &file, 0, "settings file; else $PETRELPOND_NODE_FILE names it", "FILE"},
-        {"log-level", 'l', POPT_ARG_STRING, &level, 0, "debug, info (unless said otherwise), warning, error", "LEVEL"},
-        {"check", 'c', POPT_ARG_NONE, &check, 0, "read the settings, say what is wrong with them, and end", nullptr},
+        {"settings", 's', POPT_ARG_STRING, &file, 0, "settings file; else $PETRELPOND_NODE_FILE names it",
+         "FILE"},
+        {"log-level", 'l', POPT_ARG_STRING, &level, 0, "debug, info (unless said otherwise), warning, error",
+         "LEVEL"},
+        {"check", 'c', POPT_ARG_NONE, &check, 0, "read the settings, say what is wrong with them, and end",
+         nullptr},
         {"loopback", 0, POPT_ARG_STRING, &loopback, 0,
          "address at which proxy and agent of one machine talk, 127.0.0.1 unless said otherwise", "IP"},
         {"seed", 0, POPT_ARG_INT, &seed, 0, "seed of all chance; else drawn", "N"},
@@ -39,7 +42,8 @@
     if (said < -1)
         return wrong(std::string("command line: ") + poptBadOption(context, POPT_BADOPTION_NOALIAS) + ": " +
                      poptStrerror(said));
-    if (const char* rest = poptGetArg(context)) return wrong(std::string("command line: ") + rest + ": not expected");
+    if (const char* rest = poptGetArg(context))
+        return wrong(std::string("command line: ") + rest + ": not expected");
     if (version) {
         std::printf("%s %s: %s\n", program, kVersion, job);
         poptFreeContext(context);
@@ -49,10 +53,12 @@
     std::string levelName = level ? level : "info";
     auto parsed = spdlog::level::from_str(levelName);
     if (parsed == spdlog::level::off && levelName != "off")
-        return wrong("command line: --log-level: " + levelName + ": debug, info, warning, error or off expected");
+        return wrong("command line: --log-level: " + levelName +
+                     ": debug, info, warning, error or off expected");
     Start out;
     if (loopback) out.loopback = loopback;
-    if (!tilly::parseAddress(out.loopback + ":1")) return wrong("command line: --loopback: " + out.loopback + ": an IPv4 address expected");
+    if (!tilly::parseAddress(out.loopback + ":1"))
+        return wrong("command line: --loopback: " + out.loopback + ": an IPv4 address expected");
     const char* named = std::getenv("PETRELPOND_NODE_FILE");
     if (!file && !named) return wrong("settings: none named by --settings or PETRELPOND_NODE_FILE");
     out.settingsPath = file ? file : named;
@@ -61,7 +67,8 @@
     out.settings = std::get<tilly::Settings>(std::move(read));
     poptFreeContext(context);
     if (check) {
-        for (const std::string& doubt : out.settings.doubts) std::printf("%s: doubtful: %s\n", program, doubt.c_str());
+        for (const std::string& doubt : out.settings.doubts)
+            std::printf("%s: doubtful: %s\n", program, doubt.c_str());
         std::printf("%s: settings of %s can be used\n", program, out.settings.nodeName.c_str());
         code = 0;
         return std::nullopt;
