An idle connection is closed whole, so that a request that crosses stays unread

By reading of HttpVisit::closeWhenIdle and data(), and the times; other causes were not tried. Closed whole, the request is reset unread and its client goes elsewhere.

--- a/huts/eagle/http_server.cpp
+++ b/huts/eagle/http_server.cpp
@@ -162,9 +162,11 @@
 
 void HttpVisit::closeWhenIdle(Span least) {
     if (busy_ || closing_ || begun_ || loop_.now() - since_ < least) return;
+    // Whole, and not for writing alone: a request that crosses with the close must stay unread, so that its client
+    // may send it elsewhere. Read off and dropped, it was lost (a change of configuration, an idle time that ended).
     closing_ = true;
-    stream_->finishWriting();
-    since_ = loop_.now();
+    stream_->close();
+    loop_.soon([this] { host_.left(*this); });
 }
 
 void HttpVisit::look() {
