A request that crosses with the end of an idle connection stays unread: the test

Visits.WhatCrossesWithTheEndOfAnIdleConnectionStaysUnread: the request is reset. By reading, the former half-close read it off and would let the test wait in vain; it was not run against the former code.

--- a/huts/eagle/http_test.cpp
+++ b/huts/eagle/http_test.cpp
@@ -196,6 +196,11 @@
         }
     }
     void finish() { ::shutdown(fd_, SHUT_WR); }
+    // The other side reset the connection, as it does for bytes that nobody will read.
+    bool wasReset() {
+        pollfd p{fd_, 0, 0};
+        return ::poll(&p, 1, 3000) > 0 && (p.revents & (POLLERR | POLLHUP));
+    }
     // One answer, or what came before the end.
     std::string answer() {
         while (true) {
@@ -501,6 +506,16 @@
     EXPECT_EQ(*rest, "");
 }
 
+// A request that crosses with the end of an idle connection is not read: its client may send it elsewhere.
+TEST_F(Visits, WhatCrossesWithTheEndOfAnIdleConnectionStaysUnread) {
+    setLimits({2000, 3000, Span::seconds(60), Span::millis(40)});
+    auto client = connect();
+    lookOften();
+    ASSERT_TRUE(client->toTheEnd());
+    client->send(kGet);
+    EXPECT_TRUE(client->wasReset());
+}
+
 TEST_F(Visits, ARequestUnderWayIsBoundByNeither) {
     setLimits({2000, 3000, Span::millis(20), Span::millis(20)});
     holdAnswers();
