Read once more: reasons of statuses and the tests' turning loop stand once

Need: reason phrases stood in the sender's HTTP and again in the system's, the loop in a thread that tests ask stood in two tests. http::reason is public and says the statuses of both; huts/eagle/turning_for_test.hpp holds the loop. The sender's own answers are as before (the four added statuses are none of its). Tests of eagle, timberline, cloudcap and skyline passed; the sender's tests were not run again.

--- a/huts/eagle/http_server.cpp
+++ b/huts/eagle/http_server.cpp
@@ -8,35 +8,6 @@
 constexpr size_t kMostFields = 512;  // of a request; the bound on a head's bytes is the one that counts
 }
 
-const char* reasonOf(int status) {
-    switch (status) {
-        case 200:
-            return "OK";
-        case 400:
-            return "Bad Request";
-        case 404:
-            return "Not Found";
-        case 405:
-            return "Method Not Allowed";
-        case 408:
-            return "Request Timeout";
-        case 413:
-            return "Content Too Large";
-        case 429:
-            return "Too Many Requests";
-        case 431:
-            return "Request Header Fields Too Large";
-        case 502:
-            return "Bad Gateway";
-        case 503:
-            return "Service Unavailable";
-        case 504:
-            return "Gateway Timeout";
-        default:
-            return "Unknown";
-    }
-}
-
 HttpVisit::HttpVisit(Loop& loop, HttpHost& host, int fd, uint64_t id)
     : loop_(loop), host_(host), id_(id), since_(loop.now()),
       stream_(Stream::adopt(loop, *this, fd, Span::seconds(10))) {
@@ -122,7 +93,7 @@
 }
 
 void HttpVisit::answer(int status, std::string_view fields, std::string_view body, bool last) {
-    std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reasonOf(status) + "\r\n";
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " " + http::reason(status) + "\r\n";
     head.append(fields);
     head.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
     if (last || lastAsked_) head.append("Connection: close\r\n");
--- a/huts/eagle/http_server.hpp
+++ b/huts/eagle/http_server.hpp
@@ -71,6 +71,4 @@
     std::unique_ptr<Stream> stream_;
 };
 
-const char* reasonOf(int status);
-
 }  // namespace petrelpond::eagle
--- a/huts/eagle/http_test.cpp
+++ b/huts/eagle/http_test.cpp
@@ -16,6 +16,7 @@
 
 #include "huts/eagle/http_answer.hpp"
 #include "huts/eagle/http_server.hpp"
+#include "huts/eagle/turning_for_test.hpp"
 
 namespace petrelpond::eagle {
 namespace {
@@ -140,48 +141,6 @@
 
 // --- visits --------------------------------------------------------------------------------------
 
-// A loop in a thread of its own; ask() does something there and waits until it is done.
-class Turning final : public Watcher {
-  public:
-    Loop loop;
-    Turning() : wake_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) { loop.watch(wake_, EPOLLIN, this); }
-    ~Turning() override { ::close(wake_); }
-    void start() {
-        thread_ = std::thread([this] { loop.run(); });
-    }
-    void end() {
-        ask([this] { loop.stop(); });
-        thread_.join();
-    }
-    void ask(std::function<void()> what) {
-        auto done = std::make_shared<std::promise<void>>();
-        auto future = done->get_future();
-        {
-            std::lock_guard lock(mutex_);
-            asked_.push_back([&what, done] { what(), done->set_value(); });
-        }
-        uint64_t one = 1;
-        (void)!write(wake_, &one, sizeof one);
-        future.wait();
-    }
-    void woke(uint32_t) override {
-        uint64_t count = 0;
-        (void)!read(wake_, &count, sizeof count);
-        std::vector<std::function<void()>> all;
-        {
-            std::lock_guard lock(mutex_);
-            all.swap(asked_);
-        }
-        for (auto& each : all) each();
-    }
-
-  private:
-    int wake_;
-    std::mutex mutex_;
-    std::vector<std::function<void()>> asked_;
-    std::thread thread_;
-};
-
 // The client's end of a connection.
 class Client {
   public:
--- a/huts/timberline/proxy.cpp
+++ b/huts/timberline/proxy.cpp
@@ -552,7 +552,7 @@
     if (visit != visits_.end() && e.answer) {
         const HttpAnswer& a = *e.answer;
         std::string head = "HTTP/1.1 " + std::to_string(a.status) + " ";
-        head.append(a.head.third.empty() ? eagle::reasonOf(a.status) : std::string(a.head.third))
+        head.append(a.head.third.empty() ? http::reason(a.status) : std::string(a.head.third))
             .append("\r\n");
         copyFields(head, a.head, {});
         head.append("Content-Length: ").append(std::to_string(a.body.size())).append("\r\n");
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -76,35 +76,6 @@
     return Fault::none;
 }
 
-const char* reason(int status) {
-    switch (status) {
-        case 200:
-            return "OK";
-        case 202:
-            return "Accepted";
-        case 204:
-            return "No Content";
-        case 400:
-            return "Bad Request";
-        case 404:
-            return "Not Found";
-        case 405:
-            return "Method Not Allowed";
-        case 408:
-            return "Request Timeout";
-        case 411:
-            return "Length Required";
-        case 413:
-            return "Content Too Large";
-        case 431:
-            return "Request Header Fields Too Large";
-        case 503:
-            return "Service Unavailable";
-        default:
-            return "Failed";
-    }
-}
-
 void writeFields(std::string& out, const Fields& fields, std::string_view body) {
     for (const auto& [name, value] : fields) out.append(name).append(": ").append(value).append("\r\n");
     out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n").append(body);
@@ -210,6 +181,43 @@
     return false;
 }
 
+const char* reason(int status) {
+    switch (status) {
+        case 200:
+            return "OK";
+        case 202:
+            return "Accepted";
+        case 204:
+            return "No Content";
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 408:
+            return "Request Timeout";
+        case 411:
+            return "Length Required";
+        case 413:
+            return "Content Too Large";
+        case 421:
+            return "Misdirected Request";
+        case 429:
+            return "Too Many Requests";
+        case 431:
+            return "Request Header Fields Too Large";
+        case 502:
+            return "Bad Gateway";
+        case 503:
+            return "Service Unavailable";
+        case 504:
+            return "Gateway Timeout";
+        default:
+            return "Failed";
+    }
+}
+
 bool sameName(std::string_view a, std::string_view b) { return same(a, b); }
 
 std::optional<uint64_t> wholeNumber(std::string_view text) {
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -43,6 +43,7 @@
 // Whether these bytes, perhaps none, begin a request of a method that is served here.
 bool mayBecomeRequest(std::string_view bytes);
 
+const char* reason(int status);  // "Failed" for one that nobody here says
 bool sameName(std::string_view a, std::string_view b);  // without case
 std::optional<uint64_t> wholeNumber(std::string_view text);
 std::optional<double> decimal(std::string_view text);
