Further sends keep to the budget over many short lives; the refused leave room in a rush

Ruled out: the share of the requests, which is of the same life. Change: slack by the most senders told of within a window, coming back over one window after a start that is not the first; what is allowed counts at once. From half of the bound on a refusal ends its connection, and no more than half of it may wait. Tests fail without each mend.

--- a/huts/timberline/dispatch.cpp
+++ b/huts/timberline/dispatch.cpp
@@ -33,8 +33,8 @@
 }
 
 Dispatch::Dispatch(Instant now, Options options)
-    : options_(std::move(options)), chance_{std::mt19937(options_.chance)}, reportedAt_(now), wakeAt_(now),
-      sweepAt_(now) {}
+    : options_(std::move(options)), chance_{std::mt19937(options_.chance)}, bornAt_(now), reportedAt_(now),
+      wakeAt_(now), sweepAt_(now) {}
 
 uint32_t Dispatch::serviceOf(const std::string& name) {
     auto [at, fresh] = serviceByName_.try_emplace(name, static_cast<uint32_t>(services_.size()));
@@ -60,6 +60,10 @@
 
 void Dispatch::standing(Instant now, uint64_t term, bool linked, uint32_t senders) {
     senders_ = std::max(1u, senders);
+    if (senders_ >= mostSenders_)
+        mostSenders_ = senders_, fewerSince_ = Instant::never();
+    else if (fewerSince_ == Instant::never())
+        fewerSince_ = now;
     bool anew = linked && (term != term_ || !linked_);
     if (term < term_) return;  // an old holder's word, or one that was passed on late
     term_ = term, linked_ = linked;
@@ -210,7 +214,8 @@
     for (auto at = s.waiting.rbegin(); at != s.waiting.rend() && at->first.first > a.priority; ++at) ++behind;
     size_t ahead = s.waiting.size() - behind - 1;
     Span wait = expectedWait(now, s, ahead);
-    if (now + wait + callTime(s, still->second) > a.deadline) return refuse(now, still->second, true);
+    if (held_ > mostHeld_ || now + wait + callTime(s, still->second) > a.deadline)
+        return refuse(now, still->second, true);
     holds_.emplace(r.holdUntil, a.id);
     wakeBy(std::max(r.holdUntil, sweepAt_));
 }
@@ -233,7 +238,7 @@
     auto found = requests_.find(id);
     if (found == requests_.end() || found->second.out) return;
     unqueue(found->second);
-    requests_.erase(found);
+    close(found->second);
 }
 
 std::optional<InstanceIx> Dispatch::pick(Instant now, const Service& s, const Request& r) const {
@@ -335,6 +340,7 @@
     s.peak = std::max(s.peak, s.busy + static_cast<uint32_t>(s.waiting.size()));
     if (!s.changed) s.changed = true, changed_.push_back(r.service);
     ++r.attempts;
+    promise(r, false);
     if (r.attempts > 1) s.budget.further(now, options_.budgetWindow), ++counters_.again;
     r.out = true, r.at = ix, r.sentAt = now;
     // An answer may be lost and the connection stay silent. What may run again is given up once it is far
@@ -344,10 +350,7 @@
     const auto& times = kinds_[r.kind].times;
     if (r.is.repeatable && r.attempts < r.is.maxAttempts && times.count >= 8 && r.last != Ending::silent) {
         Span cut = Span::seconds(std::max({2.5 * times.high, 1.5 * times.slowest, 0.15}));
-        if (now + cut + callTime(s, r) * 2 < r.is.deadline &&
-            s.budget.allows(now, options_.budgetWindow, options_.budgetRatio,
-                            options_.budgetSlack / senders_ / 2))
-            patience = cut;
+        if (now + cut + callTime(s, r) * 2 < r.is.deadline && mayGoFurther(now, s)) patience = cut;
     }
     out_.push_back(SendTo{r.is.id, ix, patience});
 }
@@ -440,6 +443,27 @@
     run(now, service);
 }
 
+// Whether this sender may send one more request for a further time. Half of the slack is shared by the
+// senders: by the most that there were within a window, as an agent that has just started knows nobody yet
+// and tells of one. A sender that was started again has forgotten what it used: its part of the slack comes
+// back to it over one window, so that many short lives together use no more than one long life. Harm: after
+// a start the first answers that are lost are not made good here, but by their clients.
+bool Dispatch::mayGoFurther(Instant now, Service& s) {
+    if (now - options_.budgetWindow > fewerSince_) mostSenders_ = senders_, fewerSince_ = Instant::never();
+    double part = options_.budgetSlack / mostSenders_ / 2;
+    if (options_.forgot && now - bornAt_ < options_.budgetWindow)
+        part *= (now - bornAt_).inSeconds() / options_.budgetWindow.inSeconds();
+    // What was allowed and waits for a slot counts already: else a whole crowd that failed at once while no
+    // slot was free would be allowed one by one and sent together.
+    return s.budget.allows(now, options_.budgetWindow, options_.budgetRatio, part - s.promised);
+}
+
+void Dispatch::promise(Request& r, bool is) {
+    if (r.promised == is) return;
+    r.promised = is;
+    services_[r.service].promised += is ? 1 : -1;
+}
+
 // A request that was not answered: once more elsewhere, told that it has not run, or given up.
 void Dispatch::again(Instant now, Request& r) {
     Service& s = services_[r.service];
@@ -447,10 +471,9 @@
     if (!sent) --r.attempts;  // no endpoint has seen it
     bool mayRunAgain = r.is.repeatable || !r.mayHaveRun;
     bool time = now + callTime(s, r) < r.is.deadline;
-    bool paid = !sent || (r.attempts < r.is.maxAttempts &&
-                          s.budget.allows(now, options_.budgetWindow, options_.budgetRatio,
-                                          options_.budgetSlack / senders_ / 2));
+    bool paid = !sent || (r.attempts < r.is.maxAttempts && mayGoFurther(now, s));
     if (mayRunAgain && time && paid) {
+        if (r.attempts > 0) promise(r, true);
         r.avoid = r.at;
         r.holdUntil = std::max(now, std::min(r.holdUntil, r.is.deadline));
         queue(r);
@@ -471,6 +494,7 @@
 
 void Dispatch::close(Request& r) {
     RequestId id = r.is.id;
+    promise(r, false);
     requests_.erase(id);
 }
 
--- a/huts/timberline/dispatch.hpp
+++ b/huts/timberline/dispatch.hpp
@@ -103,9 +103,14 @@
         std::string zone;
         double budgetRatio = 0.2, budgetSlack = 50;
         Span budgetWindow = Span::seconds(10);
+        // An earlier life may have made further sends that nobody here remembers.
+        bool forgot = false;
     };
     Dispatch(Instant now, Options);
 
+    // So many may wait at most. Beyond, who can't be sent at once is told so: those who wait hold a connection
+    // each, and where none is left a client is reset without a word of when to come back.
+    void bound(size_t mostHeld) { mostHeld_ = mostHeld; }
     void configured(Instant now, const std::vector<ServiceSpec>&);
     // The holder that is reported to, and the number of living senders. A new term or link asks for all anew.
     void standing(Instant now, uint64_t term, bool linked, uint32_t senders);
@@ -151,7 +156,8 @@
         std::map<std::pair<int, uint64_t>, RequestId> waiting;  // by priority, then in order
         policy::Bucket bucket;
         Budget budget;
-        double mean = 0;  // seconds of a call; 0: none seen
+        uint32_t promised = 0;  // further sends that were allowed and have not gone out yet
+        double mean = 0;        // seconds of a call; 0: none seen
         uint32_t busy = 0, peak = 0, arrived = 0;
         uint32_t fleetSlots = 0;
         bool changed = false, wanting = false;
@@ -163,7 +169,7 @@
         uint32_t service = 0, kind = 0;
         uint64_t order = 0;
         int attempts = 0;
-        bool out = false, mayHaveRun = false;
+        bool out = false, mayHaveRun = false, promised = false;
         InstanceIx at = 0, avoid = UINT32_MAX;
         Ending last = Ending::notRun;
     };
@@ -184,6 +190,8 @@
     void send(Instant now, Request&, InstanceIx);
     void freeSlot(Instant now, Instance&);
     void again(Instant now, Request&);
+    bool mayGoFurther(Instant now, Service&);
+    void promise(Request&, bool);
     void refuse(Instant now, Request&, bool atOnce);
     void close(Request&);
     void probe(Instant now, Instance&, InstanceIx);
@@ -211,9 +219,11 @@
     std::set<uint32_t> hungry_;  // services for which requests wait
     uint64_t term_ = 0, grantedTerm_ = 0, order_ = 0;
     bool linked_ = false, urgent_ = false, leaving_ = false;
-    uint32_t senders_ = 1;
+    uint32_t senders_ = 1, mostSenders_ = 1;  // as told; the most of them within a window
+    Instant fewerSince_ = Instant::never();
+    Instant bornAt_;
     Instant reportedAt_, wakeAt_, sweepAt_;
-    size_t held_ = 0;
+    size_t held_ = 0, mostHeld_ = SIZE_MAX;
     Counters counters_;
 };
 
--- a/huts/timberline/dispatch_test.cpp
+++ b/huts/timberline/dispatch_test.cpp
@@ -600,6 +600,66 @@
     EXPECT_GE(gaveUp, 14);
 }
 
+TEST(Dispatch, FurtherSendsThatWaitForASlotCountAlready) {
+    Dispatch::Options options{1, "here"};
+    options.budgetSlack = 2;  // one of it is this sender's
+    Play p(options);
+    p.grants({grant("a", 8)});
+    std::vector<RequestId> all;
+    for (int i = 0; i < 8; ++i) all.push_back(p.come(5000, 2, true, 2));
+    p.grants({grant("a", 0)});
+    for (auto id : all) p.end(id, Ending::broken);
+    EXPECT_EQ(p.count<GiveUp>(), 7);
+    p.grants({grant("b", 8)});
+    p.pass(1000);
+    EXPECT_EQ(p.sends().size(), 9u);
+}
+
+TEST(Dispatch, AWithdrawnFurtherSendIsGivenBack) {
+    Dispatch::Options options{1, "here"};
+    options.budgetSlack = 2;
+    Play p(options);
+    for (int i = 0; i < 3; ++i) {
+        p.grants({grant("a", 1)});
+        auto id = p.come(5000, 2, true, 2);
+        p.grants({grant("a", 0)});
+        p.end(id, Ending::broken);
+        EXPECT_FALSE(p.got<GiveUp>(id)) << i;
+        p.core.withdrawn(p.now, id);
+    }
+}
+
+// Each life of every sender fails at all that it can. Together they keep to the rule in each window.
+TEST(Dispatch, ManyShortLivesKeepToTheBudgetOfOne) {
+    const uint32_t senders = 6;
+    std::vector<Instant> further;
+    for (uint32_t sender = 0; sender < senders; ++sender) {
+        Instant born = kStart;
+        for (int life = 0; life < 8; ++life, born = born + Span::millis(4100 + 13 * sender)) {
+            Dispatch::Options options{sender, "here"};
+            options.budgetSlack = 52, options.budgetRatio = 0, options.forgot = true;
+            Play p(options);  // told of one sender, as an agent that knows nobody yet does
+            p.grants({grant("a", 50), grant("b", 50)});
+            p.core.standing(p.now, 1, true, senders);
+            p.core.standing(p.now, 1, true, 1);  // and once more: its agent alone was started again
+            for (int i = 0; i < 400; ++i) {
+                p.pass(10);
+                auto id = p.come(5000, 2, true, 2);
+                p.end(id, Ending::broken);
+                if (!p.sent(id) || p.got<GiveUp>(id)) continue;
+                further.push_back(born + (p.now - kStart));
+                p.end(id, Ending::passed);
+            }
+        }
+    }
+    ASSERT_FALSE(further.empty());
+    std::sort(further.begin(), further.end());
+    for (Instant to : further) {
+        auto from = std::upper_bound(further.begin(), further.end(), to - Span::seconds(10));
+        ASSERT_LE(std::upper_bound(further.begin(), further.end(), to) - from, 52);
+    }
+}
+
 // --- once-only requests: all sequences of endings ------------------------------------------------
 
 TEST(OnceOnly, NeverSentAfterAnythingThatMayHaveRun) {
--- a/huts/timberline/proxy.cpp
+++ b/huts/timberline/proxy.cpp
@@ -150,7 +150,8 @@
 Proxy::Proxy(eagle::Loop& loop, const tilly::Settings& settings, uint32_t chance, std::string loopback)
     : loop_(loop), settings_(settings), loopback_(std::move(loopback)),
       dispatch_(loop.now(), Dispatch::Options{chance, settings.zone, settings.bounds.retryBudgetRatio,
-                                              settings.bounds.retrySlack, settings.bounds.budgetWindow}),
+                                              settings.bounds.retrySlack, settings.bounds.budgetWindow,
+                                              !settings.bootstrap}),
       chance_{std::mt19937(chance + 1)}, readiness_(loop, [this] { return routes_ && !leaving_; }) {}
 
 Proxy::~Proxy() = default;
@@ -165,6 +166,7 @@
     // Descriptors are for requests under way first: beyond the bound a new connection ends unread, and its
     // client goes elsewhere. 200 are the platform's for files, some our own; each request may take two.
     mostVisits_ = static_cast<size_t>(std::max(64, settings_.limits.fileDescriptors - 300)) * 2 / 3;
+    dispatch_.bound(mostVisits_ / 2);
     listener_ = eagle::Listener::open(
         loop_, *front,
         [this](int fd, eagle::Address) {
@@ -574,7 +576,11 @@
                       (found->second.deadline - loop_.now()).inMicros() / 1000);
     if (Line* line = found->second.line) line->request = 0, buryLine(*line);
     auto visit = visits_.find(found->second.visit);
-    if (visit != visits_.end()) visit->second->tag = 0, visit->second->answer(status, fields, "", leaving_);
+    // A client that is refused comes back on another connection and may leave this one idle: in a rush these
+    // took all descriptors, and whoever came then was reset, told nothing and back at once. Harm: in a rush a
+    // client that would have kept it opens a new one.
+    bool last = leaving_ || visits_.size() > mostVisits_ / 2;
+    if (visit != visits_.end()) visit->second->tag = 0, visit->second->answer(status, fields, "", last);
     exchanges_.erase(found);
 }
 
--- a/huts/timberline/proxy_test.cpp
+++ b/huts/timberline/proxy_test.cpp
@@ -216,6 +216,7 @@
         settings_.readiness = tilly::Address{"127.0.0.1", readyPort_};
         settings_.portFirst = agentDoor_.port() - 2, settings_.portLast = settings_.portFirst + 15;
         settings_.bounds.grace = Span::millis(4000);
+        settings_.bootstrap = true;  // no earlier life whose further sends would count
         settings_.limits.fileDescriptors = 396;  // 64 connections of clients
         proxy_ = std::make_unique<Proxy>(turning_.loop, settings_, 1);
         std::string error;
@@ -760,5 +761,33 @@
     EXPECT_EQ(statusOf(all.front()->message()), 404);
 }
 
+TEST_F(ProxyTest, InARushARefusalEndsItsConnection) {
+    begin({});
+    auto refused = [&] { return asked(request("/often/a", "x", "", "", 500)); };  // sooner than any boot
+    std::string got = refused();
+    EXPECT_EQ(statusOf(got), 503);
+    EXPECT_EQ(field(got, "Connection"), "(none)");
+    std::vector<std::unique_ptr<Wire>> all;
+    for (int i = 0; i < 32; ++i) {  // half of those that may come lie idle
+        all.push_back(client());
+        all.back()->send(request("/nowhere/", "x"));
+        ASSERT_EQ(statusOf(all.back()->message()), 404) << i;
+    }
+    got = refused();
+    EXPECT_EQ(statusOf(got), 503);
+    EXPECT_EQ(field(got, "Connection"), "close");
+}
+
+TEST_F(ProxyTest, InARushThoseWhoWaitLeaveRoomForOthers) {
+    begin({});
+    std::vector<std::unique_ptr<Wire>> all;
+    for (int i = 0; i < 32; ++i) {
+        all.push_back(client());
+        all.back()->send(request("/often/a", "x"));
+    }
+    settle();
+    EXPECT_EQ(statusOf(asked(request("/often/a", "y"))), 503);  // and is not held
+}
+
 }  // namespace
 }  // namespace petrelpond::timberline
