Slots asked back from a sender that says nothing are passed on after 0.6 s; what it uses is no room

Ruled out: passing them on when the link closes (too late by seconds), lending what is in use (the search catches it), lending slots that were not asked for (a sender that wakes would use them before it has read so). Change: a word unanswered for 0.6 s makes a sender late; what it was asked for and not seen to use is passed on, what it uses is no room. A holder that itself slept blames nobody; no instance with a lent slot is stopped.

--- a/huts/crest/planner.cpp
+++ b/huts/crest/planner.cpp
@@ -22,9 +22,12 @@
     std::string zone;
     bool linked = false, synced = false, leaving = false;
     Instant freeAt = Instant::never();  // silent: when its slots go to others
+    Instant unanswered = Instant::never();  // since when a word of ours has had no word of its
+    bool late = false;                      // it says nothing though it was told something
     std::unordered_set<Instance*> holds;
     std::unordered_set<Service*> uses;
     std::vector<Instance*> due;  // whose number it must be told
+    bool answers() const { return linked && synced && !late; }
 };
 
 // Demand of one sender for one service.
@@ -53,6 +56,11 @@
         return std::max(told, held);
 #endif
     }
+    // Asked back and, as far as known, not in use.
+    uint32_t lendable() const {
+        uint32_t keeps = std::max(told, busy);
+        return asked && !rising && held > keeps ? held - keeps : 0;
+    }
     bool canRaise() const { return !asked || rising; }
     bool canLower() const { return (!asked || !rising) && who->linked && who->synced; }
 };
@@ -311,6 +319,7 @@
                 tell.grants.grants.push_back(std::move(g));
             }
             who->due.clear();
+            who->unanswered = std::min(who->unanswered, now);
             ++counts.tells;
             out.emplace_back(std::move(tell));
         }
@@ -371,7 +380,9 @@
             Instance* i = *it++;
             if (i->phase == Phase::retiring) {
                 takeAll(now, i, false);
-                if (i->used() > 0) continue;
+                // Not where a slot is only lent: its sender may be cut off from us alone and at work there.
+                auto open = [](const Share& s) { return s.asked && !s.rising; };
+                if (i->used() > 0 || std::any_of(i->shares.begin(), i->shares.end(), open)) continue;
                 i->phase = Phase::stopping;
                 i->stopAt = now;
             }
@@ -450,6 +461,40 @@
         }
     }
 
+    // Against a sender that stands still or has lost power: nothing tells that its link is dead for seconds,
+    // and the others waited for slots that lay idle there, and for those that it was asked to give back. What
+    // it was asked for and not seen to use is taken as given back: the word waits in its socket, so it reads
+    // that first when it wakes. Also catches one that is cut off from us alone: both may then use such a slot,
+    // and the instance turns one of two calls away as not run. Harm: that call's further try.
+    void findLate(Instant now) {
+        // If it was we who slept, the answers lie in our sockets, unread.
+        bool slept = now - lastTick > tuning.tick * 3.0;
+        for (auto& [id, who] : senders) {
+            if (slept && who->unanswered != Instant::never()) who->unanswered = now;
+            if (!who->linked || !who->synced || now < who->unanswered + tuning.lateAfter) continue;
+            if (!who->late)
+                for (Service* s : who->uses) mark(s);
+            who->late = true;
+            for (Instance* i : who->holds) {
+                Share& s = *i->share(who.get());
+                if (!i->usable() || !s.lendable() || now < s.askedAt + tuning.lateAfter * 0.5) continue;
+                counts.lent += s.lendable();
+                s.held -= s.lendable();
+                mark(i->service);
+            }
+        }
+    }
+    // Slots that nobody can have now: of a silent sender all that are not lent.
+    uint32_t locked(const Service* s) const {
+        uint32_t n = 0;
+        for (const Instance* i : s->instances) {
+            if (!i->usable()) continue;
+            for (const auto& sh : i->shares)
+                if (!sh.who->answers()) n += sh.who->late ? std::min(sh.busy, sh.reserved()) : sh.reserved();
+        }
+        return n;
+    }
+
     void arrived(Instant now, Service* s, Use& u, const Demand& d, double span) {
         if (d.workUs > 0 && d.arrived > 0) {
             double w = d.workUs / 1e6, n = std::min(d.arrived, 16u);
@@ -532,7 +577,7 @@
         for (auto& [who, u] : s->uses) {
             u.upCover = u.bootCover = u.told = 0;
             demand += u.waiting + u.busy;
-            if (u.waiting > 0 && who->linked && who->synced) want.push_back(&u);
+            if (u.waiting > 0 && who->answers()) want.push_back(&u);
         }
         for (Instance* i : s->instances) {
             if (!i->usable()) continue;
@@ -543,7 +588,7 @@
                     sh.use->bootCover += sh.told;
                 } else {
                     sh.use->upCover += sh.told > sh.busy ? sh.told - sh.busy : 0;
-                    coming += sh.reserved() - sh.told;
+                    coming += sh.who->answers() ? sh.reserved() - sh.told : sh.lendable();
                 }
             }
             if (i->phase == Phase::up)
@@ -596,6 +641,7 @@
                     idle.push_back({i, &sh, sh.told - sh.busy});
         }
         std::sort(idle.begin(), idle.end(), [](const Idle& a, const Idle& b) {
+            if (a.s->who->late != b.s->who->late) return b.s->who->late;
             return a.s->idleSince != b.s->idleSince ? a.s->idleSince < b.s->idleSince : a.i->id < b.i->id;
         });
         for (auto& d : idle) {
@@ -620,7 +666,7 @@
                 for (Instance* i : s->instances) {
                     if (i->phase != Phase::up) continue;
                     for (auto& sh : i->shares) {
-                        if (sh.use == u || sh.told == 0 || !sh.canLower()) continue;
+                        if (sh.use == u || sh.told == 0 || !sh.canLower() || sh.who->late) continue;
                         double over = sh.use->told - fair(*sh.use);
                         if (over > most) most = over, best = &sh, from = i;
                     }
@@ -813,7 +859,7 @@
         uint32_t slots = 0, spare = 0;
         for (auto& [who, u] : s->uses) {
             u.told = 0;
-            if (!who->linked || !who->synced || who->leaving) continue;
+            if (!who->answers() || who->leaving) continue;
             total += u.rate * decay(u.rateAt, now, tuning.fastTau);
         }
         for (Instance* i : s->instances) {
@@ -824,7 +870,7 @@
         }
         if (total < 0.2 || slots == 0) return;
         auto fair = [&](const Use& u) {
-            if (!u.who->linked || !u.who->synced || u.who->leaving) return 0.0;
+            if (!u.who->answers() || u.who->leaving) return 0.0;
             return slots * u.rate * decay(u.rateAt, now, tuning.fastTau) / total;
         };
         while (spare > 0) {
@@ -850,7 +896,7 @@
         for (Instance* i : s->instances) {
             if (i->phase != Phase::up) continue;
             for (auto& sh : i->shares) {
-                if (!sh.canLower() || sh.told <= sh.busy) continue;
+                if (!sh.canLower() || sh.told <= sh.busy || sh.who->late) continue;
                 double over = sh.use->told - fair(*sh.use);
                 if (over >= most) most = over, best = &sh, from = i;
             }
@@ -890,7 +936,7 @@
                 settle(now, s);
                 if (s->waiting > 0) {
                     Have h = have(s);
-                    double need = needNow(s, h.up);
+                    double need = needNow(s, h.up) + locked(s);
                     if (need > h.slots) grow(now, s, need, true);
                 }
                 if (s->refill) {
@@ -906,6 +952,7 @@
     }
 
     void tick(Instant now) {
+        findLate(now);
         lastTick = now;
         starved = false;
         if (now >= ghostAt) ghostAt = Instant::never();
@@ -1080,7 +1127,9 @@
     st.purge(p.get());
     p->zone = zone;
     p->linked = true;
-    p->synced = p->leaving = false;  // its whole report says what it holds; until then all stays reserved
+    p->unanswered = Instant::never();
+    // Its whole report says what it holds; until then all stays reserved.
+    p->synced = p->leaving = p->late = false;
     p->freeAt = Instant::never();
     st.passSoon(now);
 }
@@ -1097,6 +1146,8 @@
     if (!who->synced && !report.whole) return;
     bool sync = !who->synced;
     who->synced = true;
+    who->late = false;
+    who->unanswered = Instant::never();
     who->leaving = report.leaving;
     double span = std::clamp(report.spanMs / 1000.0, 0.0, 10.0);
 
--- a/huts/crest/planner.hpp
+++ b/huts/crest/planner.hpp
@@ -6,7 +6,8 @@
 // by stopped(). A Planner lives for one term of the duty; the next holder makes a fresh one.
 //
 // The one rule that all else serves: the slots that senders may use or still use of an instance are never
-// more in sum than it has. A slot that is taken back is free only once its sender has said so.
+// more in sum than it has. A slot that is taken back is free only once its sender has said so. It gives way where
+// a sender says nothing: after 0.6 s to what it was not seen to use, after 5 s to all.
 #pragma once
 
 #include <cstdint>
@@ -56,7 +57,7 @@
 // What happened since construction, for the log.
 struct Counts {
     uint64_t starts = 0, startsFailed = 0, stops = 0, tells = 0, recalls = 0;
-    uint64_t adopted = 0, lost = 0, drained = 0, wrongTerm = 0, overheld = 0;
+    uint64_t adopted = 0, lost = 0, drained = 0, wrongTerm = 0, overheld = 0, lent = 0;
     uint64_t instances = 0, booting = 0, slots = 0, waiting = 0;  // of now, as of the last tick
 };
 
--- a/huts/crest/tuning.hpp
+++ b/huts/crest/tuning.hpp
@@ -16,6 +16,9 @@
     Span freeAfterClose = Span::millis(300);
     // Slots of a silent sender: senders without a holder stop using slots before this; else it is dead.
     Span freeAfterSilence = Span::seconds(5);
+    // A sender that was told something and says nothing for so long: over two lost packets' repeats on the
+    // longest way between regions, and far below the seconds after which its link is known to be dead.
+    Span lateAfter = Span::millis(600);
     // A Grant that no Held answered is told again; covers an agent that lost it, not a slow link.
     Span tellAgain = Span::seconds(1);
     // A Grant that is still unanswered: far over any round trip, so the last Held is taken as it is.
