--- a/fleet/system/command.cpp
+++ b/fleet/system/command.cpp
@@ -25,12 +25,14 @@
 }  // namespace
 
 struct Command::Parts {
-    CLI::App *all, *demo, *run, *check, *kills;
-    std::string file, programs, keep;
+    CLI::App *all, *demo, *run, *check, *kills, *storm;
+    std::string file, programs, keep, twin;
     uint64_t seed = 0;
     int plays = 1;
     bool quiet = false;
     KillsPlan long_;
+    StormPlan storm_;
+    int edges = 0, cores = 0;  // 0: as the file says
 
     int play(Plan plan) {
         int code = 0;
@@ -41,7 +43,10 @@
                 if (!mkdtemp(pattern.data())) throw std::runtime_error("no folder to be made in " + pattern);
                 folder = pattern;
             }
-            Outcome o = range::play(plan, {programsFolder(programs), folder, quiet});
+            // What is made inside the programs needs the range's own set of them.
+            bool own = plan.needsWeather() || !twin.empty() || countsAtRest(plan);
+            std::string from = programsFolder(programs) + (own && programs.empty() ? "/range" : "");
+            Outcome o = range::play(plan, {from, folder, quiet, twin});
             std::cout << inWords(o) << std::flush;
             std::error_code error;
             if (keep.empty()) std::filesystem::remove_all(folder, error);
@@ -68,12 +73,18 @@
         c->add_flag("-q,--quiet", p.quiet, "no progress");
         c->add_option("-n,--plays", p.plays, "how many, each with the next seed")->check(CLI::Range(1, 1000));
     };
+    auto twins = [&p](CLI::App* c) {
+        c->add_option("--twin", p.twin, "cores that are broken on purpose, as muir's search knows them")
+            ->check(CLI::IsMember({"hasty-amnesiac", "ack-before-sync", "no-write-back", "forgets-promise"}));
+    };
     p.demo = p.all->add_subcommand(
         "demo", "20 s: six senders, three cores, a herd kill, a lost disk, a worker's crash");
     usual(p.demo);
     p.run = p.all->add_subcommand("run", "play a scenario file");
     p.run->add_option("scenario", p.file, "the file (TOML)")->required();
-    usual(p.run);
+    p.run->add_option("--senders", p.edges, "in place of the file's")->check(CLI::Range(1, 200));
+    p.run->add_option("--cores", p.cores, "in place of the file's")->check(CLI::Range(1, 9));
+    usual(p.run), twins(p.run);
     p.check = p.all->add_subcommand("check", "read a scenario file and name every mistake in it by line");
     p.check->add_option("scenario", p.file, "the file (TOML)")->required();
     p.kills =
@@ -82,6 +93,12 @@
         ->check(CLI::Range(0, 10000));
     p.kills->add_option("--wipes", p.long_.wipes, "disks lost")->check(CLI::Range(0, 10000));
     usual(p.kills);
+    p.storm = p.all->add_subcommand(
+        "storm", "rounds of kills, losses of power, lost and troubled disks, cuts and harmed links");
+    p.storm->add_option("--rounds", p.storm_.rounds)->check(CLI::Range(1, 10000));
+    p.storm->add_option("--senders", p.storm_.edges)->check(CLI::Range(1, 200));
+    p.storm->add_option("--cores", p.storm_.cores)->check(CLI::Range(3, 9));
+    usual(p.storm), twins(p.storm);
 }
 
 Command::~Command() = default;
@@ -93,8 +110,14 @@
         p.long_.seed = std::max<uint64_t>(1, p.seed);
         return p.play(killsPlan(p.long_));
     }
+    if (*p.storm) {
+        p.storm_.seed = std::max<uint64_t>(1, p.seed);
+        return p.play(stormPlan(p.storm_));
+    }
     Plan plan = *p.demo ? readPlan(demoPlan(), "demo") : readPlanFile(p.file);
     if (p.seed > 0) plan.seed = p.seed;
+    if (p.edges > 0) plan.edges = p.edges;
+    if (p.cores > 0) plan.cores = p.cores;
     if (*p.check) {
         std::cout << p.file << ": " << plan.edges << " senders, " << plan.cores << " cores, "
                   << plan.groups.size() << " groups, " << plan.flows.size() << " flows, "
--- a/fleet/system/judge.hpp
+++ b/fleet/system/judge.hpp
@@ -81,8 +81,9 @@
     // ---- troubles, made by us
     void down(Instant, int machine);  // killed, told to end, or frozen
     void up(Instant, int machine, bool newLife);
-    void planned(Instant, int machine);           // SIGTERM; besides down()
-    void disturbed(Instant from, Instant until);  // of endpoints, links or clients
+    void harmed(int machine, Instant from, Instant until);  // its links or its disk, while it runs
+    void planned(Instant, int machine);                     // SIGTERM; besides down()
+    void disturbed(Instant from, Instant until);            // of endpoints, links or clients
     void ownEnd(Instant, int machine, const std::string& words);
     void platformAway(Instant, bool away);  // down or slow
 
@@ -111,7 +112,11 @@
     void offered(Instant, Version);  // sent for the first time
     void acknowledged(Instant, int64_t number);
     void turnedDown(Instant, int64_t number);  // 4xx
-    void readBack(Instant, int64_t number, const std::string& text);
+    // Asked for at `asked`; one at the end has to come.
+    void readBack(Instant, int64_t number, const std::string& text, Instant asked, bool closing);
+    void readBack(Instant now, int64_t number, const std::string& text) {
+        readBack(now, number, text, now, true);
+    }
 
     void finish(Instant);
     const std::vector<Breach>& breaches() const { return breaches_; }
@@ -137,6 +142,7 @@
     };
     struct Machine {
         bool core = false, isDown = false;
+        size_t downAs = 0;  // index of its trouble
         int life = 0;
         std::vector<Trouble> troubles;
         std::vector<Instant> terms;
--- a/fleet/system/machines.cpp
+++ b/fleet/system/machines.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 const Span kOwnEndPause = Span::millis(500);  // before what ended by itself is started again
+const Span kDeafening = Span::millis(60);     // until the others are deaf to one without power
 constexpr int kMostOwnEnds = 5;               // of one machine; then it stays down
 
 int64_t millis(Span s) { return s.inMicros() / 1000; }
@@ -44,6 +45,13 @@
     };
     for (int i = 0; i < plan.edges; ++i) add(false, i);
     for (int i = 0; i < plan.cores; ++i) add(true, i);
+    std::vector<std::string> ips, folders;
+    for (const Machine& m : machines_) ips.push_back(m.ip), folders.push_back(m.folder);
+    weather_ = std::make_unique<Weather>(ips, folders, [this](int n) {
+        for (auto& p : machines_[static_cast<size_t>(n)].processes)
+            if (p.pid > 0) ::kill(p.pid, SIGWINCH);
+    });
+    chance_.seed(plan.seed * 7 + 5);
 }
 
 Machines::~Machines() {
@@ -113,6 +121,9 @@
     for (Machine& m : machines_) {
         if (std::filesystem::exists(m.folder)) std::filesystem::remove_all(m.folder);
         writeSettings(m);
+    }
+    weather_->writeAll();
+    for (Machine& m : machines_) {
         for (auto& p : m.processes) start(m, p);
         m.bootstrap = false;  // whatever starts again does so on old disks, or on lost ones
     }
@@ -141,6 +152,8 @@
         int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         if (fd >= 0) dup2(fd, 1), dup2(fd, 2);
         setenv("PETRELPOND_NODE_FILE", settings.c_str(), 1);
+        setenv(kFolderVariable, m.folder.c_str(), 1);
+        if (!twin.empty()) setenv("PETRELPOND_TWIN", twin.c_str(), 1);
         signal(SIGINT, SIG_DFL), signal(SIGTERM, SIG_DFL);
         execv(argv[0], argv.data());
         _exit(127);
@@ -184,6 +197,7 @@
     for (auto& p : m.processes)
         if (program.empty() || p.program == program) end(p);
     m.frozen = false;
+    if (m.powerless) return;  // comes back when its power does
     if (wipe) std::filesystem::remove_all(m.folder + "/disk");
     loop_.at(loop_.now() + away, [this, n] { back(n); });
 }
@@ -191,6 +205,7 @@
 void Machines::back(int n) {
     Machine& m = machines_[static_cast<size_t>(n)];
     if (ending_ || m.ending) return;
+    m.powerless = false, weather_->silent(n, false);
     bool newProxy = false;
     for (auto& p : m.processes)
         if (p.pid <= 0) newProxy |= p.program != "silcox", start(m, p);
@@ -228,6 +243,91 @@
     });
 }
 
+// The others are deaf to it before its processes end: a machine without power sends no word that they did.
+void Machines::losePower(const std::vector<int>& machines, Span away) {
+    if (ending_) return;
+    std::vector<int> struck;
+    for (int n : machines)
+        if (Machine& m = machines_[static_cast<size_t>(n)]; !m.powerless && !m.ending) struck.push_back(n);
+    for (int n : struck)
+        for (auto& p : machines_[static_cast<size_t>(n)].processes)
+            if (p.pid > 0) ::kill(p.pid, SIGSTOP);
+    for (int n : struck) {
+        judge_.down(loop_.now(), n);
+        machines_[static_cast<size_t>(n)].powerless = true;
+        weather_->silent(n, true);
+    }
+    loop_.at(loop_.now() + kDeafening, [this, struck, away] {
+        if (ending_) return;
+        for (int n : struck) {
+            Machine& m = machines_[static_cast<size_t>(n)];
+            judge_.down(loop_.now(), n);  // an earlier kill may have brought it back in between
+            for (auto& p : m.processes) end(p);
+            m.frozen = false;
+            fileLosses_ += forgetUnsynced(m.folder, chance_);
+            loop_.at(loop_.now() + away, [this, n] { back(n); });
+        }
+    });
+}
+
+void Machines::harmDisks(const std::vector<int>& machines, Kind kind, Span value, Span lasts) {
+    auto set = [this, machines, kind, value](bool on) {
+        for (int n : machines) {
+            DiskWeather& d = weather_->disk(n);
+            if (kind == Kind::diskSlow) d.slow = on ? static_cast<uint32_t>(value.inMicros()) : 0;
+            if (kind == Kind::diskStalled) d.stalled = on;
+            if (kind == Kind::diskFull) d.full = on;
+        }
+        weather_->publish();
+    };
+    for (int n : machines) judge_.harmed(n, loop_.now(), loop_.now() + lasts);
+    set(true);
+    loop_.at(loop_.now() + lasts, [set] { set(false); });
+}
+
+// A cut of fewer than half of the core leaves it settled in between; whoever of the senders can't reach it is
+// out of touch.
+void Machines::harmLinks(const LinkTrouble& t, Span lasts) {
+    Instant now = loop_.now(), until = now + lasts;
+    auto cores = [this](const std::vector<int>& all) {
+        return std::count_if(all.begin(), all.end(),
+                             [this](int n) { return machines_[static_cast<size_t>(n)].core; });
+    };
+    bool brief = t.loss >= 1 && cores(t.from) * 2 < plan_.cores;
+    for (const auto& [these, those] : {std::pair(&t.from, &t.to), std::pair(&t.to, &t.from)})
+        for (int n : *these) {
+            if (cores(*those) == 0 && t.loss >= 1) continue;
+            if (!machines_[static_cast<size_t>(n)].core) {
+                bool hears =
+                    t.loss >= 1 && these == &t.to && cores(t.to) > 0 && cores(t.from) * 2 <= plan_.cores;
+                if (!hears) judge_.harmed(n, now, until);
+            } else if (these == &t.from && brief) {
+                judge_.harmed(n, now, now), judge_.harmed(n, until, until);
+            } else if (these == &t.from) {
+                judge_.harmed(n, now, until);
+            }
+        }
+    weather_->begin(t);
+    loop_.at(until, [this, t] { weather_->end(t); });
+}
+
+void Machines::count() {
+    for (Machine& m : machines_)
+        for (auto& p : m.processes)
+            if (p.pid > 0) ::kill(p.pid, SIGWINCH);
+}
+
+std::pair<double, double> Machines::counted() const {
+    std::pair<double, double> sum;
+    for (const Machine& m : machines_)
+        for (const auto& p : m.processes) {
+            double out = 0, in = 0;
+            if (!m.core && std::ifstream(m.folder + "/bytes-" + std::to_string(p.pid)) >> out >> in)
+                sum.first += out, sum.second += in;
+        }
+    return sum;
+}
+
 void Machines::look() {
     for (size_t i = 0; i < machines_.size(); ++i) {
         Machine& m = machines_[i];
--- a/fleet/system/machines.hpp
+++ b/fleet/system/machines.hpp
@@ -4,11 +4,14 @@
 #include <sys/resource.h>
 #include <sys/types.h>
 
+#include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
 #include "fleet/system/judge.hpp"
 #include "fleet/system/plan.hpp"
+#include "fleet/system/weather.hpp"
 #include "huts/eagle/stream.hpp"
 
 namespace petrelpond::range {
@@ -20,6 +23,7 @@
 struct Machine {
     std::string name, zone, ip, folder;
     bool core = false, bootstrap = true, frozen = false, ending = false;
+    bool powerless = false;
     int starts = 0, ownEnds = 0;
     struct Process {
         std::string program;
@@ -46,8 +50,18 @@
     void kill(int machine, Span away, bool wipe, const std::string& program = "");
     void freeze(int machine, Span lasts);
     void terminate(int machine, Span away);
-    void look();    // who ended by itself: is started again
-    void endAll();  // the play is over
+    // All at the same moment: nothing more is said or heard, and what was not synced is forgotten.
+    void losePower(const std::vector<int>& machines, Span away);
+    void harmDisks(const std::vector<int>& machines, Kind, Span value, Span lasts);
+    void harmLinks(const LinkTrouble&, Span lasts);
+    // Bytes between machines so far, as each living sender's two programs count them: out, in. Asked for by
+    // count(), there a moment later.
+    void count();
+    std::pair<double, double> counted() const;
+    int fileLosses() const { return fileLosses_; }
+    std::string twin;  // of the cores: broken on purpose
+    void look();       // who ended by itself: is started again
+    void endAll();     // the play is over
 
     double cpuSeconds() const;
     double mostMemoryMb() const { return mostMemory_; }
@@ -67,6 +81,9 @@
     uint32_t network_;
     std::vector<std::string> zones_;
     std::vector<Machine> machines_;
+    std::unique_ptr<Weather> weather_;
+    std::mt19937_64 chance_;
+    int fileLosses_ = 0;
     double mostMemory_ = 0;
     bool ending_ = false;
 };
--- a/fleet/system/operators.cpp
+++ b/fleet/system/operators.cpp
@@ -263,22 +263,26 @@
     }
 }
 
-void Operators::readBack(Span lasts) { read(loop_.now() + lasts); }
+void Operators::readBack(Span lasts, bool closing) { read(loop_.now() + lasts, closing); }
 
-void Operators::read(Instant until) {
+void Operators::read(Instant until, bool closing) {
     auto core = static_cast<size_t>(reads_++) % cores_.size();
-    callers_[core]->call("GET", "/configuration", "", "", [this, until](int status, const std::string& body) {
-        if (status == 200) {
-            json read = json::parse(body, nullptr, false);
-            int64_t version =
-                read.is_object() && read.contains("config_version") && read["config_version"].is_number()
-                    ? read["config_version"].get<int64_t>()
-                    : -1;
-            judge_.readBack(loop_.now(), version, body);
-            readVersion_ = version;
-        }
-        if (loop_.now() < until) loop_.at(loop_.now() + Span::millis(150), [this, until] { read(until); });
-    });
+    callers_[core]->call(
+        "GET", "/configuration", "", "",
+        [this, until, closing, asked = loop_.now()](int status, const std::string& body) {
+            if (status == 200) {
+                json read = json::parse(body, nullptr, false);
+                int64_t version =
+                    read.is_object() && read.contains("config_version") && read["config_version"].is_number()
+                        ? read["config_version"].get<int64_t>()
+                        : -1;
+                judge_.readBack(loop_.now(), version, body, asked, closing);
+                ++readWell_;
+                readVersion_ = version;
+            }
+            if (loop_.now() < until)
+                loop_.at(loop_.now() + Span::millis(150), [this, until, closing] { read(until, closing); });
+        });
 }
 
 }  // namespace petrelpond::range
--- a/fleet/system/operators.hpp
+++ b/fleet/system/operators.hpp
@@ -31,13 +31,14 @@
     void race();  // two at once, to two cores
     void bad();
     void old();  // an older one arrives again
-    void readBack(Span lasts);
+    void readBack(Span lasts, bool closing);
     void probe();  // some times a second: which senders act on the newest change
     // After an acknowledgement, once: the machine that gave it.
     void onNextAck(std::function<void(int machine)> what) { onAck_ = std::move(what); }
     const std::vector<ChangeResult>& results() const { return results_; }
     int64_t readVersion() const { return readVersion_; }
     int reads() const { return reads_; }
+    int readWell() const { return readWell_; }
 
   private:
     struct RouteState {
@@ -59,7 +60,7 @@
     int64_t offer(const std::string& text, bool valid, int64_t version, const std::vector<RouteState>&);
     void send(std::shared_ptr<Call>);
     void answered(std::shared_ptr<Call>, int core, int status);
-    void read(Instant until);
+    void read(Instant until, bool closing);
     std::string markPath(int64_t version) const;
 
     eagle::Loop& loop_;
@@ -83,7 +84,7 @@
     std::set<int> acting_;
     int rounds_ = 0;
     int64_t readVersion_ = 0;
-    int reads_ = 0;
+    int reads_ = 0, readWell_ = 0;
 };
 
 }  // namespace petrelpond::range
--- a/fleet/system/plan.cpp
+++ b/fleet/system/plan.cpp
@@ -18,10 +18,12 @@
 using fleet::WrongScenario;
 
 constexpr std::string_view kWords[kKinds] = {
-    "node_kill",    "node_freeze",  "node_term",     "disk_lost",     "after_ack_kill", "after_ack_wipe",
-    "worker_crash", "worker_drain", "platform_down", "platform_slow", "answer_lost",    "cut",
-    "noise",        "excess",       "excess_late",   "reset",         "burst",          "config_change",
-    "config_race",  "bad_config",   "config_old"};
+    "node_kill",     "node_freeze",     "node_term",     "disk_lost",    "after_ack_kill", "after_ack_wipe",
+    "power_lost",    "after_ack_power", "disk_slow",     "disk_stalled", "disk_full",      "link_cut",
+    "link_loss",     "link_delay",      "link_squeeze",  "worker_crash", "worker_drain",   "platform_down",
+    "platform_slow", "answer_lost",     "cut",           "noise",        "excess",         "excess_late",
+    "reset",         "burst",           "config_change", "config_race",  "bad_config",     "config_old",
+    "config_read"};
 
 // One table: each key is asked for once, and what nobody asked for is a mistake.
 class Part {
@@ -50,6 +52,12 @@
               "must be a whole number from " + std::to_string(low) + " to " + std::to_string(high));
         return otherwise;
     }
+    bool truth(const char* key, bool otherwise) {
+        const toml::node* node = find(key);
+        if (!node) return otherwise;
+        if (!node->is_boolean()) wrong(node, key, "must be true or false");
+        return node->value<bool>().value_or(otherwise);
+    }
     Span millis(const char* key, Span otherwise) {
         return Span::seconds(number(key, otherwise.inSeconds() * 1e3, 0, 1e7) / 1e3);
     }
@@ -148,6 +156,16 @@
     b.rejectionSlack = p.number("rejection_slack", b.rejectionSlack, 0, 1e6);
 }
 
+void checkNames(Part& p, const Plan& plan, const char* key, const std::vector<std::string>& names) {
+    for (const std::string& name : names) {
+        bool known = name == "edge" || name == "core" || name == "all";
+        for (int i = 1; i <= std::max(plan.edges, plan.cores); ++i)
+            known |= (i <= plan.edges && name == "edge-" + std::to_string(i)) ||
+                     (i <= plan.cores && name == "core-" + std::to_string(i));
+        if (!known) p.wrong(p.find(key), key, "knows no '" + name + "'");
+    }
+}
+
 FaultPlan readFault(Part& p, const Plan& plan, const std::vector<std::string>& groups) {
     FaultPlan f;
     int kind = p.word("kind", kWords, true);
@@ -159,16 +177,18 @@
     if (kind < 0) return f;
     if (atMachines(f.kind) && f.kind != Kind::afterAckKill && f.kind != Kind::afterAckWipe) {
         f.machines = p.texts("machines"), f.count = p.whole("count", 0, 0, 1000);
-        if (f.machines.empty())
+        if (f.machines.empty() && f.kind != Kind::afterAckPower)
             p.wrong(nullptr, "machines", "is missing: names, or \"edge\", \"core\" or \"all\"");
-        for (const std::string& name : f.machines) {
-            bool known = name == "edge" || name == "core" || name == "all";
-            for (int i = 1; i <= std::max(plan.edges, plan.cores); ++i)
-                known |= (i <= plan.edges && name == "edge-" + std::to_string(i)) ||
-                         (i <= plan.cores && name == "core-" + std::to_string(i));
-            if (!known) p.wrong(p.find("machines"), "machines", "knows no '" + name + "'");
-        }
+        checkNames(p, plan, "machines", f.machines);
+    }
+    if (atLinks(f.kind)) {
+        f.to = p.texts("to"), f.oneWay = p.truth("one_way", false);
+        checkNames(p, plan, "to", f.to);
     }
+    if (f.kind == Kind::linkLoss) f.share = p.number("share", 0.1, 0, 1);
+    if (f.kind == Kind::linkSqueeze) f.rate = p.number("bytes_per_s", 50000, 1000, 1e9);
+    if (f.kind == Kind::linkDelay || f.kind == Kind::diskSlow)
+        f.value = p.millis("value_ms", Span::millis(200));
     if (f.kind == Kind::kill) {
         static const std::vector<std::string> programs = {"timberline", "silcox", "cloudcap"};
         if (int at = p.word("program", programs, false); at >= 0)
@@ -185,9 +205,17 @@
 }  // namespace
 
 std::string_view wordOf(Kind k) { return kWords[static_cast<size_t>(k)]; }
-bool atMachines(Kind k) { return k <= Kind::afterAckWipe; }
+bool atMachines(Kind k) { return k <= Kind::linkSqueeze; }
+bool atDisks(Kind k) { return k >= Kind::diskSlow && k <= Kind::diskFull; }
+bool atLinks(Kind k) { return k >= Kind::linkCut && k <= Kind::linkSqueeze; }
+bool needsWeather(Kind k) { return k >= Kind::powerLost && k <= Kind::linkSqueeze; }
 bool atEndpoints(Kind k) { return k >= Kind::answerLost && k <= Kind::reset; }
 
+bool Plan::needsWeather() const {
+    return std::any_of(faults.begin(), faults.end(),
+                       [](const FaultPlan& f) { return range::needsWeather(f.kind); });
+}
+
 Plan readPlan(std::string_view text, const std::string& file) {
     toml::table root;
     try {
@@ -394,4 +422,143 @@
     return plan;
 }
 
+Plan stormPlan(const StormPlan& s) {
+    Plan plan = readPlan(demoPlan(), "demo");
+    plan.name = "storm", plan.seed = s.seed, plan.edges = s.edges, plan.cores = s.cores;
+    plan.faults.clear();
+    std::mt19937_64 chance(s.seed);
+    auto draw = [&](int n) { return static_cast<int>(chance() % static_cast<uint64_t>(n)); };
+    int losses = std::max(1, (s.cores - 1) / 2);
+    // Some cores, at most `most` of them; some senders.
+    auto cores = [&](int most) {
+        std::vector<std::string> all;
+        for (int i = 1; i <= s.cores; ++i) all.push_back("core-" + std::to_string(i));
+        std::shuffle(all.begin(), all.end(), chance);
+        all.resize(static_cast<size_t>(1 + draw(most)));
+        return all;
+    };
+    auto others = [&](const std::vector<std::string>& these) {
+        std::vector<std::string> all;
+        for (int i = 1; i <= s.cores; ++i)
+            if (std::string name = "core-" + std::to_string(i);
+                std::find(these.begin(), these.end(), name) == these.end())
+                all.push_back(name);
+        return all;
+    };
+    auto edges = [&] {
+        std::vector<std::string> all;
+        for (int i = 1 + draw(s.edges), n = 1 + draw(std::min(4, s.edges)); n > 0; --n, ++i)
+            all.push_back("edge-" + std::to_string((i - 1) % s.edges + 1));
+        return all;
+    };
+    Span at = plan.settle + Span::seconds(2);
+    for (int round = 0; round < s.rounds; ++round) {
+        // Out of eight rounds four are of kills and stops, two of power, one of disks and one of cuts.
+        static constexpr int order[8] = {0, 1, 0, 2, 0, 1, 0, 3};
+        FaultPlan f, beside;
+        bool both = false;
+        Span rest = Span::millis(1200 + draw(1500)), stretch;
+        f.lasts = Span::millis(300 + draw(1200));
+        auto add = [&](Kind kind, Span when, Span lasts, std::vector<std::string> machines) {
+            FaultPlan more;
+            more.kind = kind, more.at = when, more.lasts = lasts, more.machines = std::move(machines);
+            plan.faults.push_back(more);
+            return &plan.faults.back();
+        };
+        f.at = at;
+        switch (order[round % 8]) {
+            case 0:
+                switch (draw(8)) {
+                    case 0:
+                        f.machines = {"core"}, f.lasts = Span::millis(300 + draw(600));
+                        break;
+                    case 1:
+                        f.kind = Kind::afterAckKill;
+                        break;
+                    case 2:
+                        f.kind = Kind::freeze, f.machines = draw(2) ? cores(losses) : edges();
+                        break;
+                    case 3:
+                        f.machines = edges(), f.program = draw(2) ? "silcox" : "timberline";
+                        break;
+                    case 4:
+                    case 5:
+                        f.machines = cores(losses);
+                        break;
+                    default:
+                        f.machines = edges();
+                }
+                break;
+            case 1:
+                f.kind = draw(2) ? Kind::afterAckPower : Kind::powerLost;
+                f.machines = draw(4) == 0   ? edges()
+                             : draw(4) == 0 ? std::vector<std::string>{"all"}
+                             : draw(2)      ? std::vector<std::string>{"core"}
+                                            : cores(losses);
+                // Writes that are under way as the power goes.
+                if (draw(2)) {
+                    Span slow = Span::millis(60 + draw(300));
+                    add(Kind::diskSlow, at - Span::millis(900), Span::seconds(2), {"core"})->value = slow;
+                }
+                break;
+            case 2:
+                f.kind = draw(3) == 0 ? Kind::afterAckWipe : Kind::wipe;
+                if (f.kind == Kind::wipe) f.machines = cores(losses);
+                if (f.kind == Kind::wipe && draw(2))
+                    both = true, beside = f, beside.kind = Kind::powerLost,
+                    beside.machines = others(f.machines);
+                rest = rest + Span::seconds(4);  // a lost disk is rebuilt before another may be lost
+                break;
+            default:
+                f.kind = Kind::linkCut, f.lasts = Span::millis(800 + draw(5000)), f.oneWay = draw(3) == 0;
+                switch (draw(4)) {
+                    case 0:
+                        f.machines = edges(), f.to = {"core"};
+                        break;
+                    case 1:
+                        f.machines = edges();
+                        break;
+                    case 2:
+                        f.machines = cores(losses), f.to = others(f.machines);
+                        break;
+                    default:
+                        f.machines = cores(losses);
+                }
+        }
+        if (draw(4) == 0) {  // and harm that lasts beyond
+            Span lasts = Span::millis(500 + draw(2500));
+            stretch = lasts;
+            switch (draw(6)) {
+                case 0:
+                    add(Kind::diskStalled, at, lasts, cores(losses));
+                    break;
+                case 1:
+                    add(Kind::diskFull, at, lasts, cores(losses));
+                    break;
+                case 2:
+                    add(Kind::linkLoss, at, lasts, {"all"})->share = 0.02 + 0.01 * draw(20);
+                    break;
+                case 3:
+                    add(Kind::linkDelay, at, lasts, {"all"})->value = Span::millis(10 + draw(150));
+                    break;
+                case 4:
+                    add(Kind::linkSqueeze, at, lasts, {"core"})->rate = 20000 + 1000 * draw(200);
+                    break;
+                default:
+                    add(Kind::workerCrash, at, Span::seconds(2), {})->count = 1;
+            }
+        }
+        // What was just acknowledged, or is under way, is at stake.
+        add(Kind::configChange, at - Span::millis(draw(500)), Span(), {});
+        plan.faults.push_back(f);
+        if (both) plan.faults.push_back(beside);
+        if (round % 6 == 5) rest = rest + plan.bounds.contact * 2.0;  // calm, in which all rules hold
+        at = at + std::max(f.lasts, stretch) + rest;
+        add(Kind::readConfig, at - Span::millis(300), Span(), {});
+        at = at + Span::millis(600);
+    }
+    plan.lasts = at + Span::seconds(3);
+    return plan;
+}
+
 }  // namespace petrelpond::range
--- a/fleet/system/plan.hpp
+++ b/fleet/system/plan.hpp
@@ -36,6 +36,15 @@
     wipe,
     afterAckKill,
     afterAckWipe,
+    powerLost,
+    afterAckPower,
+    diskSlow,
+    diskStalled,
+    diskFull,
+    linkCut,
+    linkLoss,
+    linkDelay,
+    linkSqueeze,
     workerCrash,
     workerDrain,
     platformDown,
@@ -50,22 +59,29 @@
     configChange,
     configRace,
     badConfig,
-    oldConfig
+    oldConfig,
+    readConfig
 };
-constexpr size_t kKinds = 21;
+constexpr size_t kKinds = 31;
 std::string_view wordOf(Kind);
 bool atMachines(Kind);
 bool atEndpoints(Kind);
+bool atDisks(Kind);
+bool atLinks(Kind);
+bool needsWeather(Kind);  // made inside the range's own set of the programs
 
 struct FaultPlan {
     Kind kind = Kind::kill;
     Span at, lasts;                     // lasts: away, frozen, or in force for so long
     std::vector<std::string> machines;  // names, or "edge", "core", "all" for a class
+    std::vector<std::string> to;        // links: the other end; none: everybody else
+    bool oneWay = false;                // links: what `machines` say to `to` alone
     int count = 0;                      // so many of those, drawn by the seed; 0: all
     std::string program;                // kill: this program alone
-    double share = 1, factor = 3;       // of answers struck; burst: times the usual
+    double share = 1, factor = 3;       // of answers struck, packets lost; burst: times the usual
+    double rate = 0;                    // link_squeeze: bytes a second of a stream
     int group = -1;                     // -1: all
-    Span value = Span::millis(800);     // platform_slow: added to each call
+    Span value = Span::millis(800);     // added to each call (platform_slow), sync, packet
 };
 
 struct Plan {
@@ -80,6 +96,7 @@
     std::vector<GroupPlan> groups;
     std::vector<FlowPlan> flows;
     std::vector<FaultPlan> faults;
+    bool needsWeather() const;
 };
 
 Plan readPlan(std::string_view text, const std::string& file);  // throws fleet::WrongScenario
@@ -93,4 +110,12 @@
 };
 Plan killsPlan(const KillsPlan&);
 
+// Rounds of kills, stops, losses of power, lost and troubled disks, cuts and harmed links, drawn by the seed,
+// each within what the system is to bear; after each the configuration is read back.
+struct StormPlan {
+    int rounds = 20, edges = 6, cores = 3;
+    uint64_t seed = 1;
+};
+Plan stormPlan(const StormPlan&);
+
 }  // namespace petrelpond::range
--- a/fleet/system/stage.cpp
+++ b/fleet/system/stage.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 const Span kProbe = Span::millis(100), kLook = Span::millis(50);
+const Span kRest = Span::seconds(10);       // in which bytes at rest are counted, with as much before it
 const Span kAfterwards = Span::seconds(9);  // for what is still open when traffic has ended
 
 void allowManyDescriptors() {
@@ -36,6 +37,7 @@
     Outcome run() {
         for (int number : {SIGINT, SIGTERM})
             loop_.onSignal(number, [this] { out_.interrupted = true, loop_.stop(); });
+        machines_.twin = options_.twin;
         platform_.open(*eagle::Address::parse(machines_.ip(0, 10), machines_.ports.platform));
         machines_.startAll();
         loop_.at(began_ + Span::millis(300), [this] { operators_.first(); });
@@ -43,10 +45,21 @@
         for (const FaultPlan& f : plan_.faults) loop_.at(began_ + f.at, [this, &f] { strike(f); });
         loop_.at(began_ + plan_.lasts, [this] {
             Span reading = plan_.bounds.contact + Span::seconds(1);
-            operators_.readBack(reading);
+            operators_.readBack(reading, true);
             readUntil_ = loop_.now() + reading + Span::millis(1200);
             mayEnd();
         });
+        if (countsAtRest(plan_)) {
+            Instant until = began_ + plan_.settle - Span::millis(200);
+            for (Instant at : {until - kRest, until}) {
+                loop_.at(at, [this] { machines_.count(); });
+                loop_.at(at + Span::millis(150), [this] {
+                    auto [out, in] = machines_.counted();
+                    double over = plan_.edges * kRest.inSeconds();
+                    out_.restOut = out / over - out_.restOut, out_.restIn = in / over - out_.restIn;
+                });
+            }
+        }
         look(), probe(), progress();
         loop_.run();
         return result();
@@ -96,12 +109,22 @@
         return all;
     }
 
+    void count(const FaultPlan& f, size_t machines) {
+        auto& [times, at] = out_.strikes[std::string(wordOf(f.kind))];
+        bool acker = f.kind == Kind::afterAckKill || f.kind == Kind::afterAckWipe;
+        ++times, at += acker ? 1 : static_cast<int>(machines);
+    }
+
     void strike(const FaultPlan& f) {
         Instant now = loop_.now();
         std::string words(wordOf(f.kind));
         std::vector<int> struck = atMachines(f.kind) ? drawn(f) : std::vector<int>();
         for (int n : struck) words += " " + machines_.all()[static_cast<size_t>(n)].name;
+        for (const std::string& name : f.to) words += (&name == &f.to[0] ? " | " : " ") + name;
+        if (f.oneWay) words += ", one way";
+        if (f.kind != Kind::readConfig) count(f, struck.size());
         if (!f.program.empty()) words += " " + f.program;
+        if (f.kind == Kind::readConfig) return operators_.readBack(Span::millis(300), false);
         note(words);
         if (f.kind == Kind::kill || f.kind == Kind::wipe) machines_.strikeDead(struck, f.program);
         for (int n : struck) {
@@ -110,6 +133,22 @@
             if (f.kind == Kind::freeze) machines_.freeze(n, f.lasts);
             if (f.kind == Kind::term) machines_.terminate(n, f.lasts);
         }
+        if (f.kind == Kind::powerLost) machines_.losePower(struck, f.lasts);
+        if (atDisks(f.kind)) machines_.harmDisks(struck, f.kind, f.value, f.lasts);
+        if (atLinks(f.kind)) {
+            LinkTrouble t{struck, {}, !f.oneWay, 0, Span(), 0};
+            FaultPlan other;
+            other.machines = f.to.empty() ? std::vector<std::string>{"all"} : f.to;
+            for (int n : drawn(other))
+                if (!f.to.empty() || struck.size() == machines_.all().size() ||
+                    std::find(struck.begin(), struck.end(), n) == struck.end())
+                    t.to.push_back(n);
+            if (f.kind == Kind::linkCut) t.loss = 1;
+            if (f.kind == Kind::linkLoss) t.loss = f.share;
+            if (f.kind == Kind::linkDelay) t.delay = f.value;
+            if (f.kind == Kind::linkSqueeze) t.bytesPerSecond = f.rate;
+            machines_.harmLinks(t, f.lasts);
+        }
         if (atEndpoints(f.kind)) {
             judge_.disturbed(now, now + f.lasts);
             platform_.strike(f);
@@ -117,10 +156,15 @@
         switch (f.kind) {
             case Kind::afterAckKill:
             case Kind::afterAckWipe:
-                operators_.onNextAck([this, &f](int core) {
+            case Kind::afterAckPower:
+                operators_.onNextAck([this, &f, struck](int core) {
                     note(std::string(wordOf(f.kind)) + ": " +
                          machines_.all()[static_cast<size_t>(core)].name + " has just acknowledged");
-                    machines_.kill(core, f.lasts, f.kind == Kind::afterAckWipe);
+                    if (f.kind != Kind::afterAckPower)
+                        return machines_.kill(core, f.lasts, f.kind == Kind::afterAckWipe);
+                    std::vector<int> all = struck;
+                    if (std::find(all.begin(), all.end(), core) == all.end()) all.push_back(core);
+                    machines_.losePower(all, f.lasts);
                 });
                 operators_.change();
                 break;
@@ -204,6 +248,7 @@
         out_.changes = operators_.results();
         for (size_t r = 0; r < kRules; ++r) out_.broken[r] = judge_.broken(static_cast<Rule>(r));
         out_.platform = platform_.counts(), out_.readVersion = operators_.readVersion();
+        out_.readWell = operators_.readWell(), out_.fileLosses = machines_.fileLosses();
         out_.reads = operators_.reads(), out_.ownEnds = machines_.ownEnds();
         out_.connections = clients_.connections(), out_.cpuSeconds = machines_.cpuSeconds();
         out_.memoryMb = machines_.mostMemoryMb(), out_.began = began_;
@@ -242,6 +287,8 @@
     return n;
 }
 
+bool countsAtRest(const Plan& plan) { return plan.settle >= kRest * 2.0; }
+
 Outcome play(const Plan& plan, const StageOptions& options) {
     for (const char* program : {"timberline", "silcox", "cloudcap"})
         if (access((options.programs + "/" + program).c_str(), X_OK) != 0)
@@ -300,7 +347,14 @@
             say("; %zu senders seen to act on it", c.acting);
         out += "\n";
     }
-    say("  read back at the end: version %lld, %d reads\n\n", static_cast<long long>(o.readVersion), o.reads);
+    long acked = std::count_if(o.changes.begin(), o.changes.end(),
+                               [](const ChangeResult& c) { return c.ackedAt != Instant::never(); });
+    say("  %ld acknowledged; read back at the end: version %lld, %d reads, %d answered\n\n", acked,
+        static_cast<long long>(o.readVersion), o.reads, o.readWell);
+    if (!o.strikes.empty()) out += "troubles, and machines struck\n ";
+    for (const auto& [word, n] : o.strikes) say(" %s %d/%d", word.c_str(), n.first, n.second);
+    if (o.fileLosses > 0) say("; %d files lost what was not synced", o.fileLosses);
+    if (!o.strikes.empty()) out += "\n\n";
     const PlatformCounts& p = o.platform;
     say("platform: %ld lists, %ld starts, %ld stops, %ld without room, %ld over the rate, %ld by an old "
         "holder; most %zu endpoints at once\n",
@@ -311,6 +365,8 @@
     say("processes: %.2f s of the processor, most memory of one %.0f MB, %d ended by themselves; the stage "
         "was late by %.0f ms at most\n\n",
         o.cpuSeconds, o.memoryMb, o.ownEnds, o.stageLagMs);
+    if (o.restOut > 0)
+        say("a sender at rest says %.0f and hears %.0f bytes a second\n\n", o.restOut, o.restIn);
     if (o.breaches.empty()) return out + "no rule broken\n";
     for (size_t r = 0; r < kRules; ++r)
         if (o.broken[r] > 0)
--- a/fleet/system/stage.hpp
+++ b/fleet/system/stage.hpp
@@ -2,6 +2,7 @@
 // judge.
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,7 @@
 struct StageOptions {
     std::string programs, folder;  // where the programs lie; a scratch folder of the play's own
     bool quiet = false;
+    std::string twin;  // of the cores, broken on purpose: muir's name of it
 };
 
 struct Outcome {
@@ -29,7 +31,9 @@
     std::vector<std::pair<double, std::string>> faults;  // second, words
     PlatformCounts platform;
     int64_t readVersion = 0;
-    int reads = 0, ownEnds = 0;
+    int reads = 0, readWell = 0, ownEnds = 0, fileLosses = 0;
+    std::map<std::string, std::pair<int, int>> strikes;  // by kind: how often, at how many machines
+    double restOut = 0, restIn = 0;                      // bytes a second of a sender at rest; 0: not taken
     long connections = 0;
     double cpuSeconds = 0, memoryMb = 0, stageLagMs = 0;
     Instant began;
@@ -39,6 +43,7 @@
     bool fine() const { return breaches.empty(); }
 };
 
+bool countsAtRest(const Plan&);  // long enough without traffic at first to count bytes then
 Outcome play(const Plan&, const StageOptions&);
 std::string inWords(const Outcome&);
 
--- /dev/null
+++ b/fleet/system/weather.cpp
@@ -0,0 +1,151 @@
+#include "fleet/system/weather.hpp"
+
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <sstream>
+#include <utility>
+
+#include "huts/eagle/stream.hpp"
+
+namespace petrelpond::range {
+
+namespace fs = std::filesystem;
+
+Weather::Weather(std::vector<std::string> ips, std::vector<std::string> folders,
+                 std::function<void(int)> changed)
+    : ips_(std::move(ips)), folders_(std::move(folders)), changed_(std::move(changed)),
+      silent_(ips_.size(), false), disks_(ips_.size()), published_(ips_.size()) {}
+
+MachineWeather Weather::of(int machine) const {
+    MachineWeather w;
+    auto ip = [&](size_t i) { return eagle::Address::parse(ips_[i], 1)->ip; };
+    auto among = [](const std::vector<int>& all, int n) {
+        return std::find(all.begin(), all.end(), n) != all.end();
+    };
+    auto share = [](double loss) { return static_cast<uint32_t>(std::clamp(loss, 0.0, 1.0) * kCut); };
+    w.own = ip(static_cast<size_t>(machine)), w.disk = disks_[static_cast<size_t>(machine)];
+    for (size_t i = 0; i < ips_.size() && w.peers < kMostPeers; ++i) {
+        int other = static_cast<int>(i);
+        if (other == machine) continue;
+        PeerWeather p{ip(i), silent_[i] ? kCut : 0, 0, 0};
+        for (const LinkTrouble& t : troubles_) {
+            bool out = among(t.from, machine) && among(t.to, other);
+            bool in = among(t.from, other) && among(t.to, machine);
+            if (t.bothWays) in = out = in || out;
+            if (in) p.lossIn = std::max(p.lossIn, share(t.loss));
+            if (!out) continue;
+            p.delayOut = std::max(p.delayOut, static_cast<uint32_t>(t.delay.inMicros()));
+            auto bytes = static_cast<uint32_t>(t.bytesPerSecond);
+            if (bytes > 0) p.bytesOut = p.bytesOut > 0 ? std::min(p.bytesOut, bytes) : bytes;
+        }
+        if (p.lossIn || p.delayOut || p.bytesOut) w.peer[w.peers++] = p;
+    }
+    return w;
+}
+
+void Weather::write(int machine, const MachineWeather& w) const {
+    std::string path = folders_[static_cast<size_t>(machine)] + "/" + kWeatherFile;
+    std::ofstream(path + ".new", std::ios::binary).write(reinterpret_cast<const char*>(&w), sizeof w);
+    fs::rename(path + ".new", path);
+}
+
+void Weather::writeAll() {
+    for (size_t i = 0; i < ips_.size(); ++i) write(static_cast<int>(i), of(static_cast<int>(i)));
+}
+
+void Weather::begin(const LinkTrouble& t) { troubles_.push_back(t), publish(); }
+
+void Weather::end(const LinkTrouble& t) {
+    auto found = std::find(troubles_.begin(), troubles_.end(), t);
+    if (found != troubles_.end()) troubles_.erase(found);
+    publish();
+}
+
+void Weather::silent(int machine, bool is) {
+    if (silent_[static_cast<size_t>(machine)] == is) return;
+    silent_[static_cast<size_t>(machine)] = is;
+    publish();
+}
+
+void Weather::publish() {
+    for (size_t i = 0; i < ips_.size(); ++i) {
+        MachineWeather w = of(static_cast<int>(i));
+        std::string bytes(reinterpret_cast<const char*>(&w), sizeof w);
+        if (std::exchange(published_[i], bytes) == bytes) continue;
+        write(static_cast<int>(i), w);
+        changed_(static_cast<int>(i));
+    }
+}
+
+namespace {
+
+// Names whose folder has not been synced since: a journal keeps some of the first of them.
+void forgetNames(const std::string& folder, std::mt19937_64& chance) {
+    std::vector<std::vector<std::string>> pending;
+    std::ifstream in(folder + "/" + kNamesFile);
+    for (std::string line; std::getline(in, line);) {
+        std::istringstream text(line);
+        std::vector<std::string> words{std::istream_iterator<std::string>(text), {}};
+        if (words.size() < 2) continue;
+        if (words[0] == "S")
+            std::erase_if(pending, [&](const auto& each) { return each[1] == words[1]; });
+        else
+            pending.push_back(std::move(words));
+    }
+    size_t kept = chance() % (pending.size() + 1);
+    std::error_code error;
+    for (size_t i = pending.size(); i > kept; --i) {
+        const auto& words = pending[i - 1];
+        if (words[0] == "D") fs::remove_all(words[2], error);
+        if (words[0] == "U" && words[3] != "-") fs::rename(words[3], words[2], error);
+        if (words[0] == "R") fs::rename(words[3], words[2], error);
+        if (words[0] == "R" && words[4] != "-") fs::rename(words[4], words[3], error);
+    }
+    in.close();
+    fs::remove(folder + "/" + kNamesFile, error), fs::remove_all(folder + "/" + kGraves, error);
+}
+
+}  // namespace
+
+int forgetUnsynced(const std::string& folder, std::mt19937_64& chance) {
+    forgetNames(folder, chance);
+    std::map<uint64_t, uint64_t> synced;
+    std::ifstream ledger(folder + "/" + kSyncedFile, std::ios::binary);
+    SyncedEntry entry;
+    while (ledger.read(reinterpret_cast<char*>(&entry), sizeof entry)) synced[entry.file] = entry.length;
+    ledger.close();
+    std::ofstream after(folder + "/" + kSyncedFile, std::ios::binary | std::ios::trunc);
+    int struck = 0;
+    std::error_code error;
+    for (const auto& each : fs::recursive_directory_iterator(folder + "/disk", error)) {
+        struct stat now {};
+        if (!each.is_regular_file(error) || stat(each.path().c_str(), &now) != 0) continue;
+        auto found = synced.find(now.st_ino);
+        entry = {now.st_ino, static_cast<uint64_t>(now.st_size)};
+        if (found != synced.end() && found->second < entry.length) {
+            ++struck;
+            uint64_t sure = found->second, rest = entry.length - sure;
+            uint64_t how = chance() % 4, cut = chance() % rest;
+            if (how < 3) {  // all of it is gone, or a tail
+                entry.length = how < 2 ? sure : sure + cut;
+                fs::resize_file(each.path(), entry.length, error);
+            } else {  // the length is there, and of the bytes some
+                std::fstream file(each.path(), std::ios::binary | std::ios::in | std::ios::out);
+                file.seekp(static_cast<std::streamoff>(sure + cut));
+                std::string nothing(1 + chance() % (rest - cut), '\0');
+                file.write(nothing.data(), static_cast<std::streamsize>(nothing.size()));
+            }
+        }
+        after.write(reinterpret_cast<const char*>(&entry), sizeof entry);
+    }
+    return struck;
+}
+
+}  // namespace petrelpond::range
--- a/huts/cloudcap/control.cpp
+++ b/huts/cloudcap/control.cpp
@@ -49,8 +49,8 @@
     return Unknown{visit, 405};
 }
 
-Control::Control(eagle::Loop& loop, const tilly::Settings& settings, uint32_t chance)
-    : loop_(loop), settings_(settings), beatAt_(loop.now()), chance_(chance) {
+Control::Control(eagle::Loop& loop, const tilly::Settings& settings, uint32_t chance, muir::Twin twin)
+    : loop_(loop), settings_(settings), beatAt_(loop.now()), chance_(chance), twin_(twin) {
     limits_.bodyBytes = 4u << 20;
     limits_.headerTimeout = Span::seconds(5), limits_.idleTimeout = Span::seconds(30);
 }
@@ -75,7 +75,7 @@
     for (const auto& seed : settings_.seeds) o.seeds.push_back(seed.ip);
     o.bootstrap = settings_.bootstrap, o.counted = settings_.quorumMember;
     o.machineLosses = settings_.tolerance.machineLosses;
-    o.chance = chance_;
+    o.chance = chance_, o.twin = twin_;
     o.beat = kDutyBeat, o.lapse = kDutyLapse;
     spdlog::info("state: {} bootstrap={} counted={}", found ? "found on disk" : "disk is empty", o.bootstrap,
                  o.counted);
--- a/huts/cloudcap/control.hpp
+++ b/huts/cloudcap/control.hpp
@@ -41,7 +41,8 @@
 
 class Control final : public eagle::HttpHost, public eagle::LinkOwner, public eagle::Watcher {
   public:
-    Control(eagle::Loop&, const tilly::Settings&, uint32_t chance);
+    // twin: broken on purpose, for the range alone.
+    Control(eagle::Loop&, const tilly::Settings&, uint32_t chance, muir::Twin twin = muir::Twin::none);
     ~Control() override;
     bool open(std::string& error);
     void newSettings(const tilly::Settings&);
@@ -128,6 +129,7 @@
     uint64_t puts_ = 0, acked_ = 0, invalid_ = 0, noMajority_ = 0, gets_ = 0, agentBreaks_ = 0, saves_ = 0,
              saveFailures_ = 0;
     uint32_t chance_;
+    muir::Twin twin_;
 };
 
 }  // namespace petrelpond::cloudcap
--- a/tests/system/judge_test.cpp
+++ b/tests/system/judge_test.cpp
@@ -403,3 +403,43 @@
         CHECK(p.verdict() == "");
     }
 }
+
+TEST_CASE("a harmed link lifts the bounds of time for its machine while it lasts, and no others") {
+    Play p;
+    p.offer(1000, 2, {{"h", "/a/", {"c"}}});
+    p.judge.acknowledged(ms(1010), 2);
+    p.judge.harmed(kEdge, ms(5000), ms(12000));
+    p.serve(9000, p.ask(8990));
+    CHECK(p.verdict(60000, 2) == "");
+    Play other;
+    other.offer(1000, 2, {{"h", "/a/", {"c"}}});
+    other.judge.acknowledged(ms(1010), 2);
+    other.judge.harmed(kEdge, ms(5000), ms(12000));
+    other.serve(9000, other.ask(8990, "/a/x", true, kOther));
+    CHECK(other.verdict(60000, 2) == "CONFIG ");
+    Play after;
+    after.offer(1000, 2, {{"h", "/a/", {"c"}}});
+    after.judge.acknowledged(ms(1010), 2);
+    after.judge.harmed(kEdge, ms(5000), ms(12000));
+    after.judge.down(ms(6000), kEdge), after.judge.harmed(kEdge, ms(6500), ms(7000));
+    after.judge.up(ms(7000), kEdge, true);  // ends the trouble that it began
+    after.serve(17000, after.ask(16990));
+    CHECK(after.verdict(60000, 2) == "CONFIG ");
+}
+
+TEST_CASE("a reading in the midst is held to what had been acknowledged as it was asked for") {
+    Play p;
+    p.offer(1000, 2, {{"h", "/a/", {"a"}}});
+    p.judge.acknowledged(ms(1010), 2);
+    p.judge.readBack(ms(1020), 1, "text 1", ms(1005), false);
+    CHECK(p.verdict(60000, 2) == "");
+    Play late;
+    late.offer(1000, 2, {{"h", "/a/", {"a"}}});
+    late.judge.acknowledged(ms(1010), 2);
+    late.judge.readBack(ms(1030), 1, "text 1", ms(1015), false);
+    CHECK(late.verdict(60000, 2) == "FORGOTTEN ");
+    Play none;
+    none.judge.readBack(ms(1030), 1, "text 1", ms(1015), false);
+    none.judge.finish(ms(60000));
+    CHECK(none.judge.broken(Rule::forgotten) == 1);
+}
