A torn end or a full disk at the start is no longer taken for a lost disk

Cause: LevelDB refuses a whole database whose log's end was torn by a loss of power, and can't open one on a full disk; both counted as lost disks, and where all of the core lost power at once a majority was lost. Ruled out: a disk that forgets what it synced, by the ledger of synced lengths. Now a torn end is cut off where nothing follows it, and a disk that can be read but takes no writes is waited for.

--- a/fleet/system/underlay/underlay.cpp
+++ b/fleet/system/underlay/underlay.cpp
@@ -362,9 +362,10 @@
     va_end(more);
     bool ours = onDisk(path), writes = ours && (flags & (O_WRONLY | O_RDWR)) != 0;
     if (ours) awaitDisk();
-    if (ours && (flags & O_CREAT) && weather().disk.full) return errno = ENOSPC, -1;
     struct stat before {};
-    bool fresh = writes && ((flags & O_TRUNC) || stat(path, &before) != 0);
+    bool is = ours && stat(path, &before) == 0;
+    if (ours && !is && (flags & O_CREAT) && weather().disk.full) return errno = ENOSPC, -1;
+    bool fresh = writes && ((flags & O_TRUNC) || !is);
     int fd = static_cast<int>(syscall(SYS_openat, AT_FDCWD, path, flags, mode));
     if (ours && known(fd)) {
         fds[fd].kind = kFile;
--- a/huts/muir/keeper.cpp
+++ b/huts/muir/keeper.cpp
@@ -6,8 +6,11 @@
 #include <leveldb/write_batch.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <cstring>
 
+#include "huts/muir/torn.hpp"
+
 #define MSGPACK_NO_BOOST
 #include <msgpack.hpp>
 #define XXH_INLINE_ALL
@@ -108,16 +111,18 @@
 
 }  // namespace
 
-Keeper::Keeper(std::filesystem::path dataDir, int wake)
+Keeper::Keeper(std::filesystem::path dataDir, int wake, const std::function<void()>& pause)
     : parent_(std::move(dataDir)),
       folder_(parent_ / "muir"),
       wake_(wake),
       found_(std::optional<Durable>{}),
       quiet_(std::make_unique<Quiet>()) {
-    found_ = load();
+    found_ = load(pause);
     thread_ = std::thread([this] { work(); });
 }
 
+void Keeper::aMoment() { std::this_thread::sleep_for(std::chrono::milliseconds(200)); }
+
 Keeper::~Keeper() {
     {
         const std::lock_guard lock(mutex_);
@@ -145,7 +150,15 @@
     options.compression = leveldb::kNoCompression;
     options.info_log = quiet_.get();
     leveldb::DB* db = nullptr;
-    const leveldb::Status status = leveldb::DB::Open(options, folder_.string(), &db);
+    leveldb::Status status = leveldb::DB::Open(options, folder_.string(), &db);
+    // Against power lost in the midst of a write: the end of a log is torn, and LevelDB refuses the whole. Nothing in
+    // a record that was not whole was ever told, so the state before it counts. Without this each such disk counted
+    // as lost, and where all lose power at once, so did a majority. It also takes a last record that was synced and
+    // rotted since for one that never was: that harms where a disk changes bytes that it had kept.
+    if (status.IsCorruption() && cutTornEnds(folder_) > 0) {
+        cut_ = true;
+        status = leveldb::DB::Open(options, folder_.string(), &db);
+    }
     if (!status.ok()) {
         // Every Save is whole, so a database damaged while we run may be begun anew. Should we die in
         // between, the disk is empty and counts as lost, which is true.
@@ -161,7 +174,7 @@
     return {};
 }
 
-eagle::Result<std::optional<Durable>> Keeper::load() {
+eagle::Result<std::optional<Durable>> Keeper::load(const std::function<void()>& pause) {
     const auto damaged = [this](std::string what) {
         db_.reset();
         anew_ = true;
@@ -169,7 +182,14 @@
     };
     std::error_code ec;
     if (!std::filesystem::exists(folder_, ec)) return std::optional<Durable>{};
-    const std::string why = open();
+    std::string why = open();
+    // Against a disk that is full or refuses writes as we start, as LevelDB can't open without writing: what lies
+    // there is neither lost nor damaged, and taken for lost it would be removed. So we wait, and count as away. It
+    // harms where the disk never takes a write again: this machine then waits until it is given another.
+    while (!why.empty() && !anew_ && readable(folder_)) {
+        pause();
+        why = open();
+    }
     if (!why.empty()) return damaged(why);
     leveldb::ReadOptions options;
     options.verify_checksums = true;
@@ -177,7 +197,10 @@
     std::string rest, value;
     const leveldb::Status restRead = db_->Get(options, restKey, &rest);
     const leveldb::Status valueRead = db_->Get(options, valueKey, &value);
-    if (restRead.IsNotFound() && valueRead.IsNotFound()) return std::optional<Durable>{};
+    if (restRead.IsNotFound() && valueRead.IsNotFound()) {
+        if (cut_) return damaged("no whole record");
+        return std::optional<Durable>{};
+    }
     if (!restRead.ok()) return damaged("rest: " + restRead.ToString());
     const auto restContent = unframed(rest);
     if (!restContent) return damaged("rest: wrong checksum");
--- a/huts/muir/keeper.hpp
+++ b/huts/muir/keeper.hpp
@@ -4,6 +4,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <filesystem>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -29,9 +30,12 @@
         std::string why;     // if not ok
     };
 
+    static void aMoment();
+
     // Opens dataDir/"muir" and reads what it holds. `wake` is an eventfd of the caller, which outlives the
     // Keeper; it is written when collect() has something.
-    Keeper(std::filesystem::path dataDir, int wake);
+    // `pause` waits a moment, where the folder can be read but not opened yet.
+    Keeper(std::filesystem::path dataDir, int wake, const std::function<void()>& pause = aMoment);
     ~Keeper();  // writes what is still pending
     Keeper(const Keeper&) = delete;
     Keeper& operator=(const Keeper&) = delete;
@@ -45,7 +49,7 @@
     std::vector<Outcome> collect();  // from any thread; in the order of tokens
 
   private:
-    eagle::Result<std::optional<Durable>> load();
+    eagle::Result<std::optional<Durable>> load(const std::function<void()>& pause);
     std::string open();               // empty: done; else why not
     std::string write(const Save&);   // empty: done; else why not
     void work();
@@ -56,6 +60,7 @@
     std::unique_ptr<leveldb::Logger> quiet_;
     std::unique_ptr<leveldb::DB> db_;
     bool anew_ = false;     // what is there is of no use: remove it before the next write
+    bool cut_ = false;      // a torn end, as it was opened
     bool written_ = false;  // the two below lie on disk
     std::string rest_;
     Mark value_;
--- a/huts/muir/keeper_test.cpp
+++ b/huts/muir/keeper_test.cpp
@@ -174,5 +174,81 @@
     EXPECT_TRUE(outcomeOf(keeper, 2).ok);
 }
 
+// Three saves in one log; the bytes between two places of it are lost. Places: 0 to 3 as each save ends.
+class TornTest : public KeeperTest {
+  protected:
+    eagle::Result<std::optional<Durable>> after(size_t body, int save, double from, double to) {
+        Durable d = sample(1000);
+        std::vector<uintmax_t> ends{0};
+        {
+            Keeper keeper(dir_, wake_);
+            for (uint64_t token = 1; token <= 3; ++token, ++d.term) {
+                if (token > 1 && body > 0) ++d.value.version, d.value.body = std::string(body, 'y');
+                keeper.save({token, d});
+                EXPECT_TRUE(outcomeOf(keeper, token).ok);
+                ends.push_back(std::filesystem::file_size(log()));
+            }
+        }
+        const auto size = static_cast<double>(ends[save] - ends[save - 1]);
+        const auto begin = ends[save - 1] + static_cast<uintmax_t>(from * size);
+        std::fstream f(log(), std::ios::in | std::ios::out | std::ios::binary);
+        f.seekp(static_cast<std::streamoff>(begin));
+        const std::string nothing(static_cast<size_t>((to - from) * size), '\0');
+        f.write(nothing.data(), static_cast<std::streamsize>(nothing.size()));
+        f.close();
+        Keeper keeper(dir_, wake_);
+        return keeper.takeFound();
+    }
+    std::filesystem::path log() const {
+        for (const auto& e : std::filesystem::directory_iterator(dir_ / "muir"))
+            if (e.path().extension() == ".log") return e.path();
+        return {};
+    }
+};
+
+// Against the incident torn-taken-for-lost: three disks of one core, torn at the same loss of power.
+TEST_F(TornTest, TheStateBeforeATornEndCounts) {
+    for (const size_t body : {0, 40000, 90000}) {
+        for (const auto& [from, to] : {std::pair(0.0, 0.4), {0.02, 1.0}, {0.5, 0.6}, {0.9, 1.0}}) {
+            const auto found = after(body, 3, from, to);
+            ASSERT_TRUE(std::holds_alternative<std::optional<Durable>>(found))
+                << body << " " << from << ": " << std::get<eagle::Problem>(found).line();
+            ASSERT_TRUE(std::get<0>(found));
+            EXPECT_EQ(std::get<0>(found)->term, 8u);  // as the second save had it
+            EXPECT_EQ(std::get<0>(found)->value.body.size(), body > 0 ? body : 1000);
+            std::filesystem::remove_all(dir_ / "muir");
+        }
+    }
+}
+
+// What is followed by what was written later had been synced: its disk forgot something that was told.
+TEST_F(TornTest, DamageBeforeTheEndIsStillDamage) {
+    for (const size_t body : {0, 40000, 90000}) {
+        EXPECT_TRUE(std::holds_alternative<eagle::Problem>(after(body, 2, 0.5, 0.6))) << body;
+        std::filesystem::remove_all(dir_ / "muir");
+    }
+}
+
+TEST_F(KeeperTest, ADiskThatTakesNoWritesAtTheStartIsWaitedFor) {
+    const Durable d = sample(1000);
+    {
+        Keeper keeper(dir_, wake_);
+        keeper.save({1, d});
+        ASSERT_TRUE(outcomeOf(keeper, 1).ok);
+    }
+    // A folder in the place of LevelDB's lock: an error of the same kind as a full disk's, for the superuser too.
+    std::filesystem::remove(dir_ / "muir" / "LOCK");
+    std::filesystem::create_directory(dir_ / "muir" / "LOCK");
+    int pauses = 0;
+    Keeper keeper(dir_, wake_, [&] {
+        if (++pauses == 3) std::filesystem::remove(dir_ / "muir" / "LOCK");
+    });
+    const auto found = keeper.takeFound();
+    ASSERT_TRUE(std::holds_alternative<std::optional<Durable>>(found));
+    ASSERT_TRUE(std::get<0>(found));
+    EXPECT_EQ(std::get<0>(found)->term, d.term);
+    EXPECT_EQ(pauses, 3);
+}
+
 }  // namespace
 }  // namespace petrelpond::muir
--- /dev/null
+++ b/huts/muir/torn.hpp
@@ -0,0 +1,19 @@
+// The end of a LevelDB log (its format also carries MANIFEST files) that a loss of power tore.
+#pragma once
+
+#include <filesystem>
+#include <string_view>
+
+namespace petrelpond::muir {
+
+// Where the last whole record ends, if all that can't be read lies behind it and nothing that can; -1 where a
+// record follows that can be read, or nothing is wrong.
+int64_t tornAt(std::string_view log);
+
+// Cuts the torn ends off the logs of this database; how many.
+int cutTornEnds(const std::filesystem::path& folder);
+
+// Whether every byte of the folder's files can be read.
+bool readable(const std::filesystem::path& folder);
+
+}  // namespace petrelpond::muir
