--- a/huts/muir/keeper.cpp
+++ b/huts/muir/keeper.cpp
@@ -151,10 +151,11 @@
     options.info_log = quiet_.get();
     leveldb::DB* db = nullptr;
     leveldb::Status status = leveldb::DB::Open(options, folder_.string(), &db);
-    // Against power lost in the midst of a write: the end of a log is torn, and LevelDB refuses the whole. Nothing in
-    // a record that was not whole was ever told, so the state before it counts. Without this each such disk counted
-    // as lost, and where all lose power at once, so did a majority. It also takes a last record that was synced and
-    // rotted since for one that never was: that harms where a disk changes bytes that it had kept.
+    // Against power lost in the midst of a write: the end of a log is torn, and LevelDB refuses the whole.
+    // Nothing in a record that was not whole was ever told, so the state before it counts. Without this
+    // each such disk counted as lost, and where all lose power at once, so did a majority. It also takes a
+    // last record that was synced and rotted since for one that never was: that harms where a disk changes
+    // bytes that it had kept.
     if (status.IsCorruption() && cutTornEnds(folder_) > 0) {
         cut_ = true;
         status = leveldb::DB::Open(options, folder_.string(), &db);
@@ -183,9 +184,10 @@
     std::error_code ec;
     if (!std::filesystem::exists(folder_, ec)) return std::optional<Durable>{};
     std::string why = open();
-    // Against a disk that is full or refuses writes as we start, as LevelDB can't open without writing: what lies
-    // there is neither lost nor damaged, and taken for lost it would be removed. So we wait, and count as away. It
-    // harms where the disk never takes a write again: this machine then waits until it is given another.
+    // Against a disk that is full or refuses writes as we start, as LevelDB can't open without writing:
+    // what lies there is neither lost nor damaged, and taken for lost it would be removed. So we wait, and
+    // count as away. It harms where the disk never takes a write again: this machine then waits until it is
+    // given another.
     while (!why.empty() && !anew_ && readable(folder_)) {
         pause();
         why = open();
--- a/huts/muir/keeper_test.cpp
+++ b/huts/muir/keeper_test.cpp
@@ -236,7 +236,8 @@
         keeper.save({1, d});
         ASSERT_TRUE(outcomeOf(keeper, 1).ok);
     }
-    // A folder in the place of LevelDB's lock: an error of the same kind as a full disk's, for the superuser too.
+    // A folder in the place of LevelDB's lock: an error of the same kind as a full disk's, for the
+    // superuser too.
     std::filesystem::remove(dir_ / "muir" / "LOCK");
     std::filesystem::create_directory(dir_ / "muir" / "LOCK");
     int pauses = 0;
