--- a/huts/muir/core.hpp
+++ b/huts/muir/core.hpp
@@ -103,7 +103,7 @@
     std::vector<NodeId> roll;     // empty: not known to the sender, or known to the receiver
     std::vector<NodeId> former;   // goes with roll
     std::vector<std::string> joined;  // goes with roll
-    std::vector<NodeId> nodes;    // whom the sender knows; in prepare..accepted the offer, ip#birth of who comes
+    std::vector<NodeId> nodes;    // whom the sender knows; in prepare..accepted offers, ip#birth of who comes
     std::vector<NodeId> electors;
     std::shared_ptr<const Value> value;
 };
