--- a/huts/eagle/http_answer.cpp
+++ b/huts/eagle/http_answer.cpp
@@ -2,7 +2,7 @@
 
 namespace petrelpond::eagle {
 
-Reading takeAnswer(std::string& in, bool ended, size_t mostBody, HttpAnswer& out) {
+Reading takeAnswer(std::string& in, bool ended, size_t mostBody, HttpAnswer& out, bool toHead) {
     for (int interim = 0; interim < 8; ++interim) {
         auto end = http::headEnd(in);
         if (!end) {
@@ -20,7 +20,10 @@
         }
         size_t taken = 0;
         std::string body;
-        if (auto coding = head.field("Transfer-Encoding")) {
+        bool bodiless = toHead || status == 204 || status == 304;
+        if (bodiless) {
+            // Nothing to take. Waited for, the body that is told would be taken from the next answer.
+        } else if (auto coding = head.field("Transfer-Encoding")) {
             if (!http::sameName(*coding, "chunked") || head.field("Content-Length"))
                 return Reading::malformed;
             http::Chunks found = http::unchunk(std::string_view(in).substr(*end), body, taken, mostBody);
@@ -29,8 +32,8 @@
         } else {
             std::optional<size_t> length;
             if (http::bodyLength(head, length, mostBody) != http::Fault::none) return Reading::malformed;
-            if (!length && status != 204 && status != 304) return Reading::malformed;
-            taken = length.value_or(0);
+            if (!length) return Reading::malformed;
+            taken = *length;
             if (in.size() < *end + taken) return ended ? Reading::malformed : Reading::incomplete;
             body = in.substr(*end, taken);
         }
@@ -38,7 +41,7 @@
         out.head = http::Head();
         http::parseResponse(out.raw, out.head);
         out.body = std::move(body);
-        out.status = status;
+        out.status = status, out.bodiless = bodiless;
         out.closes = out.head.closes();
         in.erase(0, *end + taken);
         return Reading::whole;
--- a/huts/eagle/http_server.cpp
+++ b/huts/eagle/http_server.cpp
@@ -88,7 +88,7 @@
     request.cameAt = since_;
     in.erase(0, headLength_ + taken);
     headLength_ = 0, busy_ = true, begun_ = false;
-    lastAsked_ = request.head.closes();
+    lastAsked_ = request.head.closes(), toHead_ = request.method() == "HEAD";
     host_.asked(*this, std::move(request));
 }
 
@@ -98,7 +98,7 @@
     head.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
     if (last || lastAsked_) head.append("Connection: close\r\n");
     head.append("\r\n");
-    answerAsIs(head, body, last);
+    answerAsIs(head, toHead_ ? "" : body, last);  // to a HEAD the length is told and the body left out
 }
 
 void HttpVisit::answerAsIs(std::string_view head, std::string_view body, bool last) {
--- a/huts/eagle/http_server.hpp
+++ b/huts/eagle/http_server.hpp
@@ -62,7 +62,7 @@
     Loop& loop_;
     HttpHost& host_;
     uint64_t id_;
-    bool busy_ = false, closing_ = false, lastAsked_ = false, hungUp_ = false;
+    bool busy_ = false, closing_ = false, lastAsked_ = false, hungUp_ = false, toHead_ = false;
     size_t headLength_ = 0;
     bool chunked_ = false;
     size_t bodyLength_ = 0;
--- a/huts/eagle/http_test.cpp
+++ b/huts/eagle/http_test.cpp
@@ -139,6 +139,66 @@
     EXPECT_TRUE(out.closes);
 }
 
+TEST(TakeAnswer, CloseCountsWhereverItStands) {
+    for (auto [fields, closes] : std::initializer_list<std::pair<const char*, bool>>{
+             {"Connection: X-Of-This, close", true},
+             {"Connection: X-Of-This\r\nConnection: CLOSE ,x", true},
+             {"Connection: X-Close, closed", false}}) {
+        HttpAnswer out;
+        std::string in = std::string("HTTP/1.1 200 OK\r\n") + fields + "\r\nContent-Length: 0\r\n\r\n";
+        ASSERT_EQ(takeAnswer(in, false, kMost, out), Reading::whole);
+        EXPECT_EQ(out.closes, closes) << fields;
+    }
+}
+
+TEST(TakeAnswer, WhereNoBodyMayComeNoneIsTaken) {
+    const std::string next = answerOf(2);
+    for (const char* first : {"HTTP/1.1 204 No Content\r\nContent-Length: 9\r\n\r\n",
+                              "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n",
+                              "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+        HttpAnswer out;
+        std::string in = first + next;
+        ASSERT_EQ(takeAnswer(in, false, kMost, out), Reading::whole) << first;
+        EXPECT_EQ(out.body + in, next);
+    }
+    HttpAnswer out;
+    std::string in = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n" + next;
+    ASSERT_EQ(takeAnswer(in, false, kMost, out, true), Reading::whole);
+    EXPECT_EQ(out.body + in, next);
+}
+
+// --- streams -------------------------------------------------------------------------------------
+
+struct Deaf final : StreamOwner {
+    void data(Stream&) override {}
+    void ended(Stream&, int) override {}
+};
+
+TEST(Streams, NothingLeavesOnAConnectionThatWasReset) {
+    Loop loop;  // does not turn: what the other side did has not been read
+    Deaf owner;
+    int door = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET, at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ASSERT_EQ(::bind(door, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
+    ASSERT_EQ(::listen(door, 1), 0);
+    socklen_t size = sizeof at;
+    ::getsockname(door, reinterpret_cast<sockaddr*>(&at), &size);
+    int own = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ASSERT_EQ(::connect(own, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
+    int peer = ::accept4(door, nullptr, nullptr, SOCK_CLOEXEC);
+    ::fcntl(own, F_SETFL, O_NONBLOCK);
+    auto stream = Stream::adopt(loop, owner, own, Span());
+    stream->sendAnew("first");
+    EXPECT_TRUE(stream->anythingSent());
+    linger hard{1, 0};
+    setsockopt(peer, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    ::close(peer);
+    stream->sendAnew("second");
+    EXPECT_FALSE(stream->anythingSent());
+    ::close(door);
+}
+
 // --- visits --------------------------------------------------------------------------------------
 
 // The client's end of a connection.
@@ -336,6 +396,14 @@
     EXPECT_EQ(askedSoFar(), 20u);
 }
 
+TEST_F(Visits, ToAHeadTheBodyIsLeftOut) {
+    auto client = connect();
+    client->send("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n"
+                 "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    std::string all = client->toTheEnd().value_or("still open");
+    EXPECT_NE(all.find("Content-Length: 9\r\n\r\nHTTP/1.1 200"), std::string::npos) << all;
+}
+
 TEST_F(Visits, OneAtATime) {
     holdAnswers();
     auto client = connect();
--- a/huts/eagle/stream.hpp
+++ b/huts/eagle/stream.hpp
@@ -40,6 +40,9 @@
     ~Stream() override;
 
     void send(std::string_view bytes);
+    // The same, and anythingSent() speaks of these bytes alone. On a kept connection that was reset without
+    // our having read so, nothing leaves any more: that request has surely not run.
+    void sendAnew(std::string_view bytes) { anythingSent_ = unsent() > 0, send(bytes); }
     std::string& in() { return in_; }
     bool isConnected() const { return up_; }
     bool isClosed() const { return fd_ < 0; }
--- a/huts/timberline/dispatch.hpp
+++ b/huts/timberline/dispatch.hpp
@@ -108,8 +108,8 @@
     };
     Dispatch(Instant now, Options);
 
-    // So many may wait at most. Beyond, who can't be sent at once is told so: those who wait hold a connection
-    // each, and where none is left a client is reset without a word of when to come back.
+    // So many may wait at most. Beyond, who can't be sent at once is told so: those who wait hold a
+    // connection each, and where none is left a client is reset without a word of when to come back.
     void bound(size_t mostHeld) { mostHeld_ = mostHeld; }
     void configured(Instant now, const std::vector<ServiceSpec>&);
     // The holder that is reported to, and the number of living senders. A new term or link asks for all anew.
--- a/huts/timberline/proxy.cpp
+++ b/huts/timberline/proxy.cpp
@@ -35,26 +35,17 @@
     return false;
 }
 
-// Named by the Connection field as concerning this connection alone.
-bool named(const http::Head& head, std::string_view name) {
-    auto list = head.field("Connection");
-    if (!list) return false;
-    std::string_view rest = *list;
-    while (!rest.empty()) {
-        size_t comma = rest.find(',');
-        std::string_view one = rest.substr(0, comma);
-        rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
-        while (!one.empty() && one.front() == ' ') one.remove_prefix(1);
-        while (!one.empty() && one.back() == ' ') one.remove_suffix(1);
-        if (http::sameName(one, name)) return true;
-    }
-    return false;
+// What the way itself needs is not to be struck out by naming it in Connection: without its id a request does
+// not run, and without the seal a success is none.
+bool endToEnd(std::string_view name) {
+    return http::sameName(name, "Host") || http::sameName(name, "X-Attempt-Id") ||
+           http::sameName(name, "X-Endpoint-Seal");
 }
 
 void copyFields(std::string& out, const http::Head& head, std::initializer_list<std::string_view> but) {
     bool lists = head.field("Connection").has_value();
     for (const auto& [name, value] : head.fields) {
-        if (hopByHop(name) || (lists && named(head, name))) continue;
+        if (hopByHop(name) || (lists && !endToEnd(name) && head.names(name))) continue;
         if (std::any_of(but.begin(), but.end(), [n = name](auto b) { return http::sameName(n, b); }))
             continue;
         out.append(name).append(": ").append(value).append("\r\n");
@@ -425,7 +416,7 @@
     line->connectBy = now + kConnect;
     line->patientUntil = s.patience > Span() ? now + s.patience : Instant::never();
     line->deadline = e.deadline + Span::millis(30);
-    line->stream->send(requestBytes(e, line->instance));
+    line->stream->sendAnew(requestBytes(e, line->instance));
     Instant first = std::min(line->patientUntil, line->deadline);
     if (!line->stream->isConnected()) first = std::min(first, line->connectBy);
     line->timer = loop_.at(first, [this, line] { line->timer = 0, lineTimed(*line); });
@@ -483,7 +474,8 @@
     std::string& in = line.stream->in();
     while (true) {
         auto answer = std::make_unique<HttpAnswer>();
-        Reading read = eagle::takeAnswer(in, line.stream->isClosed(), kMostAnswer, *answer);
+        Reading read = eagle::takeAnswer(in, line.stream->isClosed(), kMostAnswer, *answer,
+                                         e.request.method() == "HEAD");
         if (read == Reading::incomplete) return;
         if (read == Reading::malformed) {
             ++spoilt_;
@@ -557,7 +549,13 @@
         head.append(a.head.third.empty() ? http::reason(a.status) : std::string(a.head.third))
             .append("\r\n");
         copyFields(head, a.head, {});
-        head.append("Content-Length: ").append(std::to_string(a.body.size())).append("\r\n");
+        // Where no body may come the length tells of another answer's, and is the endpoint's word.
+        if (a.bodiless) {
+            if (auto length = a.head.field("Content-Length"))
+                head.append("Content-Length: ").append(*length).append("\r\n");
+        } else {
+            head.append("Content-Length: ").append(std::to_string(a.body.size())).append("\r\n");
+        }
         bool last = leaving_ || visit->second->wantsClose();
         if (last) head.append("Connection: close\r\n");
         head.append("\r\n");
--- a/huts/timberline/proxy_test.cpp
+++ b/huts/timberline/proxy_test.cpp
@@ -337,6 +337,44 @@
         EXPECT_EQ(field(back, name), "(none)") << name;
 }
 
+TEST_F(ProxyTest, AHeadIsAnsweredWithoutWaitingForABody) {
+    Door door;
+    begin({{&door, 1}});
+    auto c = client();
+    std::string head = request("/often/a", "id-1");
+    c->send("HEAD" + head.substr(3));
+    auto e = door.taken();
+    EXPECT_EQ(e->message().substr(0, 5), "HEAD ");
+    e->send("HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Endpoint-Seal: 1.2.3\r\nContent-Length: 70\r\n\r\n");
+    std::string got = c->take([](const std::string& in) { return http::headEnd(in).value_or(0); });
+    EXPECT_EQ(statusOf(got), 200);
+    EXPECT_EQ(field(got, "Content-Length"), "70");
+    c->send(request("/often/a", "id-2"));  // both connections go on
+    EXPECT_EQ(field(e->message(), "X-Attempt-Id"), "id-2");
+    e->send(answer("id-2", "body"));
+    EXPECT_EQ(bodyOf(c->message()), "body");
+}
+
+TEST_F(ProxyTest, ConnectionStrikesOutWhatItNamesButNotTheIdNorTheSeal) {
+    Door door;
+    begin({{&door, 1}});
+    auto c = client();
+    c->send(request("/often/a", "id-1",
+                    "X-One: 1\r\nX-Two: 2\r\nX-Three: 3\r\nConnection: x-one, X-Attempt-Id\r\n"
+                    "Connection: Host,X-Two\r\n"));
+    auto e = door.taken();
+    std::string came = e->message();
+    EXPECT_EQ(field(came, "X-One"), "(none)");
+    EXPECT_EQ(field(came, "X-Two"), "(none)");
+    EXPECT_EQ(field(came, "X-Three"), "3");
+    EXPECT_EQ(field(came, "X-Attempt-Id"), "id-1");
+    EXPECT_EQ(field(came, "Host"), "h.example");
+    e->send(answer("id-1", "body", "Connection: X-Endpoint-Seal, X-Four\r\nX-Four: 4\r\n"));
+    std::string got = c->message();
+    EXPECT_EQ(field(got, "X-Endpoint-Seal"), "1.2.3");
+    EXPECT_EQ(field(got, "X-Four"), "(none)");
+}
+
 TEST_F(ProxyTest, TheTimeRemainingFalls) {
     Door door;
     begin({{&door, 1}});
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -90,11 +90,22 @@
     return std::nullopt;
 }
 
+// Connection holds a list, and there may be several: `close` counts wherever it stands.
+bool Head::names(std::string_view option) const {
+    for (const auto& [have, value] : fields) {
+        if (!same(have, "Connection")) continue;
+        for (std::string_view rest = value; !rest.empty();) {
+            size_t comma = rest.find(',');
+            if (same(trim(rest.substr(0, comma)), option)) return true;
+            rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
+        }
+    }
+    return false;
+}
+
 bool Head::closes() const {
-    auto says = field("Connection");
     bool old = first == "HTTP/1.0" || third == "HTTP/1.0";
-    if (!says) return old;
-    return same(*says, "close") || (old && !same(*says, "keep-alive"));
+    return names("close") || (old && !names("keep-alive"));
 }
 
 int Head::status() const {
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -20,7 +20,8 @@
     std::vector<std::pair<std::string_view, std::string_view>> fields;
 
     std::optional<std::string_view> field(std::string_view name) const;  // names compare without case
-    bool closes() const;  // whether it says that it is the last
+    bool names(std::string_view option) const;  // whether Connection lists it
+    bool closes() const;                        // whether it says that it is the last
     int status() const;   // of a response; 0 if it is none
 };
 
