--- a/huts/timberline/dispatch.cpp
+++ b/huts/timberline/dispatch.cpp
@@ -458,6 +458,15 @@
     return s.budget.allows(now, options_.budgetWindow, options_.budgetRatio, part - s.promised);
 }
 
+// Many are sent while the budget has room for one further send; the others wait on. Given up all the same,
+// they would end with a failure while their endpoint is at work and their client has time.
+bool Dispatch::mayGiveUp(Instant now, RequestId id) {
+    auto found = requests_.find(id);
+    if (found == requests_.end() || !found->second.out) return true;
+    Service& s = services_[found->second.service];
+    return now + callTime(s, found->second) < found->second.is.deadline && mayGoFurther(now, s);
+}
+
 void Dispatch::promise(Request& r, bool is) {
     if (r.promised == is) return;
     r.promised = is;
--- a/huts/timberline/dispatch.hpp
+++ b/huts/timberline/dispatch.hpp
@@ -119,6 +119,8 @@
     void arrived(Instant now, const Arrival&);
     void withdrawn(Instant now, RequestId);  // its client has gone; nothing is answered
     void ended(Instant now, RequestId, Ending);
+    // Whether a request that was sent with patience may be given up now that it is over.
+    bool mayGiveUp(Instant now, RequestId);
     void probed(Instant now, InstanceIx, bool up);
     void leaving(Instant now);
     void turnAway(Instant now);  // all that wait are told that they have not run; the process is about to end
--- a/huts/timberline/dispatch_test.cpp
+++ b/huts/timberline/dispatch_test.cpp
@@ -524,6 +524,21 @@
     EXPECT_EQ(p.sends().back().patience, Span());  // and so is what has no other attempt
 }
 
+TEST(Dispatch, ACallIsNotGivenUpWhereTheBudgetHasNoOtherSend) {
+    Dispatch::Options options{1, "here"};
+    options.budgetSlack = 2, options.budgetRatio = 0;  // one further send
+    Play p(options);
+    p.grants({grant("a", 4), grant("b", 4)});
+    for (int i = 0; i < 8; ++i) p.end(p.come(5000, 2, true), Ending::passed);
+    auto first = p.come(5000, 2, true), second = p.come(5000, 2, true);
+    EXPECT_GT(p.sends().back().patience, Span());
+    p.pass(200);
+    EXPECT_TRUE(p.core.mayGiveUp(p.now, first));
+    p.end(first, Ending::silent);
+    EXPECT_FALSE(p.core.mayGiveUp(p.now, second));
+    EXPECT_EQ(p.count<GiveUp>(), 0);
+}
+
 TEST(Dispatch, LeavingIsToldWithAllThatIsHeld) {
     Play p;
     p.grants({grant("a", 2)});
--- a/huts/timberline/proxy.cpp
+++ b/huts/timberline/proxy.cpp
@@ -259,7 +259,9 @@
     if (!id || id->empty()) return visit.answer(400, "", "X-Attempt-Id is missing\n", leaving_);
     Span left = route->timeout;
     if (auto told = request.head.field("X-Time-Remaining")) {
-        if (auto ms = http::decimal(*told); ms && *ms >= 0) left = std::min(left, Span::seconds(*ms / 1000));
+        // Compared as numbers: one beyond all spans would come out of the conversion as long past.
+        auto ms = http::decimal(*told);
+        if (ms && *ms >= 0 && *ms / 1000 < left.inSeconds()) left = Span::seconds(*ms / 1000);
     }
     Arrival a;
     a.id = nextRequest_++;
@@ -431,6 +433,8 @@
     }
     if (line.request == 0) return;
     if (!line.stream->isConnected() && now >= line.connectBy) return endLine(line, Ending::unconnected);
+    if (now >= line.patientUntil && line.stream->anythingSent() && !dispatch_.mayGiveUp(now, line.request))
+        line.patientUntil = Instant::never();
     if (now >= line.patientUntil || now >= line.deadline)
         return endLine(line, line.stream->anythingSent() ? Ending::silent : Ending::unsent);
     line.timer = loop_.at(std::min(line.patientUntil, line.deadline),
@@ -495,12 +499,13 @@
         bool notRun = answer->head.field("X-Not-Executed").has_value();
         Ending how = Ending::passed;
         int status = answer->status;
-        if (status == 421)
+        // Without its id it may be the answer to another request, and its promise that one's: ours may run.
+        if (!id)
+            how = Ending::broken;  // not told whose it is
+        else if (status == 421)
             how = Ending::misdirected;
         else if (notRun)
             how = Ending::notRun;
-        else if (!id)
-            how = Ending::broken;  // not told whose it is
         else if (status >= 200 && status < 300 &&
                  (!answer->head.field("X-Endpoint-Seal") || answer->head.field("Content-Encoding")))
             how = Ending::broken;  // not the endpoint's body
--- a/huts/timberline/proxy_test.cpp
+++ b/huts/timberline/proxy_test.cpp
@@ -398,6 +398,23 @@
     EXPECT_GT(*second, 500u);
 }
 
+TEST_F(ProxyTest, WhereTheClientsTimeIsNoneOrOddTheRoutesCounts) {
+    Door door;
+    begin({{&door, 1}});
+    std::unique_ptr<Wire> e;
+    for (const char* told : {"", "X-Time-Remaining: 1e18\r\n", "X-Time-Remaining: soon\r\n",
+                             "X-Time-Remaining: -5\r\n", "X-Time-Remaining: 99999999999999999999\r\n"}) {
+        auto c = client();
+        c->send(std::string("GET /often/a HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id\r\n") +
+                told + "\r\n");
+        if (!e) e = door.taken();
+        int left = std::stoi("0" + field(e->message(), "X-Time-Remaining"));
+        EXPECT_TRUE(left > 0 && left <= 4000) << told << left;
+        e->send(answer("id", "body"));
+        ASSERT_EQ(statusOf(c->message()), 200) << told;
+    }
+}
+
 TEST_F(ProxyTest, BodiesStayTheSameBothWays) {
     Door door;
     begin({{&door, 4}});
@@ -563,6 +580,20 @@
     EXPECT_EQ(bodyOf(back), "");
 }
 
+TEST_F(ProxyTest, APromiseWithoutTheIdIsNobodys) {
+    Door door;
+    begin({{&door, 1}});
+    for (const char* status : {"503 Full", "421 Elsewhere"}) {
+        auto c = client();
+        c->send(request("/once/a", "id-1"));
+        auto e = door.taken();
+        e->message();
+        e->send(std::string("HTTP/1.1 ") + status + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        EXPECT_EQ(statusOf(c->message()), 502) << status;
+        EXPECT_FALSE(door.somebodyWaits());
+    }
+}
+
 TEST_F(ProxyTest, AFailureOfTheEndpointIsPassedOn) {
     Door door;
     begin({{&door, 1}});
