POST /roll and skyline replace: a core machine that is gone for good gives its place to another

GET /status tells the roll's epoch. Tests: the control program alone on its roll, the client against played cores. Not played between real processes yet.

--- a/huts/cloudcap/control.cpp
+++ b/huts/cloudcap/control.cpp
@@ -1,5 +1,6 @@
 #include "huts/cloudcap/control.hpp"
 
+#include <rapidjson/document.h>
 #include <spdlog/spdlog.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -38,12 +39,34 @@
 
 constexpr const char* kJson = "Content-Type: application/json\r\n";
 
+// {"gone":["10.0.0.4"],"come":["10.0.0.9"]}: ips, either may be left out.
+std::optional<ChangeRoll> readRollChange(uint64_t visit, const std::string& body) {
+    rapidjson::Document d;
+    d.Parse<rapidjson::kParseIterativeFlag>(body.c_str(), body.size());
+    if (d.HasParseError() || !d.IsObject() || d.MemberCount() == 0) return {};
+    ChangeRoll out{visit, {}, {}};
+    for (const auto& m : d.GetObject()) {
+        const std::string name(m.name.GetString(), m.name.GetStringLength());
+        auto* ips = name == "gone" ? &out.gone : name == "come" ? &out.come : nullptr;
+        if (!ips || !m.value.IsArray() || m.value.Size() > 32) return {};
+        for (const auto& each : m.value.GetArray()) {
+            if (!each.IsString() || !eagle::Address::parse(each.GetString(), 1)) return {};
+            ips->emplace_back(each.GetString());
+        }
+    }
+    return out;
+}
+
 }  // namespace
 
 Command decode(uint64_t visit, HttpRequest&& request) {
     std::string_view path = request.target().substr(0, request.target().find('?'));
     if (path == "/status" && request.method() == "GET") return GetStatus{visit};
-    if (path != "/configuration") return Unknown{visit, path == "/status" ? 405 : 404};
+    if (path == "/roll" && request.method() == "POST") {
+        if (auto change = readRollChange(visit, request.body)) return *change;
+        return Unknown{visit, 400};
+    }
+    if (path != "/configuration") return Unknown{visit, path == "/status" || path == "/roll" ? 405 : 404};
     if (request.method() == "PUT") return PutConfiguration{visit, std::move(request.body)};
     if (request.method() == "GET") return GetConfiguration{visit};
     return Unknown{visit, 405};
@@ -166,6 +189,13 @@
     core_->read(loop_.now(), ticket);
 }
 
+void Control::run(const ChangeRoll& c) {
+    if (!visits_.count(c.visit)) return;
+    uint64_t ticket = nextTicket_++;
+    tickets_[ticket] = {c.visit, false, 0, nullptr, true};
+    core_->change(loop_.now(), ticket, c.gone, c.come);
+}
+
 void Control::answered(const muir::Answer& a) {
     auto found = tickets_.find(a.ticket);
     if (found == tickets_.end()) return;
@@ -173,9 +203,22 @@
     tickets_.erase(found);
     auto visit = visits_.find(t.visit);
     if (visit == visits_.end()) return;
+    if (a.how == muir::Answer::refused) {
+        spdlog::info("roll: change refused: {}", a.why);
+        return visit->second->answer(409, kJson, json(a.why));
+    }
+    if (t.roll && a.how == muir::Answer::done) {
+        std::string all;
+        for (const auto& ip : core_->roll()) all += (all.empty() ? "\"" : ",\"") + ip + "\"";
+        spdlog::info("roll: epoch {} is at work: {}", core_->epoch(), all);
+        return visit->second->answer(
+            200, kJson, "{\"epoch\":" + std::to_string(core_->epoch()) + ",\"roll\":[" + all + "]}");
+    }
     if (a.how != muir::Answer::done) {
         ++noMajority_;
-        spdlog::warn("configuration {}: no majority in time", t.put ? "write" : "read");
+        spdlog::warn("{}: no majority in time", t.roll  ? "roll change"
+                                                : t.put ? "configuration write"
+                                                        : "configuration read");
         return visit->second->answer(503, std::string(kJson) + "Retry-After: 0.3\r\n",
                                      json("no majority of the disks answered in time"));
     }
--- a/huts/cloudcap/control.hpp
+++ b/huts/cloudcap/control.hpp
@@ -32,11 +32,15 @@
 struct GetStatus {
     uint64_t visit;
 };
+struct ChangeRoll {  // who counts towards a majority
+    uint64_t visit;
+    std::vector<std::string> gone, come;  // ips
+};
 struct Unknown {
     uint64_t visit;
     int status;
 };
-using Command = std::variant<PutConfiguration, GetConfiguration, GetStatus, Unknown>;
+using Command = std::variant<PutConfiguration, GetConfiguration, GetStatus, ChangeRoll, Unknown>;
 Command decode(uint64_t visit, eagle::HttpRequest&&);
 
 class Control final : public eagle::HttpHost, public eagle::LinkOwner, public eagle::Watcher {
@@ -74,6 +78,7 @@
     void run(const PutConfiguration&);
     void run(const GetConfiguration&);
     void run(const GetStatus&);
+    void run(const ChangeRoll&);
     void run(const Unknown&);
     std::string status() const;  // JSON
     void runCommands();
@@ -115,6 +120,7 @@
         bool put;
         int64_t version;
         std::shared_ptr<const muir::Value> toWrite;  // of a put whose majority is still being read
+        bool roll = false;
     };
     std::map<uint64_t, Ticket> tickets_;
     std::shared_ptr<const muir::Value> value_;  // the newest that is known to lie on a majority
--- a/huts/cloudcap/control_test.cpp
+++ b/huts/cloudcap/control_test.cpp
@@ -284,7 +284,22 @@
     close(fd);
 }
 
+TEST_F(ControlTest, ARollThatCannotBeIsRefusedWithWhy) {
+    EXPECT_EQ(put(configuration(7)).status, 200);
+    Got got = call("POST", "/roll", R"({"gone":[")" + ip_ + R"("],"come":["127.9.9.9"]})");
+    EXPECT_EQ(got.status, 409);
+    EXPECT_EQ(got.body, R"({"cause":"127.9.9.9 is not heard of as a core whose disk may count"})");
+    // What is in force already is told again, as after an answer that was lost.
+    got = call("POST", "/roll", R"({"gone":["127.9.9.9"],"come":[")" + ip_ + R"("]})");
+    EXPECT_EQ(got.status, 200);
+    EXPECT_EQ(got.body, R"({"epoch":1,"roll":[")" + ip_ + R"("]})");
+    for (const char* odd : {"", "{}", "[]", R"({"gone":"x"})", R"({"come":["core-1"]})", R"({"other":[]})"})
+        EXPECT_EQ(call("POST", "/roll", odd).status, 400) << odd;
+    EXPECT_EQ(status()["roll_epoch"].GetUint64(), 1u);
+}
+
 TEST_F(ControlTest, OtherCallsAreToldApart) {
+    EXPECT_EQ(call("GET", "/roll").status, 405);
     EXPECT_EQ(call("POST", "/configuration").status, 405);
     EXPECT_EQ(call("PUT", "/status", "{}").status, 405);
     EXPECT_EQ(call("GET", "/other").status, 404);
--- a/huts/cloudcap/status.cpp
+++ b/huts/cloudcap/status.cpp
@@ -77,6 +77,7 @@
     yes(w, "last_save_failed", saveFailedLast_);
     w.EndObject();
 
+    number(w, "roll_epoch", core_->epoch());  // 0: not agreed on
     w.Key("roll"), w.StartArray();
     for (size_t i = 0; i < std::min(roll.size(), kMostCores); ++i) word(w, roll[i]);
     w.EndArray();
--- a/huts/muir/core.cpp
+++ b/huts/muir/core.cpp
@@ -704,6 +704,12 @@
         c.roll.push_back(n);
         c.offer.push_back(born(n, n == o_.self ? mem_.birth : here ? it->second.birth : 0));
     }
+    // Said again after an answer that was lost, it finds all done; else a wrong address would only add to the
+    // roll.
+    const bool there = std::all_of(come.begin(), come.end(), [&](const NodeId& n) { return inRoll(n); });
+    for (const NodeId& n : gone) {
+        if (!there && !inRoll(n)) why = n + " is not on the roll";
+    }
     sortUnique(c.roll);
     sortUnique(c.offer);
     const size_t least = 2 * static_cast<size_t>(std::max(0, o_.machineLosses)) + 1;
--- a/huts/muir/core_test.cpp
+++ b/huts/muir/core_test.cpp
@@ -249,6 +249,7 @@
         return answers.size() == 1 && answers[0].how == Answer::refused ? answers[0].why : std::string();
     };
     EXPECT_EQ(why({c}, {"10.0.0.9"}), "10.0.0.9 is not heard of as a core whose disk may count");
+    EXPECT_EQ(why({"10.0.0.8"}, {"10.0.0.9"}), "10.0.0.8 is not on the roll");
     EXPECT_EQ(why({c}, {}), "a roll of 2 does not bear the loss of 1");
     EXPECT_EQ(core.roll(), (std::vector<NodeId>{a, b, c}));
 }
--- a/huts/skyline/commands.cpp
+++ b/huts/skyline/commands.cpp
@@ -31,7 +31,7 @@
 const Span kPollEvery = Span::millis(500);
 
 constexpr const char* kUsage =
-    "check FILE | diff FILE | put FILE | show [--raw] | status | wait VERSION\n"
+    "check FILE | diff FILE | put FILE | show [--raw] | status | wait VERSION | replace OLD NEW\n"
     "\n"
     "  check FILE    every mistake in a configuration; asks nobody\n"
     "  diff FILE     what it would change in the one in force\n"
@@ -39,6 +39,7 @@
     "  show          the one in force; --raw: byte for byte\n"
     "  status        who is there, who holds the duty, versions, functions, disagreements\n"
     "  wait VERSION  until all linked agents have it\n"
+    "  replace OLD NEW  core OLD counts towards a majority no more, core NEW does (both by ip)\n"
     "\n"
     "Exit code: 0 done, 1 not done, 2 command line or settings not understood.";
 
@@ -337,6 +338,35 @@
     }
 }
 
+int replace(const Orders& o, const Surroundings& s, Instant until) {
+    const std::string body = "{\"gone\":[\"" + o.operand + "\"],\"come\":[\"" + o.second + "\"]}";
+    // A core answers once the new roll is at work, which takes several rounds and a sync; it gives up by
+    // itself.
+    Surroundings patient = s;
+    patient.silence = s.silence * 6.0;
+    Outcome got = carry(patient, Errand(o.cores, "/roll"), "POST", body, until);
+    for (size_t i = 0; i + 1 < got.tries.size(); ++i)
+        s.err << "skyline: replace: " << said(got.tries[i]) << "\n";
+    if (got.how == Outcome::done) {
+        if (o.json) {
+            s.out << got.reply.body << "\n";
+        } else {
+            rapidjson::Document d;
+            d.Parse<rapidjson::kParseIterativeFlag>(got.reply.body.c_str(), got.reply.body.size());
+            s.out << "the roll is";
+            if (!d.HasParseError() && d.IsObject() && d.HasMember("roll") && d["roll"].IsArray())
+                for (const auto& ip : d["roll"].GetArray())
+                    if (ip.IsString()) s.out << " " << ip.GetString();
+            s.out << "; " << o.operand << " may be switched off\n";
+        }
+        return 0;
+    }
+    s.err << "skyline: replace: "
+          << (got.how == Outcome::refused ? "refused by " : "no clear answer in time, lastly ") << lastly(got)
+          << (got.how == Outcome::refused ? "" : ". It may take hold all the same: say it again") << "\n";
+    return 1;
+}
+
 bool wholeNumber(const std::string& word) {
     int64_t n = 0;
     auto [end, error] = std::from_chars(word.data(), word.data() + word.size(), n);
@@ -355,8 +385,8 @@
         {"control", 'a', POPT_ARG_STRING, &cores, 0, "cores' control addresses; else $PETRELPOND_CONTROL",
          "IP:PORT[,IP:PORT...]"},
         {"settings", 's', POPT_ARG_STRING, &settings, 0, "take the seed_nodes of this settings file", "FILE"},
-        {"timeout", 't', POPT_ARG_STRING, &timeout, 0, "give up after so long; 30 to put and wait, else 5",
-         "SECONDS"},
+        {"timeout", 't', POPT_ARG_STRING, &timeout, 0,
+         "give up after so long; 30 to put, wait and replace, else 5", "SECONDS"},
         {"json", 'j', POPT_ARG_NONE, &json, 0, "one JSON object instead of text", nullptr},
         {"raw", 'r', POPT_ARG_NONE, &raw, 0, "show: the text byte for byte", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
@@ -377,17 +407,31 @@
     std::vector<std::string> rest;
     while (const char* word = poptGetArg(context)) rest.emplace_back(word);
     if (rest.empty())
-        return wrong("command line: check, diff, put, show, status or wait expected; see --help");
+        return wrong("command line: check, diff, put, show, status, wait or replace expected; see --help");
     out.command = rest[0];
     const bool known = out.command == "show" || out.command == "status";
     const bool file = out.command == "check" || out.command == "diff" || out.command == "put";
-    if (!known && !file && out.command != "wait")
-        return wrong("command line: " + out.command + ": check, diff, put, show, status or wait expected");
-    const size_t most = known ? 1 : 2;
+    const bool pair = out.command == "replace";
+    if (!known && !file && !pair && out.command != "wait")
+        return wrong("command line: " + out.command +
+                     ": check, diff, put, show, status, wait or replace expected");
+    const size_t most = known ? 1 : pair ? 3 : 2;
     if (rest.size() < most)
-        return wrong("command line: " + out.command + ": " + (file ? "FILE" : "VERSION") + " expected");
+        return wrong("command line: " + out.command + ": " +
+                     (pair   ? "OLD and NEW"
+                      : file ? "FILE"
+                             : "VERSION") +
+                     " expected");
     if (rest.size() > most) return wrong("command line: " + rest[most] + ": not expected");
-    if (most == 2) out.operand = rest[1];
+    if (most >= 2) out.operand = rest[1];
+    if (pair) {
+        out.second = rest[2];
+        for (const std::string& ip : {out.operand, out.second})
+            if (!eagle::Address::parse(ip, 1))
+                return wrong("command line: " + ip + ": an IPv4 address expected");
+        if (out.operand == out.second)
+            return wrong("command line: " + out.second + ": two machines expected");
+    }
     if (out.command == "wait" && !wholeNumber(out.operand))
         return wrong("command line: " + out.operand + ": a version, a whole number above 0, expected");
     out.json = json, out.raw = raw;
@@ -431,13 +475,14 @@
 }
 
 int run(const Orders& o, const Surroundings& s) {
-    const bool patient = o.command == "put" || o.command == "wait";
+    const bool patient = o.command == "put" || o.command == "wait" || o.command == "replace";
     const Instant until = s.clock() + o.timeout.value_or(Span::seconds(patient ? 30 : 5));
     if (o.command == "check") return check(o, s);
     if (o.command == "diff") return diff(o, s, until);
     if (o.command == "put") return put(o, s, until);
     if (o.command == "show") return show(o, s, until);
     if (o.command == "status") return status(o, s, until);
+    if (o.command == "replace") return replace(o, s, until);
     return wait(o, s, until);
 }
 
--- a/huts/skyline/commands.hpp
+++ b/huts/skyline/commands.hpp
@@ -13,10 +13,10 @@
 namespace petrelpond::skyline {
 
 struct Orders {
-    std::string command, operand;
+    std::string command, operand, second;
     std::vector<eagle::Address> cores;
     bool json = false, raw = false;
-    std::optional<Span> timeout;  // nothing: 30 s to put and to wait, 5 s else
+    std::optional<Span> timeout;  // nothing: 30 s to put, to wait and to replace, 5 s else
 };
 
 struct Surroundings {
--- a/huts/skyline/commands_test.cpp
+++ b/huts/skyline/commands_test.cpp
@@ -150,6 +150,9 @@
                                                        {"--no-such"},
                                                        {"wait", "x"},
                                                        {"wait", "-1"},
+                                                       {"replace", "10.0.0.1"},
+                                                       {"replace", "10.0.0.1", "core-4"},
+                                                       {"replace", "10.0.0.1", "10.0.0.1"},
                                                        {"show", "--control", "nowhere"},
                                                        {"show", "--control", "10.0.0.1:0"},
                                                        {"show", "--raw", "--json"},
@@ -211,6 +214,20 @@
     EXPECT_EQ(pauses_.size() >= 2, true);
 }
 
+TEST_F(Commands, ReplaceSaysWhoCountsNowOrWhyNot) {
+    PlayedCore one, two;
+    const std::string both = one.text() + "," + two.text();
+    one.says("POST /roll", {{503, "", "", false}});  // not on the roll itself
+    two.says("POST /roll", {{200, R"({"epoch":2,"roll":["10.0.0.1","10.0.0.9"]})", "", false}});
+    EXPECT_EQ(run({"replace", "10.0.0.3", "10.0.0.9", "--control", both}), 0) << err();
+    EXPECT_EQ(out(), "the roll is 10.0.0.1 10.0.0.9; 10.0.0.3 may be switched off\n");
+    EXPECT_EQ(two.heard("POST /roll"),
+              std::vector<std::string>{R"({"gone":["10.0.0.3"],"come":["10.0.0.9"]})"});
+    two.says("POST /roll", {{409, R"({"cause":"10.0.0.9 is not heard of"})", "", false}});
+    EXPECT_EQ(run({"replace", "10.0.0.3", "10.0.0.9", "--control", two.text()}), 1);
+    EXPECT_EQ(err(), "skyline: replace: refused by " + two.text() + ": 409 10.0.0.9 is not heard of\n");
+}
+
 TEST_F(Commands, PutEndsAtOnceWhereItIsRefused) {
     PlayedCore one, two;
     write(configuration(7));
