--- a/huts/cloudcap/control_test.cpp
+++ b/huts/cloudcap/control_test.cpp
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "huts/eagle/http_answer.hpp"
+#include "huts/eagle/turning_for_test.hpp"
 
 namespace petrelpond::cloudcap {
 namespace {
@@ -40,6 +41,43 @@
     return ntohs(at.sin_port);
 }
 
+struct Got {
+    int status = 0;  // 0: no whole answer
+    std::string body;
+};
+// Sends these bytes and ends its sending; reads till the end.
+Got rawAt(const std::string& ip, uint16_t port, const std::string& bytes) {
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    timeval patience{5, 0};  // only a failing test waits for so long
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    sockaddr_in at{};
+    at.sin_family = AF_INET, at.sin_port = htons(port);
+    at.sin_addr.s_addr = htonl(eagle::Address::parse(ip, 1)->ip);
+    std::string in;
+    if (connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0) {
+        for (size_t sent = 0; sent < bytes.size();) {
+            ssize_t n = send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            if (n <= 0) break;
+            sent += static_cast<size_t>(n);
+        }
+        shutdown(fd, SHUT_WR);
+        char some[65536];
+        for (ssize_t n; (n = recv(fd, some, sizeof some, 0)) > 0;) in.append(some, static_cast<size_t>(n));
+    }
+    close(fd);
+    eagle::HttpAnswer answer;
+    if (eagle::takeAnswer(in, true, 8u << 20, answer) != eagle::Reading::whole) return {};
+    return {answer.status, answer.body};
+}
+
+std::pair<int, std::string> callAt(const std::string& ip, uint16_t port, const std::string& line,
+                                   const std::string& body) {
+    Got got = rawAt(ip, port,
+                    line + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body);
+    return {got.status, got.body};
+}
+
 class ControlTest : public ::testing::Test, public eagle::Watcher {
   protected:
     ControlTest() : wake_(eventfd(0, EFD_NONBLOCK)) {
@@ -82,35 +120,7 @@
         loop_->stop();
     }
 
-    struct Got {
-        int status = 0;  // 0: no whole answer
-        std::string body;
-    };
-    // Sends these bytes and ends its sending; reads till the end.
-    Got raw(const std::string& bytes) {
-        int fd = socket(AF_INET, SOCK_STREAM, 0);
-        timeval patience{5, 0};  // only a failing test waits for so long
-        setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
-        sockaddr_in at{};
-        at.sin_family = AF_INET, at.sin_port = htons(settings_.control->port);
-        at.sin_addr.s_addr = htonl(eagle::Address::parse(ip_, 1)->ip);
-        std::string in;
-        if (connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0) {
-            for (size_t sent = 0; sent < bytes.size();) {
-                ssize_t n = send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
-                if (n <= 0) break;
-                sent += static_cast<size_t>(n);
-            }
-            shutdown(fd, SHUT_WR);
-            char some[65536];
-            for (ssize_t n; (n = recv(fd, some, sizeof some, 0)) > 0;)
-                in.append(some, static_cast<size_t>(n));
-        }
-        close(fd);
-        eagle::HttpAnswer answer;
-        if (eagle::takeAnswer(in, true, 8u << 20, answer) != eagle::Reading::whole) return {};
-        return {answer.status, answer.body};
-    }
+    Got raw(const std::string& bytes) { return rawAt(ip_, settings_.control->port, bytes); }
     // Again after a 503, as operators do: the roll has to be agreed on first.
     Got call(const std::string& method, const std::string& target, const std::string& body = "") {
         Got got;
@@ -298,6 +308,63 @@
     EXPECT_EQ(status()["roll_epoch"].GetUint64(), 1u);
 }
 
+// Four programs with disks and sockets: three agree on a roll, one of them goes for good, the fourth takes
+// its place, and with one more away what was acknowledged before is read and a new one taken.
+TEST(Controls, ACoreThatIsGoneIsReplaced) {
+    const std::string net = "127." + std::to_string(1 + getpid() / 254 % 250) + ".8.";
+    const auto folder =
+        std::filesystem::temp_directory_path() / ("controls-test-" + std::to_string(getpid()));
+    const uint16_t control = freePort(net + "1"), inner = freePort(net + "1");
+    struct One {
+        std::unique_ptr<eagle::Turning> turning = std::make_unique<eagle::Turning>();
+        std::unique_ptr<Control> control;
+    };
+    std::vector<One> all(4);
+    const auto begin = [&](size_t i) {
+        tilly::Settings s;
+        s.ip = net + std::to_string(i + 1), s.nodeName = "core-" + s.ip, s.role = "core", s.zone = "z";
+        s.bootstrap = i < 3, s.quorumMember = true;
+        s.dataDir = (folder / std::to_string(i)).string();
+        std::filesystem::create_directories(*s.dataDir);
+        s.control = tilly::Address{s.ip, control};
+        s.portFirst = inner, s.portLast = inner + 2;
+        for (int seed = 1; seed <= 3; ++seed) s.seeds.push_back({net + std::to_string(seed), control});
+        all[i] = One();
+        all[i].control = std::make_unique<Control>(all[i].turning->loop, s, static_cast<uint32_t>(7 + i));
+        std::string error;
+        EXPECT_TRUE(all[i].control->open(error)) << error;
+        all[i].turning->start();
+    };
+    const auto end = [&](size_t i) {
+        if (!all[i].control) return;
+        all[i].turning->end();
+        all[i].control.reset();
+    };
+    // Again after a 503 and while `until` does not hold.
+    const auto call = [&](size_t i, const std::string& line, const std::string& body, int wanted) {
+        const Instant last = eagle::Loop::clock() + Span::seconds(20);
+        int status = 0;
+        std::string got;
+        while (status != wanted && eagle::Loop::clock() < last)
+            std::tie(status, got) = callAt(net + std::to_string(i + 1), control, line, body);
+        EXPECT_EQ(status, wanted) << line << " " << got;
+        return got;
+    };
+    for (size_t i = 0; i < 3; ++i) begin(i);
+    call(0, "PUT /configuration", configuration(7), 200);
+    begin(3);
+    end(2);
+    const std::string change = R"({"gone":[")" + net + R"(3"],"come":[")" + net + R"(4"]})";
+    const std::string roll = R"("roll":[")" + net + R"(1",")" + net + R"(2",")" + net + R"(4"]})";
+    EXPECT_EQ(call(0, "POST /roll", change, 200), R"({"epoch":2,)" + roll);
+    end(0);  // the one that came counts: it and the second are a majority
+    EXPECT_EQ(call(3, "GET /configuration", "", 200), configuration(7));
+    call(1, "PUT /configuration", configuration(9), 200);
+    EXPECT_EQ(call(1, "POST /roll", change, 200), R"({"epoch":2,)" + roll);  // said again: as it is
+    for (size_t i = 0; i < 4; ++i) end(i);
+    std::filesystem::remove_all(folder);
+}
+
 TEST_F(ControlTest, OtherCallsAreToldApart) {
     EXPECT_EQ(call("GET", "/roll").status, 405);
     EXPECT_EQ(call("POST", "/configuration").status, 405);
