A request that finds no slot here waits for one that others have; a holder that is behind blames nobody

Cause: with no slot at this sender a request was thought to need a boot, though the fleet had slots that are passed on within a round trip or two. Ruled out: clients that gave up (the last answers came 0.4 s before their deadline), slots (576 instances adopted). Change: where the fleet has slots the wait on arrival is thought to be 0.1 s and the queue's; when to come back is told as before. Harm: where all are busy one waits for 0.45 of its time in vain. Second: reports now wait in the holder's queue, and a sender whose word lay there for 0.6 s would have been taken for silent. A holder whose oldest report waits for more than 0.2 s blames nobody. Both tests fail without the change.

--- a/huts/cloudcap/backlog.hpp
+++ b/huts/cloudcap/backlog.hpp
@@ -11,6 +11,8 @@
 #include <string_view>
 #include <utility>
 
+#include "petrelpond/time.hpp"
+
 namespace petrelpond::cloudcap {
 
 class Backlog {
@@ -18,21 +20,30 @@
     // Some 0.1 s of the smallest machine at their longest, as whole ones: far below the lapse.
     static constexpr size_t kATurn = 16;
 
-    void push(uint64_t link, std::string_view report) { all_.emplace_back(link, report); }
+    void push(Instant now, uint64_t link, std::string_view report) {
+        all_.push_back({now, link, std::string(report)});
+    }
+    // How long the first of them has waited.
+    Span age(Instant now) const { return all_.empty() ? Span() : now - all_.front().came; }
     bool empty() const { return all_.empty(); }
     void clear() { all_.clear(); }
     // Gives what one turn may take to `report(link, text)`; the rest waits for the next turn.
     template <class Report>
     void turn(Report report) {
         for (size_t i = 0; i < kATurn && !all_.empty(); ++i) {
-            auto [link, text] = std::move(all_.front());
+            Waiting first = std::move(all_.front());
             all_.pop_front();
-            report(link, text);
+            report(first.link, first.text);
         }
     }
 
   private:
-    std::deque<std::pair<uint64_t, std::string>> all_;
+    struct Waiting {
+        Instant came;
+        uint64_t link;
+        std::string text;
+    };
+    std::deque<Waiting> all_;
 };
 
 }  // namespace petrelpond::cloudcap
--- a/huts/cloudcap/control.cpp
+++ b/huts/cloudcap/control.cpp
@@ -37,6 +37,8 @@
 
 const Span kConnectAgain = Span::millis(250);  // several round trips between regions
 
+const Span kBehind = Span::millis(200);  // a report that waits for so long: our senders are not to blame
+
 constexpr const char* kJson = "Content-Type: application/json\r\n";
 
 // {"gone":["10.0.0.4"],"come":["10.0.0.9"]}: ips, either may be left out.
@@ -469,7 +471,7 @@
             break;
         case Kind::report:
             if (!warden_ || !guest.agent) break;
-            reports_.push(link.tag, payload);
+            reports_.push(loop_.now(), link.tag, payload);
             reportsSoon(loop_.now());
             break;
         default:
@@ -492,6 +494,8 @@
         auto r = eagle::unpacked<crest::Report>(payload);
         if (r) warden_->reported(guest->second.hello.name, *r);
     });
+    // Who seems to say nothing may have said it here, where it waits.
+    if (warden_ && reports_.age(loop_.now()) > kBehind) warden_->behind();
     // In the next round, after what has come for the duty meanwhile.
     if (!reports_.empty()) reportsSoon(std::max(eagle::Loop::clock(), loop_.now() + Span::micros(1)));
 }
--- a/huts/cloudcap/warden.cpp
+++ b/huts/cloudcap/warden.cpp
@@ -58,7 +58,7 @@
     : loop_(loop), settings_(settings), term_(term), tell_(std::move(tell)),
       planner_(loop.now(), term, chance, settings.platform ? settings.platform->dutyPerS : 10.0,
                Span::millis(settings.platform ? settings.platform->maxLagMs : 1000)),
-      listAt_(loop.now()), workersAt_(loop.now()), alive_(std::make_shared<bool>(true)) {
+      wonAt_(loop.now()), listAt_(loop.now()), workersAt_(loop.now()), alive_(std::make_shared<bool>(true)) {
     if (settings_.platform) {
         auto at = eagle::Address::parse(settings_.platform->address.text());
         lists_ = std::make_unique<eagle::HttpCaller>(loop_, *at, 2, Span::millis(1500));
@@ -128,6 +128,11 @@
         else if (auto* s = std::get_if<crest::StopCall>(&*output))
             stop(*s);
     }
+    if (!readyTold_ && planner_.ready()) {
+        readyTold_ = true;
+        spdlog::info("startup duty of term {}: what is there is known after {:.2f} s", term_,
+                     (loop_.now() - wonAt_).inSeconds());
+    }
     Instant wake = std::min({planner_.wakeAt(), listAt_, workersAt_});
     wake = std::max(wake, loop_.now() + Span::millis(2));
     if (timer_ != 0 && armedFor_ <= wake) return;
--- a/huts/cloudcap/warden.hpp
+++ b/huts/cloudcap/warden.hpp
@@ -23,6 +23,7 @@
     void linked(const std::string& sender, const std::string& zone);
     void reported(const std::string& sender, const crest::Report&);
     void unlinked(const std::string& sender, bool closed);
+    void behind() { planner_.behind(loop_.now()); }  // reports wait here, unread
     uint64_t term() const { return term_; }
     const crest::Planner& planner() const { return planner_; }
     void logCounters() const;
@@ -44,7 +45,8 @@
     TellSender tell_;
     crest::Planner planner_;
     std::unique_ptr<eagle::HttpCaller> lists_, duties_;
-    bool pumping_ = false, listing_ = false, askingWorkers_ = false;
+    bool pumping_ = false, listing_ = false, askingWorkers_ = false, readyTold_ = false;
+    Instant wonAt_;
     eagle::TimerId timer_ = 0;
     Instant listAt_, workersAt_, armedFor_ = Instant::never();
     Span listEvery_ = Span::millis(800);
--- a/huts/crest/planner.cpp
+++ b/huts/crest/planner.cpp
@@ -183,6 +183,7 @@
     uint64_t nonces = 0;
     Instant ghostAt = Instant::never();  // when the first slots of ended senders come free
     Instant passAt;  // of the newest event
+    Instant behindAt = Instant::longAgo();
     bool passDue = false;
     bool ready = false, starved = false, configuredOnce = false, listedYet = false;
     std::unordered_map<std::string, std::unique_ptr<Service>> services;
@@ -467,8 +468,8 @@
     // that first when it wakes. Also catches one that is cut off from us alone: both may then use such a slot,
     // and the instance turns one of two calls away as not run. Harm: that call's further try.
     void findLate(Instant now) {
-        // If it was we who slept, the answers lie in our sockets, unread.
-        bool slept = now - lastTick > tuning.tick * 3.0;
+        // If it was we who slept or are behind, the answers lie in our sockets or our queue, unread.
+        bool slept = now - lastTick > tuning.tick * 3.0 || now < behindAt + tuning.lateAfter;
         for (auto& [id, who] : senders) {
             if (slept && who->unanswered != Instant::never()) who->unanswered = now;
             if (!who->linked || !who->synced || now < who->unanswered + tuning.lateAfter) continue;
@@ -1108,6 +1109,9 @@
     st.passSoon(now);
 }
 
+void Planner::behind(Instant now) { state_->behindAt = now; }
+bool Planner::ready() const { return state_->ready; }
+
 void Planner::renewed(Instant now, uint64_t term) {
     State& st = *state_;
     if (term <= st.term) return;
--- a/huts/crest/planner.hpp
+++ b/huts/crest/planner.hpp
@@ -93,6 +93,7 @@
     void reported(Instant now, const SenderId& sender, const Report& report);  // of another term: ignored
     // closed: its process ended (reset or close); else it is silent and may still use its slots for a while.
     void unlinked(Instant now, const SenderId& sender, bool closed);
+    void behind(Instant now);  // reports wait unread: nobody is late by what was not heard
     void listed(Instant now, std::vector<Listed> list);  // the whole list, all pages
     void workers(Instant now, std::vector<Worker> workers);
     void started(Instant now, const std::string& nonce, std::string instance, std::string address);
@@ -102,6 +103,7 @@
     void stopped(Instant now, const std::string& instance, int status);
 
     void tick(Instant now);
+    bool ready() const;  // what the senders hold is known: slots are given out, instances started
     Instant wakeAt() const;
     std::optional<Output> next();
 
--- a/huts/crest/planner_test.cpp
+++ b/huts/crest/planner_test.cpp
@@ -202,6 +202,19 @@
     EXPECT_EQ((b.told[{"s2", "i1"}]), 1u);
 }
 
+// Reports that wait unread with the holder: what one has said is among them.
+TEST(Planner, aHolderThatIsBehindDoesNotTakeTheOthersForSilent) {
+    Bench b(1, 1500);
+    b.list({{"i1", false}}, 1);
+    b.report("s1", 1, 0, 1);
+    b.report("s1", 0, 0, 0, {b.held("i1", 1, 0)});
+    b.report("s2", 1, 0, 1);
+    for (int i = 0; i < 10; ++i) b.planner.behind(b.now), b.wait(100);
+    EXPECT_EQ((b.told.count({"s2", "i1"})), 0u);
+    b.wait(1500);  // no longer, and still no word
+    EXPECT_EQ((b.told[{"s2", "i1"}]), 1u);
+}
+
 TEST(Planner, whatASilentSenderKeepsIsNoRoomForTheOthers) {
     Bench b(2, 1500);
     b.list({{"i1", false}});
--- a/huts/timberline/dispatch.cpp
+++ b/huts/timberline/dispatch.cpp
@@ -14,6 +14,7 @@
 const Span kRest = Span::millis(250);  // of an instance that just refused a connection
 const Span kDeadAgain = Span::millis(200);
 const Span kUnheard = Span::millis(400);  // thought to pass until the holder's first word
+const Span kPassedOn = Span::millis(100);  // a slot from another sender: two round trips between regions
 const Span kSweep = Span::millis(50);
 constexpr double kHoldShare = 0.45;  // of the time that a request had; then it is told
 
@@ -177,7 +178,7 @@
 }
 
 // How long a request that comes now would wait behind `ahead` others.
-Span Dispatch::expectedWait(Instant now, const Service& s, size_t ahead) const {
+Span Dispatch::expectedWait(Instant now, const Service& s, size_t ahead, bool passedOn) const {
     Instant first = Instant::never();
     double slots = 0;
     for (InstanceIx ix : s.instances) {
@@ -189,6 +190,12 @@
     double mean = s.mean > 0 ? s.mean : kUnknownMean;
     // Without a word of the holder yet only this sender's slots are unknown; the instances may well run.
     if (slots == 0 && (!linked_ || grantedTerm_ < term_)) return kUnheard;
+    // The fleet has slots, though none is here: one is passed on sooner than an instance boots. Against
+    // requests that come once more with less time left than a boot takes, and were told at once that there is
+    // none. Harm: where all are busy, or gone since the holder's last word, one waits for a part of its time
+    // in vain.
+    if (slots == 0 && passedOn && s.fleetSlots > 0)
+        return kPassedOn + Span::seconds(mean * static_cast<double>(ahead) / 4);
     if (slots == 0)
         return s.spec.boot + Span::millis(150) + Span::seconds(mean * static_cast<double>(ahead) / 4);
     return (first - now) + Span::seconds(mean * static_cast<double>(ahead) / slots);
@@ -213,7 +220,7 @@
     size_t behind = 0;  // of lower priority: it is the last of its own
     for (auto at = s.waiting.rbegin(); at != s.waiting.rend() && at->first.first > a.priority; ++at) ++behind;
     size_t ahead = s.waiting.size() - behind - 1;
-    Span wait = expectedWait(now, s, ahead);
+    Span wait = expectedWait(now, s, ahead, true);
     if (held_ > mostHeld_ || now + wait + callTime(s, still->second) > a.deadline)
         return refuse(now, still->second, true);
     holds_.emplace(r.holdUntil, a.id);
@@ -520,7 +527,7 @@
     ++(atOnce ? counters_.refusedAtOnce : counters_.refusedHeld);
     Service& s = services_[r.service];
     unqueue(r);
-    Span wait = expectedWait(now, s, s.waiting.size() / 2);
+    Span wait = expectedWait(now, s, s.waiting.size() / 2, false);
     wait = wait + Span::seconds(chance_.between(0.05, 0.25));  // the design's random extra on every wait
     out_.push_back(
         Refuse{r.is.id, 503, std::min(wait, std::max((r.is.deadline - now) * 0.33, Span::millis(50)))});
--- a/huts/timberline/dispatch.hpp
+++ b/huts/timberline/dispatch.hpp
@@ -187,7 +187,8 @@
     void tellNow(Instant now);  // a report in this round, not with the next that gathers
     std::optional<InstanceIx> pick(Instant now, const Service&, const Request&) const;
     double slice(const Service&) const;
-    Span expectedWait(Instant now, const Service&, size_t ahead) const;
+    // passedOn: as a slot that another sender has may be ours soon; not for when to come back.
+    Span expectedWait(Instant now, const Service&, size_t ahead, bool passedOn) const;
     Span callTime(const Service&, const Request&) const;
     void send(Instant now, Request&, InstanceIx);
     void freeSlot(Instant now, Instance&);
--- a/huts/timberline/dispatch_test.cpp
+++ b/huts/timberline/dispatch_test.cpp
@@ -145,6 +145,24 @@
     EXPECT_FALSE(p.sent(ids[4]));  // one slot came free, so one went
 }
 
+// Less time than a boot takes, but others have slots: it waits for one of those and gets it.
+TEST(Dispatch, WithoutASlotHereThoseOfTheFleetCount) {
+    Play p;
+    crest::Grant g = grant("a", 0);
+    p.grants({grant("a", 1)});
+    g.fleetSlots = 8;
+    p.grants({g});
+    RequestId id = p.come(600);
+    EXPECT_TRUE(p.core.waits(id));
+    p.pass(50);
+    p.grants({grant("b", 1)});
+    EXPECT_TRUE(p.go(p.now + Span::millis(200), [&] { return p.sent(id); }));
+    // Nobody has any: it can't be had in time and is told so at once.
+    Play none;
+    none.grants({});
+    EXPECT_TRUE(none.got<Refuse>(none.come(600)));
+}
+
 TEST(Dispatch, ASlotAskedBackIsHeldUntilItsCallEnds) {
     Play p;
     p.grants({grant("a", 2)});
