--- a/fleet/system/machines.cpp
+++ b/fleet/system/machines.cpp
@@ -198,7 +198,7 @@
         if (program.empty() || p.program == program) end(p);
     m.frozen = false;
     if (m.powerless) return;  // comes back when its power does
-    if (wipe) std::filesystem::remove_all(m.folder + "/disk");
+    if (wipe) loseDisk(m.folder);
     loop_.at(loop_.now() + away, [this, n] { back(n); });
 }
 
--- a/fleet/system/weather.cpp
+++ b/fleet/system/weather.cpp
@@ -94,10 +94,12 @@
         std::istringstream text(line);
         std::vector<std::string> words{std::istream_iterator<std::string>(text), {}};
         if (words.size() < 2) continue;
-        if (words[0] == "S")
-            std::erase_if(pending, [&](const auto& each) { return each[1] == words[1]; });
-        else
-            pending.push_back(std::move(words));
+        std::erase_if(pending, [&](const auto& each) {
+            if (words[0] == "D")
+                return each[2].rfind(words[2] + "/", 0) == 0;  // of a folder that went before it
+            return words[0] == "S" && each[1] == words[1];
+        });
+        if (words[0] != "S") pending.push_back(std::move(words));
     }
     size_t kept = chance() % (pending.size() + 1);
     std::error_code error;
@@ -114,6 +116,12 @@
 
 }  // namespace
 
+void loseDisk(const std::string& folder) {
+    std::error_code error;
+    for (const std::string name : {"disk", kSyncedFile, kNamesFile, kGraves})
+        fs::remove_all(folder + "/" + name, error);
+}
+
 int forgetUnsynced(const std::string& folder, std::mt19937_64& chance) {
     forgetNames(folder, chance);
     std::map<uint64_t, uint64_t> synced;
--- a/fleet/system/weather.hpp
+++ b/fleet/system/weather.hpp
@@ -46,6 +46,7 @@
 
 // The processes are dead. Of each file in folder/disk stays what was synced; of what was written after that
 // all may be gone, a tail, or a piece in its midst. How many files lost something.
+void loseDisk(const std::string& folder);
 int forgetUnsynced(const std::string& folder, std::mt19937_64& chance);
 
 }  // namespace petrelpond::range
--- a/tests/system/weather_test.cpp
+++ b/tests/system/weather_test.cpp
@@ -78,11 +78,13 @@
         std::string in = std::to_string(f.inode(f.path + "/disk/muir")), graves = f.path + "/" + kGraves;
         f.file("CURRENT", "two", -1), std::ofstream(graves + "/1") << "one";
         std::ofstream(graves + "/2") << "log one";
+        f.name("U " + in + " " + f.at("before") + " " + graves + "/1\nD 9 " + f.path + "/disk/muir\nS 9\n");
         f.name("R 7 " + f.at("gone") + " " + f.at("nowhere") + " -\nS 7\n");  // synced: stays
         f.name("R " + in + " " + f.at("tmp") + " " + f.at("CURRENT") + " " + graves + "/1\n");
         f.name("U " + in + " " + f.at("log1") + " " + graves + "/2\n");
         std::mt19937_64 chance(seed);
         forgetUnsynced(f.path, chance);
+        CHECK(f.read("before") == "");  // of a folder of this name that is no more
         left.insert(f.read("CURRENT") + "," + f.read("log1"));
     }
     CHECK(left == std::set<std::string>{"two,", "two,log one", "one,log one"});
