--- a/fleet/system/underlay/underlay.cpp
+++ b/fleet/system/underlay/underlay.cpp
@@ -40,7 +40,7 @@
 struct Fd {
     std::atomic<uint8_t> kind{kNone};
     std::atomic<uint32_t> peer{0};
-    std::atomic<bool> filtered{false}, paced{false}, held{false};
+    std::atomic<bool> filtered{false}, held{false};
     std::atomic<int> epoll{-1};
 };
 Fd fds[kMostFds];
@@ -87,13 +87,6 @@
     } else if (fds[fd].filtered.exchange(false)) {
         setsockopt(fd, SOL_SOCKET, SO_DETACH_FILTER, &none, sizeof none);
     }
-    const PeerWeather* peer = towards(fds[fd].peer);
-    bool paced = peer && peer->bytesOut > 0;
-    if (paced || fds[fd].paced.exchange(paced)) {
-        uint32_t rate = paced ? peer->bytesOut : 0xffffffff;
-        fds[fd].paced = paced;
-        setsockopt(fd, SOL_SOCKET, SO_MAX_PACING_RATE, &rate, sizeof rate);
-    }
     errno = kept;
 }
 
@@ -144,7 +137,7 @@
 void take(int fd, uint32_t peer) {
     if (!known(fd) || folder.empty()) return;
     fds[fd].peer = peer, fds[fd].held = false, fds[fd].epoll = -1;
-    fds[fd].filtered = false, fds[fd].paced = false, fds[fd].kind = kSocket;
+    fds[fd].filtered = false, fds[fd].kind = kSocket;
     apply(fd);
 }
 
@@ -199,7 +192,8 @@
     bool hold(int fd, const void* bytes, size_t size, const sockaddr_in* to, bool ends) {
         const PeerWeather* peer = towards(to ? ntohl(to->sin_addr.s_addr) : fds[fd].peer.load());
         auto delay = std::chrono::microseconds(peer ? peer->delayOut : 0);
-        if (delay.count() == 0 && (to || !fds[fd].held)) return false;
+        uint32_t rate = peer && !to ? peer->bytesOut : 0;
+        if (delay.count() == 0 && rate == 0 && (to || !fds[fd].held)) return false;
         std::lock_guard lock(mutex);
         auto due = Clock::now() + delay;
         Held one{-1, fd, std::string(static_cast<const char*>(bytes), size), {}, to != nullptr, ends};
@@ -212,7 +206,8 @@
                 found = lines.emplace(fd, std::pair(dup(fd), due)).first;
             }
             fds[fd].held = true;
-            due = found->second.second = std::max(due, found->second.second);
+            auto takes = std::chrono::microseconds(rate ? uint64_t(size) * 1000000 / rate : 0);
+            due = found->second.second = std::max(due, found->second.second) + takes;
             one.fd = found->second.first;
             if (ends) lines.erase(found), fds[fd].held = false;
         }
