--- a/huts/eagle/http_test.cpp
+++ b/huts/eagle/http_test.cpp
@@ -170,10 +170,33 @@
 // --- streams -------------------------------------------------------------------------------------
 
 struct Deaf final : StreamOwner {
-    void data(Stream&) override {}
+    size_t got = 0;
+    void data(Stream& s) override { got += s.in().size(), s.in().clear(); }
     void ended(Stream&, int) override {}
 };
 
+TEST(Streams, ALargeMessageLeavesNoRoomBehind) {
+    Loop loop;
+    Deaf owner;
+    int ends[2];
+    ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, ends), 0);
+    auto stream = Stream::adopt(loop, owner, ends[0], Span());
+    std::string large(100'000, 'x');
+    ssize_t sent = ::send(ends[1], large.data(), large.size(), 0);
+    ASSERT_GT(sent, 50'000);
+    while (owner.got < static_cast<size_t>(sent)) stream->woke(EPOLLIN);
+    EXPECT_LT(stream->memory(), 20'000u);
+    for (int i = 0; i < 50; ++i) stream->send(large);  // more than the way takes at once
+    EXPECT_GT(stream->memory(), 1'000'000u);
+    while (stream->unsent() > 0) {
+        while (::recv(ends[1], large.data(), large.size(), 0) > 0) {
+        }
+        stream->woke(EPOLLOUT);
+    }
+    EXPECT_LT(stream->memory(), 20'000u);
+    ::close(ends[1]);
+}
+
 TEST(Streams, NothingLeavesOnAConnectionThatWasReset) {
     Loop loop;  // does not turn: what the other side did has not been read
     Deaf owner;
--- a/huts/eagle/stream.cpp
+++ b/huts/eagle/stream.cpp
@@ -40,6 +40,14 @@
     option(fd, IPPROTO_TCP, TCP_KEEPCNT, std::max(1, ms / 2000));
 }
 
+// A text that was emptied keeps its memory. Hundreds of connections that had each carried one large body and
+// lay idle since were over a machine's bound together. Harm: the next large one is given its memory anew.
+constexpr size_t kKeptRoom = 16384;
+
+void giveBack(std::string& text) {
+    if (text.empty() && text.capacity() > kKeptRoom) std::string().swap(text);
+}
+
 }  // namespace
 
 std::string Address::text() const {
@@ -143,6 +151,7 @@
         sent_ += static_cast<size_t>(n);
     }
     out_.clear(), sent_ = 0;
+    giveBack(out_);
     if (finishing_ && !finished_) finished_ = true, ::shutdown(fd_, SHUT_WR);
     rewatch();
     owner_->written(*this);
@@ -190,14 +199,14 @@
             if (n < 0 && errno == EINTR) continue;
             if (n < 0 && errno == EAGAIN) break;
             int error = n == 0 ? 0 : errno;
-            if (got) owner_->data(*this);
+            if (got) owner_->data(*this), giveBack(in_);
             if (fd_ < 0) return;
             if (error != 0 || !keepAtEnd_) return end(error);
             paused_ = true;
             rewatch();
             return owner_->ended(*this, 0);
         }
-        if (got) owner_->data(*this);
+        if (got) owner_->data(*this), giveBack(in_);
         if (fd_ < 0) return;
     }
     if ((events & EPOLLOUT) && unsent() > 0) flush();
--- a/huts/eagle/stream.hpp
+++ b/huts/eagle/stream.hpp
@@ -47,6 +47,7 @@
     bool isConnected() const { return up_; }
     bool isClosed() const { return fd_ < 0; }
     size_t unsent() const { return out_.size() - sent_; }
+    size_t memory() const { return in_.capacity() + out_.capacity(); }
     void close();
     void finishWriting();  // half-closes once all has gone out
     void pauseReading(bool paused);
--- a/huts/timberline/proxy.cpp
+++ b/huts/timberline/proxy.cpp
@@ -158,6 +158,8 @@
     // client goes elsewhere. 200 are the platform's for files, some our own; each request may take two.
     mostVisits_ = static_cast<size_t>(std::max(64, settings_.limits.fileDescriptors - 300)) * 2 / 3;
     dispatch_.bound(mostVisits_ / 2);
+    // A body lies in several places on its way: as it came, in the kernel, and as it goes on.
+    mostBytes_ = static_cast<size_t>(settings_.limits.memoryMb) * 1'000'000 / 8;
     listener_ = eagle::Listener::open(
         loop_, *front,
         [this](int fd, eagle::Address) {
@@ -255,6 +257,13 @@
         ++noRoute_;
         return visit.answer(404, "", "", leaving_);
     }
+    // A process over its memory is killed, with all that it has under way. Harm: who comes with nothing to
+    // carry is told to come back as well.
+    if (bytes_ + request.raw.size() + request.body.size() > mostBytes_) {
+        ++tooMuch_;
+        Span wait = Span::millis(200) + Span::seconds(chance_.between(0.05, 0.25));
+        return visit.answer(503, retryAfter(wait), "", true);
+    }
     auto id = request.head.field("X-Attempt-Id");
     if (!id || id->empty()) return visit.answer(400, "", "X-Attempt-Id is missing\n", leaving_);
     Span left = route->timeout;
@@ -283,6 +292,7 @@
     e.visit = visit.id(), e.attemptId = std::string(*id), e.deadline = a.deadline,
     e.repeatable = a.repeatable;
     e.request = std::move(request);
+    weigh(e);
     visit.tag = a.id;
     dispatch_.arrived(loop_.now(), a);
     pumpSoon();
@@ -294,7 +304,7 @@
     if (found == exchanges_.end() || !dispatch_.waits(visit.tag)) return;
     // It has not been sent: with its client gone it need not be.
     dispatch_.withdrawn(loop_.now(), visit.tag);
-    exchanges_.erase(found);
+    forget(found);
     visit.tag = 0;
     loop_.soon([this, id = visit.id()] {
         if (auto v = visits_.find(id); v != visits_.end()) left(*v->second);
@@ -307,7 +317,7 @@
         if (found != exchanges_.end()) {
             found->second.visit = 0;
             if (dispatch_.waits(visit.tag))
-                dispatch_.withdrawn(loop_.now(), visit.tag), exchanges_.erase(found);
+                dispatch_.withdrawn(loop_.now(), visit.tag), forget(found);
         }
     }
     auto at = visits_.find(visit.id());
@@ -316,6 +326,18 @@
     visits_.erase(at);
 }
 
+void Proxy::weigh(Exchange& e) {
+    bytes_ -= e.weighs;
+    e.weighs = e.request.raw.size() + e.request.body.size();
+    if (e.answer) e.weighs += e.answer->raw.size() + e.answer->body.size();
+    bytes_ += e.weighs;
+}
+
+void Proxy::forget(std::unordered_map<RequestId, Exchange>::iterator found) {
+    bytes_ -= found->second.weighs;
+    exchanges_.erase(found);
+}
+
 void Proxy::pumpSoon() {
     if (pumping_) return;
     pumping_ = true;
@@ -415,6 +437,7 @@
     }
     line->idle = false;
     line->request = s.id, e.line = line, e.answer.reset();
+    weigh(e);
     line->connectBy = now + kConnect;
     line->patientUntil = s.patience > Span() ? now + s.patience : Instant::never();
     line->deadline = e.deadline + Span::millis(30);
@@ -532,6 +555,7 @@
         line.request = 0, e.line = nullptr;
         loop_.cancel(line.timer);
         e.answer = std::move(answer);
+        weigh(e);
         if (keeps) {
             line.idle = true, line.idleSince = loop_.now();
             place(line.at).idle.push_back(&line);
@@ -567,7 +591,7 @@
         visit->second->tag = 0;
         visit->second->answerAsIs(head, a.body, last);
     }
-    exchanges_.erase(found);
+    forget(found);
 }
 
 void Proxy::answerPlain(RequestId id, int status, std::string_view fields) {
@@ -584,7 +608,7 @@
     // client that would have kept it opens a new one.
     bool last = leaving_ || visits_.size() > mostVisits_ / 2;
     if (visit != visits_.end()) visit->second->tag = 0, visit->second->answer(status, fields, "", last);
-    exchanges_.erase(found);
+    forget(found);
 }
 
 void Proxy::probe(InstanceIx at) {
@@ -670,10 +694,10 @@
     spdlog::info(
         "counters arrived={} sent={} passed={} refused={} refused_held={} again={} gave_up={} full={} "
         "misdirected={} broken={} silent={} unconnected={} probes={} reports={} no_route={} not_ready={} "
-        "excess={} spoilt={} connects={} open={} waiting={} turned_away={}",
+        "excess={} spoilt={} connects={} open={} waiting={} turned_away={} too_much={} bytes={}",
         c.arrived, c.sent, c.passed, c.refusedAtOnce, c.refusedHeld, c.again, c.gaveUp, c.full, c.misdirected,
         c.broken, c.silent, c.unconnected, c.probes, c.reports, noRoute_, notReady_, excess_, spoilt_,
-        connects_, visits_.size(), dispatch_.held(), turnedAway_);
+        connects_, visits_.size(), dispatch_.held(), turnedAway_, tooMuch_, bytes_);
 }
 
 }  // namespace petrelpond::timberline
--- a/huts/timberline/proxy.hpp
+++ b/huts/timberline/proxy.hpp
@@ -61,6 +61,7 @@
         bool repeatable = false;
         Line* line = nullptr;
         std::unique_ptr<eagle::HttpAnswer> answer;
+        size_t weighs = 0;  // as counted in bytes_
     };
     struct Place {  // of one instance
         eagle::Address address;
@@ -82,6 +83,8 @@
     std::string requestBytes(const Exchange&, const std::string& instance) const;
     void answerPlain(RequestId, int status, std::string_view fields);
     void connectAgent();
+    void weigh(Exchange&);
+    void forget(std::unordered_map<RequestId, Exchange>::iterator);
     void sweep();
     void mayEnd();
     Place& place(InstanceIx);
@@ -106,8 +109,10 @@
     Instant leavingSince_, lastCame_, logAt_;
     eagle::TimerId timer_ = 0, sweepTimer_ = 0;
     Instant armedFor_ = Instant::never();
-    uint64_t noRoute_ = 0, notReady_ = 0, excess_ = 0, spoilt_ = 0, connects_ = 0, turnedAway_ = 0;
+    uint64_t noRoute_ = 0, notReady_ = 0, excess_ = 0, spoilt_ = 0, connects_ = 0, turnedAway_ = 0,
+             tooMuch_ = 0;
     size_t mostVisits_ = 1000;
+    size_t bytes_ = 0, mostBytes_ = 0;  // of requests and answers under way
 };
 
 }  // namespace petrelpond::timberline
--- a/huts/timberline/proxy_test.cpp
+++ b/huts/timberline/proxy_test.cpp
@@ -218,6 +218,7 @@
         settings_.bounds.grace = Span::millis(4000);
         settings_.bootstrap = true;  // no earlier life whose further sends would count
         settings_.limits.fileDescriptors = 396;  // 64 connections of clients
+        settings_.limits.memoryMb = 8;
         proxy_ = std::make_unique<Proxy>(turning_.loop, settings_, 1);
         std::string error;
         EXPECT_TRUE(proxy_->open(error)) << error;
@@ -858,5 +859,29 @@
     EXPECT_EQ(statusOf(asked(request("/often/a", "y"))), 503);  // and is not held
 }
 
+TEST_F(ProxyTest, WhatIsUnderWayIsBoundedInBytes) {
+    Door door;
+    begin({{&door, 1}});
+    std::string large(260'000, 'x');
+    std::vector<std::unique_ptr<Wire>> all;
+    for (int i = 0; i < 4; ++i) {  // an eighth of 8 MB is just under four of them
+        all.push_back(client());
+        all.back()->send(request("/once/a", "id-" + std::to_string(i), "", large));
+        if (i < 3) settle();
+    }
+    EXPECT_EQ(statusOf(all.back()->message()), 503);
+    auto e = door.taken();
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_EQ(bodyOf(e->message()), large);
+        e->send(answer("id-" + std::to_string(i), "done"));
+        EXPECT_EQ(bodyOf(all[static_cast<size_t>(i)]->message()), "done");
+    }
+    auto c = client();
+    c->send(request("/once/a", "id-9", "", large));  // there is room again
+    e->message();
+    e->send(answer("id-9", "done"));
+    EXPECT_EQ(statusOf(c->message()), 200);
+}
+
 }  // namespace
 }  // namespace petrelpond::timberline
