--- a/huts/trailhead/start.cpp
+++ b/huts/trailhead/start.cpp
@@ -81,8 +81,8 @@
     spdlog::set_default_logger(log);
     for (const std::string& doubt : out.settings.doubts) spdlog::warn("settings: doubtful: {}", doubt);
     // Fixed, so that it does not rise with the largest body seen: what is large goes back to the machine when
-    // it is freed, instead of staying between small blocks in a process that is bound in memory. Harm: a system
-    // call for each large body.
+    // it is freed, instead of staying between small blocks in a process that is bound in memory. Harm: a
+    // system call for each large body.
     mallopt(M_MMAP_THRESHOLD, 64 * 1024);
     out.chance = seed ? static_cast<uint32_t>(seed) : std::random_device{}();
     return out;
