--- a/fleet/system/clients.cpp
+++ b/fleet/system/clients.cpp
@@ -8,9 +8,9 @@
 
 namespace petrelpond::range {
 
-using eagle::HttpAnswer;
-using eagle::Reading;
-using eagle::Stream;
+using network::HttpAnswer;
+using network::Reading;
+using network::Stream;
 
 namespace {
 
@@ -25,14 +25,14 @@
 
 // --- the door ----------------------------------------------------------------------------------------------
 
-Door::Door(eagle::Loop& loop, const Machines& machines) : loop_(loop), machines_(machines) {
+Door::Door(network::Loop& loop, const Machines& machines) : loop_(loop), machines_(machines) {
     for (size_t i = 0; i < machines.all().size(); ++i) {
         in_.push_back(false), misses_.push_back(0), callers_.push_back(nullptr);
         const Machine& m = machines.all()[i];
         if (m.core) continue;
         edges_.push_back(static_cast<int>(i));
-        callers_.back() = std::make_unique<eagle::HttpCaller>(
-            loop, *eagle::Address::parse(m.ip, machines.ports.readiness), 1, Span::millis(900));
+        callers_.back() = std::make_unique<network::HttpCaller>(
+            loop, *network::Address::parse(m.ip, machines.ports.readiness), 1, Span::millis(900));
     }
     ask();
 }
@@ -70,7 +70,7 @@
 
 // --- one connection ----------------------------------------------------------------------------------------
 
-struct Clients::Line final : eagle::StreamOwner {
+struct Clients::Line final : network::StreamOwner {
     Clients& of;
     uint64_t id;
     int machine, client;
@@ -83,12 +83,12 @@
         HttpAnswer answer;
         if (ask == 0) {
             // A last word on an idle connection, as 408, may come; nothing else.
-            Reading read = eagle::takeAnswer(s.in(), s.isClosed(), kMostAnswer, answer);
+            Reading read = network::takeAnswer(s.in(), s.isClosed(), kMostAnswer, answer);
             if (read == Reading::incomplete) return;
             of.judge_.stray(of.loop_.now(), machine, read == Reading::whole ? answer.status : 0);
             return of.bury(*this);
         }
-        Reading read = eagle::takeAnswer(s.in(), s.isClosed(), kMostAnswer, answer);
+        Reading read = network::takeAnswer(s.in(), s.isClosed(), kMostAnswer, answer);
         if (read == Reading::whole) return of.answered(*this, answer);
         if (read == Reading::incomplete) return;
         Ask& a = of.asks_.at(ask);
@@ -112,7 +112,7 @@
     }
 };
 
-Clients::Clients(eagle::Loop& loop, Judge& judge, const Plan& plan, const Machines& machines, Door& door,
+Clients::Clients(network::Loop& loop, Judge& judge, const Plan& plan, const Machines& machines, Door& door,
                  std::vector<std::string> zones, uint64_t seed)
     : loop_(loop), judge_(judge), plan_(plan), machines_(machines), door_(door), zones_(std::move(zones)),
       chance_(seed), results_(plan.flows.size()), factors_(plan.groups.size(), 1) {
@@ -213,7 +213,7 @@
         const Machine& m = machines_.all()[static_cast<size_t>(a.machine)];
         ++connections_;
         made->stream =
-            Stream::connect(loop_, *made, *eagle::Address::parse(m.ip, machines_.ports.front), Span());
+            Stream::connect(loop_, *made, *network::Address::parse(m.ip, machines_.ports.front), Span());
         line = made.get();
         bool made_ = made->stream != nullptr;
         lines_[line->id] = std::move(made);
--- a/fleet/system/clients.hpp
+++ b/fleet/system/clients.hpp
@@ -9,15 +9,15 @@
 #include <vector>
 
 #include "fleet/system/machines.hpp"
-#include "huts/eagle/http_answer.hpp"
-#include "huts/eagle/http_caller.hpp"
+#include "system/network/http_answer.hpp"
+#include "system/network/http_caller.hpp"
 
 namespace petrelpond::range {
 
 // Which senders get new connections: asked for readiness every second, out after two misses.
 class Door {
   public:
-    Door(eagle::Loop&, const Machines&);
+    Door(network::Loop&, const Machines&);
     // The sender for this client's try; other tries go to others.
     int pick(const std::string& zone, uint64_t client, int tryNo) const;
     bool isIn(int machine) const { return in_[static_cast<size_t>(machine)]; }
@@ -25,12 +25,12 @@
 
   private:
     void ask();
-    eagle::Loop& loop_;
+    network::Loop& loop_;
     const Machines& machines_;
     std::vector<int> edges_;  // numbers
     std::vector<bool> in_;
     std::vector<int> misses_;
-    std::vector<std::unique_ptr<eagle::HttpCaller>> callers_;
+    std::vector<std::unique_ptr<network::HttpCaller>> callers_;
 };
 
 struct FlowResult {
@@ -44,7 +44,7 @@
 
 class Clients {
   public:
-    Clients(eagle::Loop&, Judge&, const Plan&, const Machines&, Door&, std::vector<std::string> zones,
+    Clients(network::Loop&, Judge&, const Plan&, const Machines&, Door&, std::vector<std::string> zones,
             uint64_t seed);
     ~Clients();
     // For a function of a group and a flow: its route's host and prefix.
@@ -70,7 +70,7 @@
         Instant cameAt, deadline, sentAt;
         std::string attempt;
         Line* line = nullptr;
-        eagle::TimerId timer = 0;
+        network::TimerId timer = 0;
         int lastStatus = 0;
         Asked asked;
     };
@@ -78,7 +78,7 @@
     void attempt(Ask&);
     void write(Ask&);
     void timed(uint64_t number);
-    void answered(Line&, const eagle::HttpAnswer&);
+    void answered(Line&, const network::HttpAnswer&);
     void unanswered(Ask&, bool connected);
     void again(Ask&, Span wait);
     void over(Ask&, int status);
@@ -89,7 +89,7 @@
         return std::uniform_real_distribution<double>(low, high)(chance_);
     }
 
-    eagle::Loop& loop_;
+    network::Loop& loop_;
     Judge& judge_;
     const Plan& plan_;
     const Machines& machines_;
--- a/fleet/system/command.cpp
+++ b/fleet/system/command.cpp
@@ -19,7 +19,7 @@
     if (!said.empty()) return said;
     std::error_code error;
     auto beside = std::filesystem::read_symlink("/proc/self/exe", error).parent_path();
-    return std::filesystem::exists(beside / "timberline", error) ? beside.string() : "./target";
+    return std::filesystem::exists(beside / "petrel-proxy", error) ? beside.string() : "./target";
 }
 
 }  // namespace
@@ -67,14 +67,15 @@
     p.all->require_subcommand(1);
     auto usual = [&p](CLI::App* c) {
         c->add_option("--programs", p.programs,
-                      "folder of timberline, silcox and cloudcap (beside petrelfleet, else ./target)");
+                      "folder of petrel-proxy, petrel-agent and petrel-control-plane (beside petrelfleet, "
+                      "else ./target)");
         c->add_option("--keep", p.keep, "keep the machines' folders with logs and disks here");
         c->add_option("--seed", p.seed, "in place of the file's");
         c->add_flag("-q,--quiet", p.quiet, "no progress");
         c->add_option("-n,--plays", p.plays, "how many, each with the next seed")->check(CLI::Range(1, 1000));
     };
     auto twins = [&p](CLI::App* c) {
-        c->add_option("--twin", p.twin, "cores that are broken on purpose, as muir's search knows them")
+        c->add_option("--twin", p.twin, "cores that are broken on purpose, as consensus's search knows them")
             ->check(CLI::IsMember({"hasty-amnesiac", "ack-before-sync", "no-write-back", "forgets-promise"}));
     };
     p.demo = p.all->add_subcommand(
--- a/fleet/system/machines.cpp
+++ b/fleet/system/machines.cpp
@@ -30,7 +30,7 @@
            std::all_of(processes.begin(), processes.end(), [](const Process& p) { return p.pid > 0; });
 }
 
-Machines::Machines(eagle::Loop& loop, Judge& judge, const Plan& plan, std::string programs,
+Machines::Machines(network::Loop& loop, Judge& judge, const Plan& plan, std::string programs,
                    std::string folder, uint32_t network, std::vector<std::string> zones)
     : loop_(loop), judge_(judge), plan_(plan), programs_(std::move(programs)), folder_(std::move(folder)),
       network_(network), zones_(std::move(zones)) {
@@ -39,8 +39,9 @@
         m.core = core, m.name = (core ? "core-" : "edge-") + std::to_string(n + 1);
         m.zone = zones_[static_cast<size_t>(n) % zones_.size()];
         m.ip = ip(core ? 2 : 1, static_cast<uint32_t>(n + 1)), m.folder = folder_ + "/" + m.name;
-        for (const char* program : {"timberline", "silcox", "cloudcap"})
-            if ((std::string(program) == "cloudcap") == core) m.processes.push_back({program, -1, false, 0});
+        for (const char* program : {"petrel-proxy", "petrel-agent", "petrel-control-plane"})
+            if ((std::string(program) == "petrel-control-plane") == core)
+                m.processes.push_back({program, -1, false, 0});
         machines_.push_back(std::move(m));
     };
     for (int i = 0; i < plan.edges; ++i) add(false, i);
@@ -60,7 +61,7 @@
 }
 
 std::string Machines::ip(uint32_t block, uint32_t host) const {
-    std::string text = eagle::Address{network_ | block << 8 | host, 1}.text();
+    std::string text = network::Address{network_ | block << 8 | host, 1}.text();
     return text.substr(0, text.find(':'));
 }
 
@@ -208,7 +209,7 @@
     m.powerless = false, weather_->silent(n, false);
     bool newProxy = false;
     for (auto& p : m.processes)
-        if (p.pid <= 0) newProxy |= p.program != "silcox", start(m, p);
+        if (p.pid <= 0) newProxy |= p.program != "petrel-agent", start(m, p);
     judge_.up(loop_.now(), n, newProxy);
 }
 
--- a/fleet/system/machines.hpp
+++ b/fleet/system/machines.hpp
@@ -12,7 +12,7 @@
 #include "fleet/system/judge.hpp"
 #include "fleet/system/plan.hpp"
 #include "fleet/system/weather.hpp"
-#include "huts/eagle/stream.hpp"
+#include "system/network/stream.hpp"
 
 namespace petrelpond::range {
 
@@ -37,7 +37,7 @@
 
 class Machines {
   public:
-    Machines(eagle::Loop&, Judge&, const Plan&, std::string programs, std::string folder, uint32_t network,
+    Machines(network::Loop&, Judge&, const Plan&, std::string programs, std::string folder, uint32_t network,
              std::vector<std::string> zones);
     ~Machines();  // kills what runs
     void startAll();
@@ -74,7 +74,7 @@
     void end(Machine::Process&);
     void account(Machine::Process&, const rusage&);
     void back(int machine);
-    eagle::Loop& loop_;
+    network::Loop& loop_;
     Judge& judge_;
     const Plan& plan_;
     std::string programs_, folder_;
--- a/fleet/system/operators.cpp
+++ b/fleet/system/operators.cpp
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-Operators::Operators(eagle::Loop& loop, Judge& judge, const Plan& plan, const Machines& machines,
+Operators::Operators(network::Loop& loop, Judge& judge, const Plan& plan, const Machines& machines,
                      const Door& door, Clients& clients, const std::vector<ServicePlan>& services,
                      uint64_t seed)
     : loop_(loop), judge_(judge), plan_(plan), machines_(machines), door_(door), clients_(clients),
@@ -24,8 +24,8 @@
         const Machine& m = machines.all()[i];
         if (!m.core) continue;
         cores_.push_back(static_cast<int>(i));
-        callers_.push_back(std::make_unique<eagle::HttpCaller>(
-            loop, *eagle::Address::parse(m.ip, machines.ports.control), 6, kSilence));
+        callers_.push_back(std::make_unique<network::HttpCaller>(
+            loop, *network::Address::parse(m.ip, machines.ports.control), 6, kSilence));
     }
     for (size_t f = 0; f < plan.flows.size(); ++f) {
         const FlowPlan& flow = plan.flows[f];
--- a/fleet/system/operators.hpp
+++ b/fleet/system/operators.hpp
@@ -23,7 +23,7 @@
 
 class Operators {
   public:
-    Operators(eagle::Loop&, Judge&, const Plan&, const Machines&, const Door&, Clients&,
+    Operators(network::Loop&, Judge&, const Plan&, const Machines&, const Door&, Clients&,
               const std::vector<ServicePlan>&, uint64_t seed);
     ~Operators();
     void first();
@@ -63,7 +63,7 @@
     void read(Instant until, bool closing);
     std::string markPath(int64_t version) const;
 
-    eagle::Loop& loop_;
+    network::Loop& loop_;
     Judge& judge_;
     const Plan& plan_;
     const Machines& machines_;
@@ -72,7 +72,7 @@
     const std::vector<ServicePlan>& services_;
     std::mt19937_64 chance_;
     std::vector<int> cores_;
-    std::vector<std::unique_ptr<eagle::HttpCaller>> callers_;  // by core
+    std::vector<std::unique_ptr<network::HttpCaller>> callers_;  // by core
     std::vector<RouteState> routes_;
     int64_t version_ = 0, marked_ = 0, droppedMark_ = 0;
     std::string oldText_;
--- a/fleet/system/plan.cpp
+++ b/fleet/system/plan.cpp
@@ -190,7 +190,8 @@
     if (f.kind == Kind::linkDelay || f.kind == Kind::diskSlow)
         f.value = p.millis("value_ms", Span::millis(200));
     if (f.kind == Kind::kill) {
-        static const std::vector<std::string> programs = {"timberline", "silcox", "cloudcap"};
+        static const std::vector<std::string> programs = {"petrel-proxy", "petrel-agent",
+                                                          "petrel-control-plane"};
         if (int at = p.word("program", programs, false); at >= 0)
             f.program = programs[static_cast<size_t>(at)];
     }
@@ -479,7 +480,7 @@
                         f.kind = Kind::freeze, f.machines = draw(2) ? cores(losses) : edges();
                         break;
                     case 3:
-                        f.machines = edges(), f.program = draw(2) ? "silcox" : "timberline";
+                        f.machines = edges(), f.program = draw(2) ? "petrel-agent" : "petrel-proxy";
                         break;
                     case 4:
                     case 5:
--- a/fleet/system/platform.cpp
+++ b/fleet/system/platform.cpp
@@ -10,9 +10,9 @@
 
 namespace petrelpond::range {
 
-using eagle::Address;
-using eagle::HttpRequest;
-using eagle::HttpVisit;
+using network::Address;
+using network::HttpRequest;
+using network::HttpVisit;
 using nlohmann::json;
 
 namespace {
@@ -49,7 +49,7 @@
     return true;
 }
 
-Platform::Platform(eagle::Loop& loop, Judge& judge, const Plan& plan, std::vector<ServicePlan> services,
+Platform::Platform(network::Loop& loop, Judge& judge, const Plan& plan, std::vector<ServicePlan> services,
                    std::vector<std::string> zones, uint32_t network, uint64_t seed)
     : loop_(loop), judge_(judge), plan_(plan), services_(std::move(services)), network_(network),
       chance_(seed) {
@@ -82,7 +82,7 @@
     }
     if (listener_) return;
     std::string error;
-    listener_ = eagle::Listener::open(
+    listener_ = network::Listener::open(
         loop_, at_,
         [this](int fd, Address) {
             uint64_t id = nextVisit_++;
@@ -328,7 +328,7 @@
 void Endpoint::open() {
     if (stoppedAt != Instant::never()) return;
     std::string error;
-    listener_ = eagle::Listener::open(
+    listener_ = network::Listener::open(
         of_.loop_, address,
         [this](int fd, Address) {
             ++of_.counts_.connects;
--- a/fleet/system/platform.hpp
+++ b/fleet/system/platform.hpp
@@ -10,7 +10,7 @@
 
 #include "fleet/system/judge.hpp"
 #include "fleet/system/plan.hpp"
-#include "huts/eagle/http_server.hpp"
+#include "system/network/http_server.hpp"
 
 namespace petrelpond::range {
 
@@ -29,9 +29,9 @@
 class Platform;
 
 // One endpoint. It begins to listen once it has booted; works on so many requests at once; has no queue.
-class Endpoint final : public eagle::HttpHost {
+class Endpoint final : public network::HttpHost {
   public:
-    Endpoint(Platform&, uint64_t number, const ServicePlan&, std::string worker, eagle::Address,
+    Endpoint(Platform&, uint64_t number, const ServicePlan&, std::string worker, network::Address,
              Instant upAt);
     void open();
     void stop();   // listens no more, ends its work
@@ -39,31 +39,31 @@
     bool gone() const { return over_ && visits_.empty(); }
     void look();
 
-    void asked(eagle::HttpVisit&, eagle::HttpRequest&&) override;
-    void left(eagle::HttpVisit&) override;
-    void hungUp(eagle::HttpVisit&) override;
-    const eagle::HttpLimits& limits() const override { return limits_; }
+    void asked(network::HttpVisit&, network::HttpRequest&&) override;
+    void left(network::HttpVisit&) override;
+    void hungUp(network::HttpVisit&) override;
+    const network::HttpLimits& limits() const override { return limits_; }
 
     const uint64_t number;
     const ServicePlan& service;
     const std::string id, worker;
-    const eagle::Address address;
+    const network::Address address;
     const Instant upAt;
     Instant drainsAt = Instant::never(), endsAt = Instant::never(), stoppedAt = Instant::never();
     bool crashed = false;
 
   private:
     struct Visit {
-        std::unique_ptr<eagle::HttpVisit> http;
+        std::unique_ptr<network::HttpVisit> http;
         int fd = -1;
-        eagle::TimerId work = 0;
+        network::TimerId work = 0;
         std::string attempt, before;  // before: the attempt whose answer went out last
     };
     void finish(uint64_t visit, bool late, uint64_t pieces);
     void drop(std::map<uint64_t, Visit>::iterator, bool reset);
     Platform& of_;
-    eagle::HttpLimits limits_;
-    std::unique_ptr<eagle::Listener> listener_;
+    network::HttpLimits limits_;
+    std::unique_ptr<network::Listener> listener_;
     std::map<uint64_t, Visit> visits_;
     uint64_t nextVisit_ = 1;
     int busy_ = 0;
@@ -71,12 +71,12 @@
     bool over_ = false;
 };
 
-class Platform final : public eagle::HttpHost {
+class Platform final : public network::HttpHost {
   public:
-    Platform(eagle::Loop&, Judge&, const Plan&, std::vector<ServicePlan>, std::vector<std::string> zones,
+    Platform(network::Loop&, Judge&, const Plan&, std::vector<ServicePlan>, std::vector<std::string> zones,
              uint32_t network, uint64_t seed);
     ~Platform() override;
-    void open(eagle::Address);
+    void open(network::Address);
     void crashWorker(Span away);
     void drainWorker(Span away);
     void setDown(bool);
@@ -84,9 +84,9 @@
     void strike(const FaultPlan&);  // from now on, until its end
     const PlatformCounts& counts() const { return counts_; }
 
-    void asked(eagle::HttpVisit&, eagle::HttpRequest&&) override;
-    void left(eagle::HttpVisit&) override;
-    const eagle::HttpLimits& limits() const override { return limits_; }
+    void asked(network::HttpVisit&, network::HttpRequest&&) override;
+    void left(network::HttpVisit&) override;
+    const network::HttpLimits& limits() const override { return limits_; }
 
   private:
     friend class Endpoint;
@@ -103,24 +103,24 @@
         bool take(Instant now);
     };
     std::optional<Kind> struck(const ServicePlan&);
-    void answer(eagle::HttpVisit&, int status, std::string body);
-    void endpoints(eagle::HttpVisit&, std::string_view query);
-    void workers(eagle::HttpVisit&);
-    void initiate(eagle::HttpVisit&, const eagle::HttpRequest&);
-    void halt(eagle::HttpVisit&, const eagle::HttpRequest&);
-    bool fenced(const eagle::HttpRequest&);
+    void answer(network::HttpVisit&, int status, std::string body);
+    void endpoints(network::HttpVisit&, std::string_view query);
+    void workers(network::HttpVisit&);
+    void initiate(network::HttpVisit&, const network::HttpRequest&);
+    void halt(network::HttpVisit&, const network::HttpRequest&);
+    bool fenced(const network::HttpRequest&);
     Endpoint* byId(const std::string& id);
     Worker* worker(const std::string& name);
     void take(Worker&, int memory);
     void ended(Endpoint&);  // its memory is free again, its address after a while
-    eagle::Address freshAddress();
+    network::Address freshAddress();
     Worker* drawWorker();
     void sweep();
     double between(double low, double high) {
         return std::uniform_real_distribution<double>(low, high)(chance_);
     }
 
-    eagle::Loop& loop_;
+    network::Loop& loop_;
     Judge& judge_;
     const Plan& plan_;
     std::vector<ServicePlan> services_;
@@ -128,13 +128,13 @@
     std::map<std::string, std::unique_ptr<Endpoint>> endpoints_;  // by id; the ended ones too
     std::vector<Endpoint*> living_;
     std::map<std::pair<std::string, std::string>, std::string> nonces_;  // service and nonce: endpoint
-    std::deque<std::pair<Instant, eagle::Address>> freed_;
+    std::deque<std::pair<Instant, network::Address>> freed_;
     uint32_t network_, nextAddress_ = 0;
     std::mt19937_64 chance_;
-    eagle::HttpLimits limits_;
-    eagle::Address at_;
-    std::unique_ptr<eagle::Listener> listener_;
-    std::unordered_map<uint64_t, std::unique_ptr<eagle::HttpVisit>> visits_;
+    network::HttpLimits limits_;
+    network::Address at_;
+    std::unique_ptr<network::Listener> listener_;
+    std::unordered_map<uint64_t, std::unique_ptr<network::HttpVisit>> visits_;
     uint64_t nextVisit_ = 1, nextEndpoint_ = 1, highestFence_ = 0;
     Allowance lists_, duties_;
     Span slow_;
--- a/fleet/system/stage.cpp
+++ b/fleet/system/stage.cpp
@@ -38,7 +38,7 @@
         for (int number : {SIGINT, SIGTERM})
             loop_.onSignal(number, [this] { out_.interrupted = true, loop_.stop(); });
         machines_.twin = options_.twin;
-        platform_.open(*eagle::Address::parse(machines_.ip(0, 10), machines_.ports.platform));
+        platform_.open(*network::Address::parse(machines_.ip(0, 10), machines_.ports.platform));
         machines_.startAll();
         loop_.at(began_ + Span::millis(300), [this] { operators_.first(); });
         loop_.at(began_ + plan_.settle, [this] { clients_.start(began_ + plan_.lasts); });
@@ -257,7 +257,7 @@
 
     const Plan& plan_;
     const StageOptions& options_;
-    eagle::Loop loop_;
+    network::Loop loop_;
     Instant began_;
     uint32_t network_;
     std::vector<std::string> zones_;
@@ -290,7 +290,7 @@
 bool countsAtRest(const Plan& plan) { return plan.settle >= kRest * 2.0; }
 
 Outcome play(const Plan& plan, const StageOptions& options) {
-    for (const char* program : {"timberline", "silcox", "cloudcap"})
+    for (const char* program : {"petrel-proxy", "petrel-agent", "petrel-control-plane"})
         if (access((options.programs + "/" + program).c_str(), X_OK) != 0)
             throw std::runtime_error(options.programs + "/" + program +
                                      ": no such program; name its folder by --programs");
--- a/fleet/system/weather.cpp
+++ b/fleet/system/weather.cpp
@@ -12,7 +12,7 @@
 #include <sstream>
 #include <utility>
 
-#include "huts/eagle/stream.hpp"
+#include "system/network/stream.hpp"
 
 namespace petrelpond::range {
 
@@ -25,7 +25,7 @@
 
 MachineWeather Weather::of(int machine) const {
     MachineWeather w;
-    auto ip = [&](size_t i) { return eagle::Address::parse(ips_[i], 1)->ip; };
+    auto ip = [&](size_t i) { return network::Address::parse(ips_[i], 1)->ip; };
     auto among = [](const std::vector<int>& all, int n) {
         return std::find(all.begin(), all.end(), n) != all.end();
     };
--- a/huts/silcox/agent.cpp
+++ b/system/agent/agent.cpp
@@ -1,4 +1,4 @@
-#include "huts/silcox/agent.hpp"
+#include "system/agent/agent.hpp"
 
 #include <spdlog/spdlog.h>
 #include <time.h>
@@ -6,10 +6,10 @@
 #include <algorithm>
 #include <cmath>
 
-namespace petrelpond::silcox {
+namespace petrelpond::agent {
 
-using eagle::Kind;
-using eagle::Link;
+using network::Kind;
+using network::Link;
 
 namespace {
 
@@ -28,8 +28,8 @@
     return static_cast<uint64_t>(t.tv_sec) * 1000 + static_cast<uint64_t>(t.tv_nsec) / 1000000;
 }
 
-wonderland::Options viewOptions(const tilly::Settings& s, uint64_t life, uint32_t chance) {
-    wonderland::Options o;
+gossip::Options viewOptions(const configuration::Settings& s, uint64_t life, uint32_t chance) {
+    gossip::Options o;
     o.self.name = s.nodeName, o.self.ip = s.ip, o.self.zone = s.zone, o.self.life = life;
     o.chance = chance;
     return o;
@@ -37,31 +37,32 @@
 
 }  // namespace
 
-Agent::Agent(eagle::Loop& loop, const tilly::Settings& settings, uint32_t chance, std::string loopback)
+Agent::Agent(network::Loop& loop, const configuration::Settings& settings, uint32_t chance,
+             std::string loopback)
     : loop_(loop), settings_(settings), loopbackIp_(std::move(loopback)), life_(lifeNow()),
       views_(loop.now(), viewOptions(settings, life_, chance)), asking_(chance + 1) {}
 
 Agent::~Agent() = default;
 
 bool Agent::open(std::string& error) {
-    auto own = eagle::Address::parse(settings_.ip, static_cast<uint16_t>(settings_.portFirst + 1));
-    auto loopback = eagle::Address::parse(loopbackIp_, static_cast<uint16_t>(settings_.portFirst + 2));
+    auto own = network::Address::parse(settings_.ip, static_cast<uint16_t>(settings_.portFirst + 1));
+    auto loopback = network::Address::parse(loopbackIp_, static_cast<uint16_t>(settings_.portFirst + 2));
     auto guest = [this](int fd, Span silence) {
         uint64_t tag = nextTag_++;
         Guest& g = guests_[tag];
         g.link = Link::adopt(loop_, *this, fd, silence);
         g.link->tag = tag;
     };
-    own_ = eagle::Listener::open(
-        loop_, *own, [guest](int fd, eagle::Address) { guest(fd, Span::seconds(3)); }, error);
+    own_ = network::Listener::open(
+        loop_, *own, [guest](int fd, network::Address) { guest(fd, Span::seconds(3)); }, error);
     if (!own_) return error = own->text() + ": " + error, false;
-    loopback_ = eagle::Listener::open(
-        loop_, *loopback, [guest](int fd, eagle::Address) { guest(fd, Span()); }, error);
+    loopback_ = network::Listener::open(
+        loop_, *loopback, [guest](int fd, network::Address) { guest(fd, Span()); }, error);
     if (!loopback_) return error = loopback->text() + ": " + error, false;
-    datagrams_ = eagle::Datagrams::open(
+    datagrams_ = network::Datagrams::open(
         loop_, *own,
-        [this](eagle::Address from, std::string_view bytes) {
-            if (auto message = wonderland::decode(bytes)) {
+        [this](network::Address from, std::string_view bytes) {
+            if (auto message = gossip::decode(bytes)) {
                 std::string ip = from.text();
                 views_.heard(loop_.now(), ip.substr(0, ip.find(':')), *message);
                 pump();
@@ -74,7 +75,7 @@
     return true;
 }
 
-void Agent::newSettings(const tilly::Settings& settings) {
+void Agent::newSettings(const configuration::Settings& settings) {
     settings_.seeds = settings.seeds;
     for (const auto& seed : settings_.seeds) meetCore(seed.ip);
 }
@@ -90,7 +91,7 @@
         if (core.link || loop_.now() - core.triedAt < core.pause) continue;
         core.triedAt = core.heardAt = loop_.now();
         core.pause = std::min(core.pause * 2, kTryAgain);
-        auto address = eagle::Address::parse(ip, static_cast<uint16_t>(settings_.portFirst));
+        auto address = network::Address::parse(ip, static_cast<uint16_t>(settings_.portFirst));
         if (!address) continue;
         core.link = Link::connect(loop_, *this, *address, Span::millis(2000));
         if (core.link) core.link->tag = 0;
@@ -101,15 +102,15 @@
     for (auto& [ip, core] : cores_) {
         if (core.link.get() != &link) continue;
         core.pause = Span::millis(100), core.heardAt = loop_.now();
-        link.say(Kind::hello, eagle::Hello{settings_.nodeName, settings_.ip, settings_.zone, life_,
-                                           config_ ? config_->version : 0});
+        link.say(Kind::hello, network::Hello{settings_.nodeName, settings_.ip, settings_.zone, life_,
+                                             config_ ? config_->version : 0});
         tellProxy();
         return;
     }
     auto guest = guests_.find(link.tag);
     if (guest != guests_.end() && !guest->second.fetchFrom.empty())
         link.say(Kind::want,
-                 eagle::Beat{config_ ? config_->version : 0, config_ ? config_->digest : 0, 0, "", 0});
+                 network::Beat{config_ ? config_->version : 0, config_ ? config_->digest : 0, 0, "", 0});
 }
 
 void Agent::frame(Link& link, Kind kind, std::string_view payload) {
@@ -117,20 +118,20 @@
         if (core.link.get() != &link) continue;
         core.heardAt = loop_.now();
         if (kind == Kind::beat) {
-            if (auto b = eagle::unpacked<eagle::Beat>(payload)) heardBeat(core, *b);
+            if (auto b = network::unpacked<network::Beat>(payload)) heardBeat(core, *b);
         } else if (kind == Kind::welcome) {
-            if (auto w = eagle::unpacked<eagle::Welcome>(payload)) {
+            if (auto w = network::unpacked<network::Welcome>(payload)) {
                 for (const std::string& each : w->cores) meetCore(each);
-                std::vector<wonderland::Peer> peers;
+                std::vector<gossip::Peer> peers;
                 for (const auto& k : w->senders) {
-                    wonderland::Peer p;
+                    gossip::Peer p;
                     p.name = k.name, p.ip = k.ip, p.zone = k.zone, p.life = k.life;
                     peers.push_back(p);
                 }
                 views_.told(loop_.now(), peers);
             }
         } else if (kind == Kind::config) {
-            if (auto c = eagle::unpacked<eagle::Config>(payload)) take(*c);
+            if (auto c = network::unpacked<network::Config>(payload)) take(*c);
         } else if (kind == Kind::grants && ip == holder_) {
             toProxy(Kind::grants, payload);
         }
@@ -148,11 +149,11 @@
         if (core != cores_.end() && core->second.link && core->second.link->isUp())
             core->second.link->send(Kind::report, payload);
     } else if (kind == Kind::want) {
-        auto b = eagle::unpacked<eagle::Beat>(payload);
+        auto b = network::unpacked<network::Beat>(payload);
         if (b && config_ && newer(b->version, b->digest) == false && config_->version >= b->version)
             link.say(Kind::config, *config_);
     } else if (kind == Kind::config && !found->second.fetchFrom.empty()) {
-        if (auto c = eagle::unpacked<eagle::Config>(payload)) take(*c);
+        if (auto c = network::unpacked<network::Config>(payload)) take(*c);
         link.close();
         loop_.bury(std::move(found->second.link));
         guests_.erase(found);
@@ -184,28 +185,28 @@
     return version != config_->version ? version > config_->version : digest > config_->digest;
 }
 
-void Agent::heardBeat(CoreLink& core, const eagle::Beat& b) {
+void Agent::heardBeat(CoreLink& core, const network::Beat& b) {
     core.last = b;
     if (b.term > term_ || (b.term == term_ && holder_.empty() && !b.holder.empty())) duty(b.term, b.holder);
     askConfig(core, b);
 }
 
 // One core is asked at a time, the first that tells of a newer configuration; another after a while.
-void Agent::askConfig(CoreLink& core, const eagle::Beat& b) {
+void Agent::askConfig(CoreLink& core, const network::Beat& b) {
     if (!newer(b.version, b.digest) || !asking_.due(loop_.now(), config_ != nullptr)) return;
     if (loop_.now() - askedAt_ < kAskAgain) return;
     askedAt_ = loop_.now(), askedCore_ = core.ip;
     core.link->say(Kind::want,
-                   eagle::Beat{config_ ? config_->version : 0, config_ ? config_->digest : 0, 0, "", 0});
+                   network::Beat{config_ ? config_->version : 0, config_ ? config_->digest : 0, 0, "", 0});
 }
 
-void Agent::take(const eagle::Config& c) {
+void Agent::take(const network::Config& c) {
     if (!newer(c.version, c.digest)) return;
-    config_ = std::make_unique<eagle::Config>(c);
+    config_ = std::make_unique<network::Config>(c);
     askedAt_ = Instant::longAgo();
     asking_.taken();
     ++configs_;
-    toProxy(Kind::config, eagle::packed(*config_));
+    toProxy(Kind::config, network::packed(*config_));
     views_.know(loop_.now(), {config_->version, config_->digest, term_, holder_});
     spdlog::info("configuration {} taken, {} bytes deflated", c.version, c.deflated.size());
 }
@@ -226,14 +227,14 @@
 
 void Agent::tellProxy() {
     if (proxy_ == 0) return;
-    eagle::Standing s;
+    network::Standing s;
     s.senders = static_cast<uint32_t>(std::max(1.0, std::round(views_.count(loop_.now()))));
     s.term = term_;
     auto core = cores_.find(holder_);
     s.linked = core != cores_.end() && core->second.link && core->second.link->isUp();
     if (toldAny_ && s.senders == told_.senders && s.term == told_.term && s.linked == told_.linked) return;
     told_ = s, toldAny_ = true;
-    toProxy(Kind::standing, eagle::packed(s));
+    toProxy(Kind::standing, network::packed(s));
 }
 
 void Agent::tick() {
@@ -251,7 +252,7 @@
         beatAt_ = now;
         for (auto& [ip, core] : cores_)
             if (core.link && core.link->isUp())
-                core.link->say(Kind::beat, eagle::Beat{config_ ? config_->version : 0, 0, term_, "", 0});
+                core.link->say(Kind::beat, network::Beat{config_ ? config_->version : 0, 0, term_, "", 0});
     }
     for (auto& [ip, core] : cores_)
         if (core.link && core.link->isUp()) askConfig(core, core.last);
@@ -274,11 +275,11 @@
 
 void Agent::pump() {
     while (auto output = views_.next()) {
-        if (auto* s = std::get_if<wonderland::Send>(&*output)) {
-            auto to = eagle::Address::parse(s->ip, static_cast<uint16_t>(settings_.portFirst + 1));
-            if (to && datagrams_) datagrams_->send(*to, wonderland::encode(s->message));
-        } else if (auto* f = std::get_if<wonderland::Fetch>(&*output)) {
-            auto to = eagle::Address::parse(f->ip, static_cast<uint16_t>(settings_.portFirst + 1));
+        if (auto* s = std::get_if<gossip::Send>(&*output)) {
+            auto to = network::Address::parse(s->ip, static_cast<uint16_t>(settings_.portFirst + 1));
+            if (to && datagrams_) datagrams_->send(*to, gossip::encode(s->message));
+        } else if (auto* f = std::get_if<gossip::Fetch>(&*output)) {
+            auto to = network::Address::parse(f->ip, static_cast<uint16_t>(settings_.portFirst + 1));
             // A core that is linked has told of it and will be asked: a sender's own link is the narrower
             // one. Left undone the views ask another a second later. Harm: that second, where the core ends
             // meanwhile.
@@ -292,7 +293,7 @@
             }
             link->tag = tag;
             guests_[tag] = Guest{std::move(link), f->ip};
-        } else if (auto* h = std::get_if<wonderland::HolderNews>(&*output)) {
+        } else if (auto* h = std::get_if<gossip::HolderNews>(&*output)) {
             duty(h->term, h->holder);
         }
     }
@@ -318,4 +319,4 @@
                  cores_.size(), up, coreBreaks_, configs_, fetches_, term_, views_.count(loop_.now()));
 }
 
-}  // namespace petrelpond::silcox
+}  // namespace petrelpond::agent
--- a/huts/silcox/asking.hpp
+++ b/system/agent/asking.hpp
@@ -1,7 +1,7 @@
 // When a newer configuration that a core tells of is asked for: a moment later, by chance.
 //
-// Against versions that follow one another at once, as when two operators change it: each was fetched whole by
-// every sender in the same instant, and on a narrow link its bytes and the reading held up requests for a
+// Against versions that follow one another at once, as when two operators change it: each was fetched whole
+// by every sender in the same instant, and on a narrow link its bytes and the reading held up requests for a
 // third of a second a version. So several cost one, and not all senders are held up together. Harm: it is in
 // force so much later; far within the time that it has.
 #pragma once
@@ -9,7 +9,7 @@
 #include "petrelpond/time.hpp"
 #include "src/policy/bucket.hpp"
 
-namespace petrelpond::silcox {
+namespace petrelpond::agent {
 
 class Asking {
   public:
@@ -27,4 +27,4 @@
     Instant at_ = Instant::never();
 };
 
-}  // namespace petrelpond::silcox
+}  // namespace petrelpond::agent
--- a/huts/silcox/asking_test.cpp
+++ b/system/agent/asking_test.cpp
@@ -1,10 +1,10 @@
-#include "huts/silcox/asking.hpp"
+#include "system/agent/asking.hpp"
 
 #include <gtest/gtest.h>
 
 #include <set>
 
-namespace petrelpond::silcox {
+namespace petrelpond::agent {
 namespace {
 
 Instant at(int ms) { return Instant::atMicros(int64_t(ms) * 1000); }
@@ -27,4 +27,4 @@
 }
 
 }  // namespace
-}  // namespace petrelpond::silcox
+}  // namespace petrelpond::agent
--- a/huts/skyline/changes.cpp
+++ b/system/cli/changes.cpp
@@ -1,4 +1,4 @@
-#include "huts/skyline/changes.hpp"
+#include "system/cli/changes.hpp"
 
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
@@ -8,7 +8,7 @@
 #include <map>
 #include <utility>
 
-namespace petrelpond::skyline {
+namespace petrelpond::cli {
 
 namespace {
 
@@ -22,7 +22,7 @@
 }
 std::string millis(Span s) { return plain(static_cast<double>(s.inMicros()) / 1e3); }
 
-std::string targets(const tilly::Route& r) {
+std::string targets(const configuration::Route& r) {
     if (r.to.size() == 1) return r.to[0].first;
     std::string out;
     for (const auto& [service, weight] : r.to)
@@ -30,20 +30,24 @@
     return out;
 }
 
-Fields fieldsOf(const tilly::Route& r) {
-    return {{"host_name", r.host}, {"path_prefix", r.prefix},
-            {"route_type", r.repeatable ? "idempotent" : "non_idempotent"}, {"timeout_ms", millis(r.timeout)},
-            {"target_latency_ms", millis(r.target)}, {"priority", std::to_string(r.priority)},
-            {"max_attempts", std::to_string(r.maxAttempts)}, {"service", targets(r)}};
+Fields fieldsOf(const configuration::Route& r) {
+    return {{"host_name", r.host},
+            {"path_prefix", r.prefix},
+            {"route_type", r.repeatable ? "idempotent" : "non_idempotent"},
+            {"timeout_ms", millis(r.timeout)},
+            {"target_latency_ms", millis(r.target)},
+            {"priority", std::to_string(r.priority)},
+            {"max_attempts", std::to_string(r.maxAttempts)},
+            {"service", targets(r)}};
 }
-Fields fieldsOf(const tilly::Service& s) {
+Fields fieldsOf(const configuration::Service& s) {
     return {{"health_path", s.healthPath.value_or("null")},
             {"max_connections", std::to_string(s.maxConnections)},
             {"memory_mb", std::to_string(s.memoryMb)},
             {"boot_ms", millis(s.boot)},
             {"max_concurrency", std::to_string(s.maxConcurrency)}};
 }
-Fields fieldsOf(const tilly::Limits& l) {
+Fields fieldsOf(const configuration::Limits& l) {
     return {{"max_header_bytes", std::to_string(l.headerBytes)},
             {"max_body_bytes", std::to_string(l.bodyBytes)},
             {"header_timeout_ms", millis(l.headerTimeout)},
@@ -88,13 +92,13 @@
     w.Key(key), w.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
 }
 
-bool sameButForText(const tilly::Configuration& from, const tilly::Configuration& to) {
+bool sameButForText(const configuration::Configuration& from, const configuration::Configuration& to) {
     return changes(from, to).empty() && from.version == to.version && from.text != to.text;
 }
 
 }  // namespace
 
-std::vector<Mistake> mistakesOf(const eagle::Problem& problem) {
+std::vector<Mistake> mistakesOf(const network::Problem& problem) {
     std::vector<Mistake> out;
     std::string_view rest = problem.what;
     while (!rest.empty()) {
@@ -108,7 +112,8 @@
     return out;
 }
 
-std::vector<Change> changes(const tilly::Configuration& from, const tilly::Configuration& to) {
+std::vector<Change> changes(const configuration::Configuration& from,
+                            const configuration::Configuration& to) {
     std::vector<Change> out;
     auto limits = differing(fieldsOf(from.limits), fieldsOf(to.limits));
     if (!limits.empty()) out.push_back({Change::altered, "limits", "", std::move(limits)});
@@ -117,8 +122,8 @@
     return out;
 }
 
-std::string changesText(const tilly::Configuration* from, const tilly::Configuration& to) {
-    static const tilly::Configuration none;
+std::string changesText(const configuration::Configuration* from, const configuration::Configuration& to) {
+    static const configuration::Configuration none;
     std::string out = "version " + (from ? std::to_string(from->version) : std::string("none")) + " -> " +
                       std::to_string(to.version) + "\n";
     const auto all = changes(from ? *from : none, to);
@@ -141,14 +146,16 @@
            std::to_string(count[2]) + " changed\n";
 }
 
-std::string changesJson(const tilly::Configuration* from, const tilly::Configuration& to) {
-    static const tilly::Configuration none;
+std::string changesJson(const configuration::Configuration* from, const configuration::Configuration& to) {
+    static const configuration::Configuration none;
     rapidjson::StringBuffer buffer;
     Writer w(buffer);
     w.StartObject();
     w.Key("from");
-    if (from) w.Int64(from->version);
-    else w.Null();
+    if (from)
+        w.Int64(from->version);
+    else
+        w.Null();
     w.Key("to"), w.Int64(to.version);
     w.Key("changes"), w.StartArray();
     for (const Change& c : changes(from ? *from : none, to)) {
@@ -170,7 +177,7 @@
     return buffer.GetString() + std::string("\n");
 }
 
-std::string summaryText(const tilly::Configuration& c) {
+std::string summaryText(const configuration::Configuration& c) {
     std::string out = "version " + std::to_string(c.version) + ", " + std::to_string(c.text.size()) +
                       " bytes, " + std::to_string(c.routes.size()) + " routes, " +
                       std::to_string(c.services.size()) + " services\n";
@@ -188,12 +195,12 @@
     return out + "\n";
 }
 
-std::string summaryJson(const tilly::Configuration& c) {
+std::string summaryJson(const configuration::Configuration& c) {
     rapidjson::StringBuffer buffer;
     Writer w(buffer);
     auto list = [&](const char* key, const char* kind) {
         w.Key(key), w.StartArray();
-        static const tilly::Configuration none;
+        static const configuration::Configuration none;
         for (const Change& one : changes(none, c)) {
             if (one.kind != kind) continue;
             w.StartObject();
@@ -212,4 +219,4 @@
     return buffer.GetString() + std::string("\n");
 }
 
-}  // namespace petrelpond::skyline
+}  // namespace petrelpond::cli
--- a/huts/skyline/changes_test.cpp
+++ b/system/cli/changes_test.cpp
@@ -1,8 +1,8 @@
-#include "huts/skyline/changes.hpp"
+#include "system/cli/changes.hpp"
 
 #include <gtest/gtest.h>
 
-namespace petrelpond::skyline {
+namespace petrelpond::cli {
 namespace {
 
 std::string route(const std::string& name, const std::string& rest) {
@@ -14,20 +14,21 @@
     return R"({"config_version":)" + std::to_string(version) + R"(,"route_table":[)" + routes +
            R"(],"service_table":[)" + services + "]" + more + "}";
 }
-std::shared_ptr<const tilly::Configuration> read(const std::string& text) {
-    auto got = tilly::readConfiguration(text);
-    if (auto* problem = std::get_if<eagle::Problem>(&got)) ADD_FAILURE() << problem->line();
+std::shared_ptr<const configuration::Configuration> read(const std::string& text) {
+    auto got = configuration::readConfiguration(text);
+    if (auto* problem = std::get_if<network::Problem>(&got)) ADD_FAILURE() << problem->line();
     return std::get<0>(got);
 }
 
 const std::string kA = R"({"name":"a","max_connections":5})", kB = R"({"name":"b","max_connections":5})";
 
 TEST(Mistakes, EachWithItsPath) {
-    auto got = tilly::readConfiguration(whole(1,
-                                              route("r", R"("timeout_ms":0,"service":"no; such one")") + "," +
-                                                  route("r", R"("timeout_ms":5,"service":"a")"),
-                                              kA));
-    auto all = mistakesOf(std::get<eagle::Problem>(got));
+    auto got =
+        configuration::readConfiguration(whole(1,
+                                               route("r", R"("timeout_ms":0,"service":"no; such one")") +
+                                                   "," + route("r", R"("timeout_ms":5,"service":"a")"),
+                                               kA));
+    auto all = mistakesOf(std::get<network::Problem>(got));
     ASSERT_EQ(all.size(), 4u);
     EXPECT_EQ(all[0].path, "/route_table/0/timeout_ms");
     EXPECT_EQ(all[0].what, "must be above 0");
@@ -35,13 +36,15 @@
     EXPECT_EQ(all[1].what, "names the unknown service no; such one");  // a name with our own divider in it
     EXPECT_EQ(all[2].path, "/route_table/1/name");
     EXPECT_EQ(all[3].path, "/route_table/1");
-    EXPECT_EQ(mistakesOf(std::get<eagle::Problem>(tilly::readConfiguration("{"))).size(), 1u);
+    EXPECT_EQ(mistakesOf(std::get<network::Problem>(configuration::readConfiguration("{"))).size(), 1u);
 }
 
 TEST(Changes, FieldByField) {
-    auto from = read(whole(3, route("gone", R"("timeout_ms":100,"service":"a")") + "," +
-                                  route("kept", R"("timeout_ms":100,"service":"a")") + "," +
-                                  route("moved", R"("timeout_ms":100,"service":"a","max_attempts":2)"), kA));
+    auto from = read(whole(3,
+                           route("gone", R"("timeout_ms":100,"service":"a")") + "," +
+                               route("kept", R"("timeout_ms":100,"service":"a")") + "," +
+                               route("moved", R"("timeout_ms":100,"service":"a","max_attempts":2)"),
+                           kA));
     auto to =
         read(whole(7,
                    route("moved", R"("timeout_ms":250.5,"service_weights":{"a":1,"b":3},"max_attempts":2)") +
@@ -62,12 +65,10 @@
               "    service: a -> a x 1 + b x 3\n"
               "+ service b: health_path=null max_connections=5 memory_mb=128 boot_ms=1000 max_concurrency=1\n"
               "2 added, 1 removed, 2 changed\n");
-    EXPECT_NE(
-        changesJson(from.get(), *to)
-            .find(
-                R"({"how":"changed","kind":"limits","name":"","fields":)"
-                R"([{"field":"max_body_bytes","from":"262144","to":"1000"}]})"),
-        std::string::npos);
+    EXPECT_NE(changesJson(from.get(), *to)
+                  .find(R"({"how":"changed","kind":"limits","name":"","fields":)"
+                        R"([{"field":"max_body_bytes","from":"262144","to":"1000"}]})"),
+              std::string::npos);
     EXPECT_EQ(changesText(nullptr, *read(whole(1, "", kA))),
               "version none -> 1\n"
               "+ service a: health_path=null max_connections=5 memory_mb=128 boot_ms=1000 max_concurrency=1\n"
@@ -81,4 +82,4 @@
 }
 
 }  // namespace
-}  // namespace petrelpond::skyline
+}  // namespace petrelpond::cli
--- a/huts/skyline/commands.cpp
+++ b/system/cli/commands.cpp
@@ -1,4 +1,4 @@
-#include "huts/skyline/commands.hpp"
+#include "system/cli/commands.hpp"
 
 #include <popt.h>
 #include <rapidjson/document.h>
@@ -14,17 +14,17 @@
 #include <ostream>
 #include <sstream>
 
-#include "huts/skyline/changes.hpp"
-#include "huts/skyline/courier.hpp"
-#include "huts/skyline/errand.hpp"
-#include "huts/skyline/overview.hpp"
-#include "huts/tilly/settings.hpp"
+#include "system/cli/changes.hpp"
+#include "system/cli/courier.hpp"
+#include "system/cli/errand.hpp"
+#include "system/cli/overview.hpp"
+#include "system/configuration/settings.hpp"
 
-namespace petrelpond::skyline {
+namespace petrelpond::cli {
 
 namespace {
 
-using ConfigurationPtr = std::shared_ptr<const tilly::Configuration>;
+using ConfigurationPtr = std::shared_ptr<const configuration::Configuration>;
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
 
 constexpr size_t kMostCores = 64;  // that are asked, whatever cores tell of
@@ -81,7 +81,7 @@
               Instant until) {
     Outcome out;
     while (true) {
-        const eagle::Address to = errand.to();
+        const network::Address to = errand.to();
         Span left = std::max(until - s.clock(), Span::millis(10));
         Reply reply = ask({{to, method, errand.target(), body, std::min(patience(s, body.size()), left)}})[0];
         Errand::Verdict verdict = errand.answered(reply.status, reply.location);
@@ -115,7 +115,7 @@
     Outcome got = carry(s, Errand(o.cores, "/configuration", {404}), "GET", "", until);
     if (got.how == Outcome::refused && got.reply.status == 404) return ConfigurationPtr();
     if (got.how != Outcome::done) return why = lastly(got), std::nullopt;
-    auto read = tilly::trusted(got.reply.body);
+    auto read = configuration::trusted(got.reply.body);
     if (!read) return why = got.core + ": its configuration can't be read", std::nullopt;
     return read;
 }
@@ -125,11 +125,11 @@
     std::string why;
     auto body = readFile(o.operand, why);
     if (!body) {
-        s.err << "skyline: read: " << o.operand << ": " << why << "\n";
+        s.err << "petrelctl: read: " << o.operand << ": " << why << "\n";
         return nullptr;
     }
-    auto read = tilly::readConfiguration(*body);
-    auto* problem = std::get_if<eagle::Problem>(&read);
+    auto read = configuration::readConfiguration(*body);
+    auto* problem = std::get_if<network::Problem>(&read);
     if (!problem) return std::get<ConfigurationPtr>(read);
     const auto all = mistakesOf(*problem);
     if (o.json) {
@@ -172,7 +172,7 @@
     std::string why;
     auto from = inForce(s, o, until, why);
     if (!from) {
-        s.err << "skyline: get configuration: " << why << "\n";
+        s.err << "petrelctl: get configuration: " << why << "\n";
         return 1;
     }
     s.out << (o.json ? changesJson(from->get(), *to) : changesText(from->get(), *to));
@@ -194,18 +194,18 @@
     std::string why;
     // A warning only, so a short look: the write itself is what has to find a core that works.
     auto from = inForce(s, o, std::min(until, s.clock() + s.silence * 2.0), why);
-    const tilly::Configuration* now = from ? from->get() : nullptr;
+    const configuration::Configuration* now = from ? from->get() : nullptr;
     if (!from) {
-        s.err << "skyline: warning: what is in force could not be read (" << why
+        s.err << "petrelctl: warning: what is in force could not be read (" << why
               << "), so versions were not compared\n";
     } else if (now && to->version == now->version && to->text != now->text) {
-        s.err << "skyline: warning: version " << now->version
+        s.err << "petrelctl: warning: version " << now->version
               << " is in force with another text; cores keep one of the "
               << "two, the same everywhere. Give it a higher version\n";
     } else if (now && to->version == now->version) {
-        s.err << "skyline: warning: version " << now->version << " is in force already, with this text\n";
+        s.err << "petrelctl: warning: version " << now->version << " is in force already, with this text\n";
     } else if (now && to->version < now->version) {
-        s.err << "skyline: warning: version " << to->version << " is not higher than " << now->version
+        s.err << "petrelctl: warning: version " << to->version << " is not higher than " << now->version
               << ", which is in force: it is acknowledged and alters nothing\n";
     }
     Outcome got = carry(s, Errand(o.cores, "/configuration"), "PUT", to->text, until);
@@ -217,8 +217,10 @@
         w.Key("acknowledged"), w.Bool(got.how == Outcome::done), w.Key("sent"), w.Int64(to->version);
         text(w, "core", got.core);
         w.Key("in_force");
-        if (held) w.Int64(*held);
-        else w.Null();
+        if (held)
+            w.Int64(*held);
+        else
+            w.Null();
         w.Key("tries"), w.StartArray();
         for (const Try& t : got.tries) {
             w.StartObject(), text(w, "core", t.core), w.Key("status"), w.Int(t.status);
@@ -231,16 +233,16 @@
         s.out << buffer.GetString() << "\n";
     } else {
         for (size_t i = 0; i + 1 < got.tries.size(); ++i)
-            s.err << "skyline: put: " << said(got.tries[i]) << "\n";
+            s.err << "petrelctl: put: " << said(got.tries[i]) << "\n";
         if (got.how == Outcome::done) {
             s.out << got.core << " acknowledged version " << to->version;
             if (held && *held > to->version) s.out << "; version " << *held << " is newer and stays in force";
             s.out << "\n";
         }
     }
-    if (got.how == Outcome::refused) s.err << "skyline: put: refused by " << lastly(got) << "\n";
+    if (got.how == Outcome::refused) s.err << "petrelctl: put: refused by " << lastly(got) << "\n";
     if (got.how == Outcome::noTime)
-        s.err << "skyline: put: no clear answer in time, lastly " << lastly(got)
+        s.err << "petrelctl: put: no clear answer in time, lastly " << lastly(got)
               << ". It may take hold all the same: send it again unchanged\n";
     return got.how == Outcome::done ? 0 : 1;
 }
@@ -249,11 +251,13 @@
     std::string why;
     auto now = inForce(s, o, until, why);
     if (!now || !*now) {
-        s.err << "skyline: get configuration: " << (now ? "none yet" : why) << "\n";
+        s.err << "petrelctl: get configuration: " << (now ? "none yet" : why) << "\n";
         return 1;
     }
-    if (o.raw) s.out.write((*now)->text.data(), static_cast<std::streamsize>((*now)->text.size()));
-    else s.out << (o.json ? summaryJson(**now) : summaryText(**now));
+    if (o.raw)
+        s.out.write((*now)->text.data(), static_cast<std::streamsize>((*now)->text.size()));
+    else
+        s.out << (o.json ? summaryJson(**now) : summaryText(**now));
     return 0;
 }
 
@@ -261,7 +265,7 @@
 Overview look(const Orders& o, const Surroundings& s, Instant until) {
     std::vector<Answer> answers;
     std::vector<Hint> next;
-    for (const eagle::Address& core : o.cores) next.push_back({core, false});
+    for (const network::Address& core : o.cores) next.push_back({core, false});
     while (!next.empty() && answers.size() < kMostCores) {
         next.resize(std::min(next.size(), kMostCores - answers.size()));
         Span time = std::min(s.silence, std::max(until - s.clock(), Span::millis(10)));
@@ -273,9 +277,10 @@
             a.address = next[i].address, a.guessed = next[i].guessed, a.why = replies[i].why;
             if (replies[i].status == 200) {
                 auto read = readStatus(replies[i].body, a.address.text());
-                if (auto* problem = std::get_if<eagle::Problem>(&read))
+                if (auto* problem = std::get_if<network::Problem>(&read))
                     a.why = "status can't be read: " + problem->what;
-                else a.core = std::get<CoreView>(std::move(read));
+                else
+                    a.core = std::get<CoreView>(std::move(read));
             } else if (replies[i].status != 0) {
                 a.why = "answered " + std::to_string(replies[i].status);
             }
@@ -328,12 +333,14 @@
             for (const auto& name : without) s.out << "  without it: " << name << "\n";
         }
         if (silent > 0)
-            s.err << "skyline: wait: " << silent << " of " << v.cores.size()
+            s.err << "petrelctl: wait: " << silent << " of " << v.cores.size()
                   << " cores did not answer; agents linked to them alone are not counted\n";
         if (!v.agentsWhole)
-            s.err << "skyline: wait: a core has more agents than it lists, so this can't be told for all\n";
-        if (!anyAnswered(v)) s.err << "skyline: wait: no core answered\n";
-        else if (v.agents.empty()) s.err << "skyline: wait: no agent is linked to any core that answered\n";
+            s.err << "petrelctl: wait: a core has more agents than it lists, so this can't be told for all\n";
+        if (!anyAnswered(v))
+            s.err << "petrelctl: wait: no core answered\n";
+        else if (v.agents.empty())
+            s.err << "petrelctl: wait: no agent is linked to any core that answered\n";
         return all ? 0 : 1;
     }
 }
@@ -346,7 +353,7 @@
     patient.silence = s.silence * 6.0;
     Outcome got = carry(patient, Errand(o.cores, "/roll"), "POST", body, until);
     for (size_t i = 0; i + 1 < got.tries.size(); ++i)
-        s.err << "skyline: replace: " << said(got.tries[i]) << "\n";
+        s.err << "petrelctl: replace: " << said(got.tries[i]) << "\n";
     if (got.how == Outcome::done) {
         if (o.json) {
             s.out << got.reply.body << "\n";
@@ -361,7 +368,7 @@
         }
         return 0;
     }
-    s.err << "skyline: replace: "
+    s.err << "petrelctl: replace: "
           << (got.how == Outcome::refused ? "refused by " : "no clear answer in time, lastly ") << lastly(got)
           << (got.how == Outcome::refused ? "" : ". It may take hold all the same: say it again") << "\n";
     return 1;
@@ -390,11 +397,11 @@
         {"json", 'j', POPT_ARG_NONE, &json, 0, "one JSON object instead of text", nullptr},
         {"raw", 'r', POPT_ARG_NONE, &raw, 0, "show: the text byte for byte", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
-    poptContext context = poptGetContext("skyline", argc, argv, options, 0);
+    poptContext context = poptGetContext("petrelctl", argc, argv, options, 0);
     poptSetOtherOptionHelp(context, kUsage);
     Orders out;
     auto wrong = [&](const std::string& line) -> std::optional<Orders> {
-        s.err << "skyline: " << line << "\n";
+        s.err << "petrelctl: " << line << "\n";
         poptFreeContext(context);
         std::free(cores), std::free(settings), std::free(timeout);
         code = 2;
@@ -427,7 +434,7 @@
     if (pair) {
         out.second = rest[2];
         for (const std::string& ip : {out.operand, out.second})
-            if (!eagle::Address::parse(ip, 1))
+            if (!network::Address::parse(ip, 1))
                 return wrong("command line: " + ip + ": an IPv4 address expected");
         if (out.operand == out.second)
             return wrong("command line: " + out.second + ": two machines expected");
@@ -446,24 +453,24 @@
         out.timeout = Span::seconds(t);
     }
     if (out.command != "check") {
-        auto add = [&](const eagle::Address& a) {
+        auto add = [&](const network::Address& a) {
             if (std::find(out.cores.begin(), out.cores.end(), a) == out.cores.end()) out.cores.push_back(a);
         };
         // What is said on the command line goes before the environment.
         std::string listed = cores ? cores : !settings && control ? control : "";
         std::istringstream words(listed);
         for (std::string word; std::getline(words, word, ',');) {
-            auto address = eagle::Address::parse(word);
+            auto address = network::Address::parse(word);
             if (!address || address->port == 0)
                 return wrong((cores ? "command line: --control: " : "PETRELPOND_CONTROL: ") + word +
                              ": an IPv4 address and a port expected");
             add(*address);
         }
         if (settings) {
-            auto read = tilly::readSettings(settings);
-            if (auto* problem = std::get_if<eagle::Problem>(&read)) return wrong(problem->line());
-            for (const auto& seed : std::get<tilly::Settings>(read).seeds)
-                if (auto address = eagle::Address::parse(seed.text())) add(*address);
+            auto read = configuration::readSettings(settings);
+            if (auto* problem = std::get_if<network::Problem>(&read)) return wrong(problem->line());
+            for (const auto& seed : std::get<configuration::Settings>(read).seeds)
+                if (auto address = network::Address::parse(seed.text())) add(*address);
         }
         if (out.cores.empty())
             return wrong("cores: none named by --control, --settings or PETRELPOND_CONTROL");
@@ -486,4 +493,4 @@
     return wait(o, s, until);
 }
 
-}  // namespace petrelpond::skyline
+}  // namespace petrelpond::cli
--- a/huts/skyline/commands.hpp
+++ b/system/cli/commands.hpp
@@ -1,4 +1,4 @@
-// The commands of skyline. Exit codes: 0 done, 1 not done, 2 not understood.
+// The commands of petrelctl. Exit codes: 0 done, 1 not done, 2 not understood.
 #pragma once
 
 #include <functional>
@@ -7,14 +7,14 @@
 #include <string>
 #include <vector>
 
-#include "huts/eagle/stream.hpp"
 #include "petrelpond/time.hpp"
+#include "system/network/stream.hpp"
 
-namespace petrelpond::skyline {
+namespace petrelpond::cli {
 
 struct Orders {
     std::string command, operand, second;
-    std::vector<eagle::Address> cores;
+    std::vector<network::Address> cores;
     bool json = false, raw = false;
     std::optional<Span> timeout;  // nothing: 30 s to put, to wait and to replace, 5 s else
 };
@@ -33,4 +33,4 @@
                                  int& code);
 int run(const Orders&, const Surroundings&);
 
-}  // namespace petrelpond::skyline
+}  // namespace petrelpond::cli
--- a/huts/skyline/commands_test.cpp
+++ b/system/cli/commands_test.cpp
@@ -1,5 +1,5 @@
 // The commands against cores that are played on loopback. Pauses are taken down instead of slept.
-#include "huts/skyline/commands.hpp"
+#include "system/cli/commands.hpp"
 
 #include <gtest/gtest.h>
 #include <netinet/in.h>
@@ -15,9 +15,9 @@
 #include <sstream>
 #include <thread>
 
-#include "huts/eagle/http_server.hpp"
+#include "system/network/http_server.hpp"
 
-namespace petrelpond::skyline {
+namespace petrelpond::cli {
 namespace {
 
 uint16_t freePort() {
@@ -38,16 +38,19 @@
 };
 
 // A core that says what it was told to: for each method and path a row of answers, the last one for ever.
-class PlayedCore final : public eagle::HttpHost, public eagle::Watcher {
+class PlayedCore final : public network::HttpHost, public network::Watcher {
   public:
     PlayedCore() : wake_(eventfd(0, EFD_NONBLOCK)) {
         std::string error;
         for (int i = 0; i < 50 && !listener_; ++i) {
-            address_ = *eagle::Address::parse("127.0.0.1", freePort());
-            listener_ = eagle::Listener::open(loop_, address_, [this](int fd, eagle::Address) {
-                uint64_t id = ++last_;
-                visits_[id] = std::make_unique<eagle::HttpVisit>(loop_, *this, fd, id);
-            }, error);
+            address_ = *network::Address::parse("127.0.0.1", freePort());
+            listener_ = network::Listener::open(
+                loop_, address_,
+                [this](int fd, network::Address) {
+                    uint64_t id = ++last_;
+                    visits_[id] = std::make_unique<network::HttpVisit>(loop_, *this, fd, id);
+                },
+                error);
         }
         EXPECT_TRUE(listener_) << error;
         loop_.watch(wake_, EPOLLIN, this);
@@ -70,7 +73,7 @@
     }
     std::string text() const { return address_.text(); }
 
-    void asked(eagle::HttpVisit& visit, eagle::HttpRequest&& request) override {
+    void asked(network::HttpVisit& visit, network::HttpRequest&& request) override {
         Said said{404, "", "", false};
         {
             std::lock_guard lock(mutex_);
@@ -81,23 +84,23 @@
         }
         if (!said.silent) visit.answer(said.status, said.fields, said.body);
     }
-    void left(eagle::HttpVisit& visit) override {
+    void left(network::HttpVisit& visit) override {
         auto found = visits_.find(visit.id());
         if (found == visits_.end()) return;
         loop_.bury(std::move(found->second));
         visits_.erase(found);
     }
-    const eagle::HttpLimits& limits() const override { return limits_; }
+    const network::HttpLimits& limits() const override { return limits_; }
     void woke(uint32_t) override { loop_.stop(); }
 
   private:
-    eagle::Loop loop_;
-    eagle::HttpLimits limits_;
+    network::Loop loop_;
+    network::HttpLimits limits_;
     int wake_;
-    eagle::Address address_;
+    network::Address address_;
     uint64_t last_ = 0;
-    std::map<uint64_t, std::unique_ptr<eagle::HttpVisit>> visits_;
-    std::unique_ptr<eagle::Listener> listener_;
+    std::map<uint64_t, std::unique_ptr<network::HttpVisit>> visits_;
+    std::unique_ptr<network::Listener> listener_;
     std::mutex mutex_;
     std::map<std::string, std::vector<Said>> rows_;
     std::map<std::string, size_t> used_;
@@ -115,22 +118,24 @@
 
 class Commands : public ::testing::Test {
   protected:
-    Commands() : file_(::testing::TempDir() + "skyline-" + std::to_string(getpid()) + ".json") {}
+    Commands() : file_(::testing::TempDir() + "petrelctl-" + std::to_string(getpid()) + ".json") {}
     ~Commands() override { std::remove(file_.c_str()); }
     void write(const std::string& text) { std::ofstream(file_, std::ios::binary) << text; }
     int run(std::vector<std::string> words, const char* control = nullptr) {
         out_.str(""), err_.str(""), pauses_.clear();
         Instant now;
-        Surroundings around{out_, err_, [&] { return now; }, [&](Span pause) {
-            pauses_.push_back(pause);
-            now = now + pause;
-        }, silence_};
-        std::vector<const char*> argv{"skyline"};
+        Surroundings around{out_, err_, [&] { return now; },
+                            [&](Span pause) {
+                                pauses_.push_back(pause);
+                                now = now + pause;
+                            },
+                            silence_};
+        std::vector<const char*> argv{"petrelctl"};
         for (const auto& word : words) argv.push_back(word.c_str());
         argv.push_back(nullptr);
         int code = 0;
         auto orders = readOrders(static_cast<int>(argv.size()) - 1, argv.data(), control, around, code);
-        return orders ? skyline::run(*orders, around) : code;
+        return orders ? cli::run(*orders, around) : code;
     }
     std::string out() const { return out_.str(); }
     std::string err() const { return err_.str(); }
@@ -162,7 +167,7 @@
                                                        {"show", "--settings", "/no/such/file"}};
     for (const auto& words : all) {
         EXPECT_EQ(run(words), 2) << (words.empty() ? "" : words[0]);
-        EXPECT_TRUE(err().starts_with("skyline: ")) << err();
+        EXPECT_TRUE(err().starts_with("petrelctl: ")) << err();
         EXPECT_TRUE(out().empty());
     }
     EXPECT_EQ(run({"show"}, "junk"), 2);
@@ -170,9 +175,8 @@
 }
 
 TEST_F(Commands, CheckListsEveryMistake) {
-    write(
-        R"({"config_version":1,"route_table":[{"name":"r","host_name":"h","path_prefix":"/r/",)"
-        R"("route_type":"idempotent","timeout_ms":0,"service":"x"}],"service_table":[]})");
+    write(R"({"config_version":1,"route_table":[{"name":"r","host_name":"h","path_prefix":"/r/",)"
+          R"("route_type":"idempotent","timeout_ms":0,"service":"x"}],"service_table":[]})");
     EXPECT_EQ(run({"check", file_}), 1);
     EXPECT_EQ(out(), file_ + ": /route_table/0/timeout_ms: must be above 0\n" + file_ +
                          ": /route_table/0/service: names the unknown service x\n");
@@ -194,7 +198,7 @@
     three.says("PUT /elsewhere", {{200, R"({"config_version":7})", "", false}});
     EXPECT_EQ(run({"put", file_, "--control", one.text() + "," + two.text()}), 0) << err();
     EXPECT_EQ(out(), three.text() + " acknowledged version 7\n");
-    EXPECT_EQ(err(), "skyline: put: " + one.text() + ": 503\nskyline: put: " + two.text() + ": 307\n");
+    EXPECT_EQ(err(), "petrelctl: put: " + one.text() + ": 503\nskyline: put: " + two.text() + ": 307\n");
     EXPECT_EQ(pauses_.size(), 1u);
     EXPECT_EQ(three.heard("PUT /elsewhere"), std::vector<std::string>{configuration(7)});  // byte for byte
 }
@@ -205,7 +209,7 @@
     silence_ = Span::millis(60);
     one.says("PUT /configuration", {{200, "", "", true}});
     two.says("PUT /configuration", {{200, R"({"config_version":9})", "", false}});
-    std::string dead = eagle::Address::parse("127.0.0.1", freePort())->text();
+    std::string dead = network::Address::parse("127.0.0.1", freePort())->text();
     EXPECT_EQ(run({"put", file_, "--control", dead + "," + one.text() + "," + two.text(), "--json"}), 0)
         << err();
     EXPECT_NE(out().find(R"("acknowledged":true,"sent":7,"core":")" + two.text() + R"(","in_force":9)"),
@@ -225,7 +229,7 @@
               std::vector<std::string>{R"({"gone":["10.0.0.3"],"come":["10.0.0.9"]})"});
     two.says("POST /roll", {{409, R"({"cause":"10.0.0.9 is not heard of"})", "", false}});
     EXPECT_EQ(run({"replace", "10.0.0.3", "10.0.0.9", "--control", two.text()}), 1);
-    EXPECT_EQ(err(), "skyline: replace: refused by " + two.text() + ": 409 10.0.0.9 is not heard of\n");
+    EXPECT_EQ(err(), "petrelctl: replace: refused by " + two.text() + ": 409 10.0.0.9 is not heard of\n");
 }
 
 TEST_F(Commands, PutEndsAtOnceWhereItIsRefused) {
@@ -263,7 +267,7 @@
     EXPECT_NE(err().find("version 7 is in force with another text"), std::string::npos);
     write(configuration(7));
     EXPECT_EQ(run({"put", file_, "--control", one.text()}), 0);
-    EXPECT_EQ(err(), "skyline: warning: version 7 is in force already, with this text\n");
+    EXPECT_EQ(err(), "petrelctl: warning: version 7 is in force already, with this text\n");
     write(configuration(8));
     EXPECT_EQ(run({"put", file_, "--control", one.text()}), 0);
     EXPECT_EQ(err(), "");
@@ -307,7 +311,7 @@
 
 TEST_F(Commands, StatusAsksThoseItIsToldOfAndWorksWithSomeDown) {
     PlayedCore one, two;
-    std::string dead = eagle::Address::parse("127.0.0.3", freePort())->text();
+    std::string dead = network::Address::parse("127.0.0.3", freePort())->text();
     one.says("GET /status", {{200, statusOf("127.0.9.1", "\"127.0.0.2:1\"", 7), "", false}});
     two.says("GET /status", {{200, statusOf("127.0.9.2", "", 7), "", false}});
     // What one tells of is dead.
@@ -351,4 +355,4 @@
 }
 
 }  // namespace
-}  // namespace petrelpond::skyline
+}  // namespace petrelpond::cli
--- a/huts/skyline/courier.cpp
+++ b/system/cli/courier.cpp
@@ -1,13 +1,13 @@
-#include "huts/skyline/courier.hpp"
+#include "system/cli/courier.hpp"
 
 #include <cstdio>
 #include <cstring>
 #include <memory>
 
-#include "huts/eagle/http_answer.hpp"
-#include "huts/eagle/loop.hpp"
+#include "system/network/http_answer.hpp"
+#include "system/network/loop.hpp"
 
-namespace petrelpond::skyline {
+namespace petrelpond::cli {
 
 namespace {
 
@@ -15,11 +15,11 @@
 
 // One question on a connection of its own: operators ask seldom, and a fresh connection is never one that the
 // other side has just closed.
-class Call final : public eagle::StreamOwner {
+class Call final : public network::StreamOwner {
   public:
-    Call(eagle::Loop& loop, const Question& q, Reply& reply, size_t& open)
+    Call(network::Loop& loop, const Question& q, Reply& reply, size_t& open)
         : loop_(loop), reply_(reply), open_(open) {
-        stream_ = eagle::Stream::connect(loop, *this, q.to, Span());
+        stream_ = network::Stream::connect(loop, *this, q.to, Span());
         if (!stream_) {
             fail("no connection could be begun");
             return;
@@ -32,21 +32,22 @@
         stream_->send(bytes + "\r\n" + q.body);
         char why[48];
         std::snprintf(why, sizeof why, "no answer within %.2g s", q.patience.inSeconds());
-        timer_ = loop.at(eagle::Loop::clock() + q.patience, [this, said = std::string(why)] { fail(said); });
+        timer_ =
+            loop.at(network::Loop::clock() + q.patience, [this, said = std::string(why)] { fail(said); });
     }
 
-    void data(eagle::Stream&) override { take(); }
-    void ended(eagle::Stream&, int error) override {
+    void data(network::Stream&) override { take(); }
+    void ended(network::Stream&, int error) override {
         fail(error == 0 ? "the connection ended before a whole answer" : std::strerror(error));
     }
 
   private:
     void take() {
         if (done_) return;
-        eagle::HttpAnswer answer;
-        eagle::Reading how = eagle::takeAnswer(stream_->in(), false, kMostBody, answer);
-        if (how == eagle::Reading::incomplete) return;
-        if (how == eagle::Reading::malformed) return fail("the answer can't be read");
+        network::HttpAnswer answer;
+        network::Reading how = network::takeAnswer(stream_->in(), false, kMostBody, answer);
+        if (how == network::Reading::incomplete) return;
+        if (how == network::Reading::malformed) return fail("the answer can't be read");
         reply_.status = answer.status, reply_.body = std::move(answer.body);
         if (auto location = answer.head.field("Location")) reply_.location = *location;
         finish();
@@ -63,11 +64,11 @@
         if (--open_ == 0) loop_.stop();
     }
 
-    eagle::Loop& loop_;
+    network::Loop& loop_;
     Reply& reply_;
     size_t& open_;
-    std::unique_ptr<eagle::Stream> stream_;
-    eagle::TimerId timer_ = 0;
+    std::unique_ptr<network::Stream> stream_;
+    network::TimerId timer_ = 0;
     bool done_ = false;
 };
 
@@ -76,7 +77,7 @@
 std::vector<Reply> ask(const std::vector<Question>& questions) {
     std::vector<Reply> replies(questions.size());
     if (questions.empty()) return replies;
-    eagle::Loop loop;
+    network::Loop loop;
     std::vector<std::unique_ptr<Call>> calls;
     size_t open = questions.size();
     for (size_t i = 0; i < questions.size(); ++i)
@@ -85,4 +86,4 @@
     return replies;
 }
 
-}  // namespace petrelpond::skyline
+}  // namespace petrelpond::cli
--- a/huts/skyline/courier.hpp
+++ b/system/cli/courier.hpp
@@ -4,19 +4,19 @@
 #include <string>
 #include <vector>
 
-#include "huts/eagle/stream.hpp"
 #include "petrelpond/time.hpp"
+#include "system/network/stream.hpp"
 
-namespace petrelpond::skyline {
+namespace petrelpond::cli {
 
 struct Question {
-    eagle::Address to;
+    network::Address to;
     std::string method, target, body;
     Span patience;  // from now to the whole answer
 };
 
 struct Reply {
-    int status = 0;        // 0: no whole answer; the call may have been carried out all the same
+    int status = 0;  // 0: no whole answer; the call may have been carried out all the same
     std::string body;
     std::string location;  // of a 307
     std::string why;       // where status is 0
@@ -24,4 +24,4 @@
 
 std::vector<Reply> ask(const std::vector<Question>& questions);  // in the order of the questions
 
-}  // namespace petrelpond::skyline
+}  // namespace petrelpond::cli
--- a/huts/skyline/errand.cpp
+++ b/system/cli/errand.cpp
@@ -1,10 +1,10 @@
-#include "huts/skyline/errand.hpp"
+#include "system/cli/errand.hpp"
 
 #include <algorithm>
 #include <optional>
 #include <string_view>
 
-namespace petrelpond::skyline {
+namespace petrelpond::cli {
 
 namespace {
 
@@ -15,7 +15,7 @@
 const std::set<int> kFinal = {400, 409, 412, 413, 422};
 
 struct Place {
-    std::optional<eagle::Address> to;  // nothing: the same
+    std::optional<network::Address> to;  // nothing: the same
     std::string target;
 };
 
@@ -27,7 +27,7 @@
         size_t slash = std::min(location.find('/'), location.size());
         std::string host(location.substr(0, slash));
         if (host.find(':') == std::string::npos) host += ":80";
-        out.to = eagle::Address::parse(host);
+        out.to = network::Address::parse(host);
         if (!out.to || out.to->port == 0) return std::nullopt;
         location.remove_prefix(slash);
         if (location.empty()) location = "/";
@@ -42,7 +42,7 @@
 
 }  // namespace
 
-Errand::Errand(std::vector<eagle::Address> cores, std::string target, std::set<int> final)
+Errand::Errand(std::vector<network::Address> cores, std::string target, std::set<int> final)
     : cores_(std::move(cores)), first_(std::move(target)), final_(std::move(final)), to_(cores_.at(0)),
       target_(first_), pause_(kFirstPause) {}
 
@@ -70,4 +70,4 @@
     return moveOn();
 }
 
-}  // namespace petrelpond::skyline
+}  // namespace petrelpond::cli
--- a/huts/skyline/errand.hpp
+++ b/system/cli/errand.hpp
@@ -7,17 +7,17 @@
 #include <string>
 #include <vector>
 
-#include "huts/eagle/stream.hpp"
 #include "petrelpond/time.hpp"
+#include "system/network/stream.hpp"
 
-namespace petrelpond::skyline {
+namespace petrelpond::cli {
 
 class Errand {
   public:
     // cores: at least one. final: statuses that end this call besides those that end every call.
-    Errand(std::vector<eagle::Address> cores, std::string target, std::set<int> final = {});
+    Errand(std::vector<network::Address> cores, std::string target, std::set<int> final = {});
 
-    const eagle::Address& to() const { return to_; }
+    const network::Address& to() const { return to_; }
     const std::string& target() const { return target_; }
 
     enum class Next { again, done, refused };
@@ -30,15 +30,15 @@
 
   private:
     Verdict moveOn();
-    std::vector<eagle::Address> cores_;
+    std::vector<network::Address> cores_;
     const std::string first_;
     const std::set<int> final_;
     size_t at_ = 0;
-    eagle::Address to_;
+    network::Address to_;
     std::string target_;
-    int hops_ = 0;    // 307s followed in this try
+    int hops_ = 0;      // 307s followed in this try
     int refusals_ = 0;  // 4xx that end a call only at the third
     Span pause_;
 };
 
-}  // namespace petrelpond::skyline
+}  // namespace petrelpond::cli
--- a/huts/skyline/errand_test.cpp
+++ b/system/cli/errand_test.cpp
@@ -1,11 +1,12 @@
-#include "huts/skyline/errand.hpp"
+#include "system/cli/errand.hpp"
 
 #include <gtest/gtest.h>
 
-namespace petrelpond::skyline {
+namespace petrelpond::cli {
 namespace {
 
-const eagle::Address kA = *eagle::Address::parse("10.0.0.1:80"), kB = *eagle::Address::parse("10.0.0.2:80");
+const network::Address kA = *network::Address::parse("10.0.0.1:80"),
+                       kB = *network::Address::parse("10.0.0.2:80");
 
 TEST(Errand, EndsAtOnceOnClearAnswers) {
     for (int status : {200, 204}) EXPECT_EQ(Errand({kA}, "/c").answered(status, "").next, Errand::Next::done);
@@ -66,4 +67,4 @@
 }
 
 }  // namespace
-}  // namespace petrelpond::skyline
+}  // namespace petrelpond::cli
--- a/huts/skyline/overview.cpp
+++ b/system/cli/overview.cpp
@@ -1,4 +1,4 @@
-#include "huts/skyline/overview.hpp"
+#include "system/cli/overview.hpp"
 
 #include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
@@ -9,7 +9,7 @@
 #include <set>
 #include <tuple>
 
-namespace petrelpond::skyline {
+namespace petrelpond::cli {
 
 namespace {
 
@@ -79,7 +79,7 @@
     return a.core && !a.core->name.empty() ? a.core->name : a.address.text();
 }
 
-std::string ipOf(const eagle::Address& a) {
+std::string ipOf(const network::Address& a) {
     std::string whole = a.text();
     return whole.substr(0, whole.rfind(':'));
 }
@@ -122,16 +122,16 @@
         o, "roll",
         [](const CoreView& c) { return c.roll.empty() ? std::string("not agreed on") : joined(c.roll, 32); },
         out);
-    compare(o, "version on a majority", [](const CoreView& c) { return shown(c.onMajority); }, out);
+    compare(
+        o, "version on a majority", [](const CoreView& c) { return shown(c.onMajority); }, out);
     for (const Answer& a : o.cores) {
         if (!a.core) continue;
         if (a.core->held > o.version)
             out.push_back("version: " + nameOf(a) + " holds " + shown(a.core->held) +
                           ", which nobody asked knows to lie on a majority: it may yet take hold");
         for (const PeerView& p : a.core->peers) {
-            auto other = std::find_if(o.cores.begin(), o.cores.end(), [&](const Answer& b) {
-                return b.core && b.core->ip == p.ip;
-            });
+            auto other = std::find_if(o.cores.begin(), o.cores.end(),
+                                      [&](const Answer& b) { return b.core && b.core->ip == p.ip; });
             if (other == o.cores.end()) continue;  // it is silent to us as well
             if (!p.heardAgo)
                 out.push_back("links: " + nameOf(a) + " has no link from " + nameOf(*other) +
@@ -194,15 +194,15 @@
 
 }  // namespace
 
-eagle::Result<CoreView> readStatus(std::string_view json, const std::string& from) {
+network::Result<CoreView> readStatus(std::string_view json, const std::string& from) {
     rapidjson::Document d;
     d.Parse<rapidjson::kParseIterativeFlag>(json.data(),
                                             json.size());  // deep nesting can't overflow the stack
     if (d.HasParseError() || !d.IsObject())
-        return eagle::Problem{"read status", from, "a JSON object expected"};
+        return network::Problem{"read status", from, "a JSON object expected"};
     CoreView c;
     c.name = text(d, "name"), c.ip = text(d, "ip"), c.zone = text(d, "zone"), c.leaving = yes(d, "leaving");
-    if (c.ip.empty()) return eagle::Problem{"read status", from, "/ip: a text expected"};
+    if (c.ip.empty()) return network::Problem{"read status", from, "/ip: a text expected"};
     static const Json none;
     const Json* configuration = member(d, "configuration");
     const Json* disk = member(d, "disk");
@@ -245,7 +245,7 @@
         if (a.core) ips.insert(a.core->ip);
     }
     std::vector<Hint> out;
-    auto add = [&](const eagle::Address& address, bool guessed) {
+    auto add = [&](const network::Address& address, bool guessed) {
         if (!known.insert(address.text()).second) return;
         ips.insert(ipOf(address));
         out.push_back({address, guessed});
@@ -253,7 +253,7 @@
     for (const Answer& a : asked) {
         if (!a.core) continue;
         for (const std::string& seed : a.core->seeds)
-            if (auto at = eagle::Address::parse(seed); at && at->port != 0 && !ips.count(ipOf(*at)))
+            if (auto at = network::Address::parse(seed); at && at->port != 0 && !ips.count(ipOf(*at)))
                 add(*at, false);
     }
     for (const Answer& a : asked) {
@@ -261,7 +261,7 @@
         std::vector<std::string> others = a.core->roll;
         for (const PeerView& p : a.core->peers) others.push_back(p.ip);
         for (const std::string& ip : others)
-            if (auto at = eagle::Address::parse(ip, a.address.port); at && !ips.count(ip)) add(*at, true);
+            if (auto at = network::Address::parse(ip, a.address.port); at && !ips.count(ip)) add(*at, true);
     }
     return out;
 }
@@ -354,8 +354,10 @@
             "configuration: " + (o.version ? "version " + shown(o.version) + " lies on a majority" : "none") +
             "\n";
         out += "duty: ";
-        if (o.holder) out += *o.holder + ", term " + std::to_string(o.term);
-        else out += "no holder known, highest term " + std::to_string(o.term);
+        if (o.holder)
+            out += *o.holder + ", term " + std::to_string(o.term);
+        else
+            out += "no holder known, highest term " + std::to_string(o.term);
         if (o.planner && o.planner->left) out += ", surely held for " + shown(*o.planner->left);
         out += "\n";
         std::map<int64_t, size_t> versions;
@@ -419,8 +421,10 @@
     w.Key("disks_counting"), w.Uint64(o.countedHere), w.Key("majority"), w.Bool(o.majority);
     w.Key("version"), w.Int64(o.version);
     w.Key("holder");
-    if (o.holder) w.String(o.holder->c_str());
-    else w.Null();
+    if (o.holder)
+        w.String(o.holder->c_str());
+    else
+        w.Null();
     w.Key("term"), w.Uint64(o.term);
     w.Key("agents"), w.StartArray();
     for (const AgentView& g : o.agents) {
@@ -452,4 +456,4 @@
     return buffer.GetString() + std::string("\n");
 }
 
-}  // namespace petrelpond::skyline
+}  // namespace petrelpond::cli
--- a/huts/skyline/overview.hpp
+++ b/system/cli/overview.hpp
@@ -8,10 +8,10 @@
 #include <string>
 #include <vector>
 
-#include "huts/eagle/result.hpp"
-#include "huts/eagle/stream.hpp"
+#include "system/network/result.hpp"
+#include "system/network/stream.hpp"
 
-namespace petrelpond::skyline {
+namespace petrelpond::cli {
 
 struct PeerView {
     std::string ip;
@@ -46,19 +46,19 @@
 };
 // What is missing stands as its default, so that cores of another version can be asked; no object at all is a
 // Problem. `from` is named in it.
-eagle::Result<CoreView> readStatus(std::string_view json, const std::string& from);
+network::Result<CoreView> readStatus(std::string_view json, const std::string& from);
 
 struct Answer {  // of one address that was asked
-    eagle::Address address;
+    network::Address address;
     std::optional<CoreView> core;
-    std::string why;     // where there is no core
+    std::string why;       // where there is no core
     bool guessed = false;  // its port was told by nobody
 };
 
 // Addresses worth asking that have not been asked: seeds as told; peers' and roll's ip at the port of the
 // core that told of them.
 struct Hint {
-    eagle::Address address;
+    network::Address address;
     bool guessed = false;
 };
 std::vector<Hint> hints(const std::vector<Answer>& asked);
@@ -69,11 +69,11 @@
     bool rollAgreed = false;
     size_t countedHere = 0;  // disks of the roll that answered and count
     bool majority = false;
-    int64_t version = 0;  // the newest known to lie on a majority
+    int64_t version = 0;                // the newest known to lie on a majority
     std::optional<std::string> holder;  // ip; nothing: not agreed on, or nobody
     uint64_t term = 0;
-    std::vector<AgentView> agents;  // by name; the lowest version that a core told
-    bool agentsWhole = true;        // false: some core listed fewer than it has links to
+    std::vector<AgentView> agents;      // by name; the lowest version that a core told
+    bool agentsWhole = true;            // false: some core listed fewer than it has links to
     const CoreView* planner = nullptr;  // points into cores
     std::vector<std::string> disagreements, unknown;
 };
@@ -85,4 +85,4 @@
 // Which agents lack a version, by name.
 std::vector<std::string> lacking(const Overview&, int64_t version);
 
-}  // namespace petrelpond::skyline
+}  // namespace petrelpond::cli
--- a/huts/skyline/overview_test.cpp
+++ b/system/cli/overview_test.cpp
@@ -1,10 +1,10 @@
-#include "huts/skyline/overview.hpp"
+#include "system/cli/overview.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 
-namespace petrelpond::skyline {
+namespace petrelpond::cli {
 namespace {
 
 const std::vector<std::string> kRoll = {"10.0.0.1", "10.0.0.2", "10.0.0.3"};
@@ -24,11 +24,13 @@
         c.services = {{"f", 2, 1, 0, 8, 3, 5}};
         c.plannerCounts = {{"starts", 3}};
     }
-    return {*eagle::Address::parse(c.ip + ":80"), c, "", false};
+    return {*network::Address::parse(c.ip + ":80"), c, "", false};
 }
 Answer silent(int n) {
-    return {
-        *eagle::Address::parse(kRoll[static_cast<size_t>(n - 1)] + ":80"), {}, "no answer within 1 s", false};
+    return {*network::Address::parse(kRoll[static_cast<size_t>(n - 1)] + ":80"),
+            {},
+            "no answer within 1 s",
+            false};
 }
 
 bool has(const std::vector<std::string>& lines, const std::string& part) {
@@ -141,7 +143,7 @@
 TEST(Status, OddTextsAreProblemsOrDefaultsNeverMore) {
     for (const std::string& odd : {std::string(), std::string("[]"), std::string("{"), std::string("{}"),
                                    std::string(R"({"ip":5})"), std::string(1'000'000, '[')})
-        EXPECT_TRUE(std::holds_alternative<eagle::Problem>(readStatus(odd, "x"))) << odd.substr(0, 20);
+        EXPECT_TRUE(std::holds_alternative<network::Problem>(readStatus(odd, "x"))) << odd.substr(0, 20);
     auto read =
         readStatus(R"({"ip":"10.0.0.1","disk":[],"duty":null,"roll":[1,"a"],"peers":[7,{}],"agents":{},
                                "planner":{"services":[null],"starts":-1}})",
@@ -153,4 +155,4 @@
 }
 
 }  // namespace
-}  // namespace petrelpond::skyline
+}  // namespace petrelpond::cli
--- a/huts/tilly/configuration.cpp
+++ b/system/configuration/configuration.cpp
@@ -1,4 +1,4 @@
-#include "huts/tilly/configuration.hpp"
+#include "system/configuration/configuration.hpp"
 
 #define XXH_INLINE_ALL
 #include <rapidjson/document.h>
@@ -12,7 +12,7 @@
 #include <limits>
 #include <unordered_set>
 
-namespace petrelpond::tilly {
+namespace petrelpond::configuration {
 namespace {
 
 using Json = rapidjson::Value;
@@ -94,8 +94,10 @@
         const char c = text[i];
         if (c == '\0') return "holds a byte 0";
         if (inString) {
-            if (c == '\\') ++i;
-            else if (c == '"') inString = false;
+            if (c == '\\')
+                ++i;
+            else if (c == '"')
+                inString = false;
         } else if (c == '"') {
             inString = true;
         } else if (c == '[' || c == '{') {
@@ -128,8 +130,8 @@
     for (const std::string& known : m.list) {
         if (known.starts_with(path + " ") || known.starts_with(path + "/")) return;
     }
-    m.shape(path.empty() ? "/" : path, std::string("breaks the schema's \"") +
-                                           validator.GetInvalidSchemaKeyword() + "\"");
+    m.shape(path.empty() ? "/" : path,
+            std::string("breaks the schema's \"") + validator.GetInvalidSchemaKeyword() + "\"");
 }
 
 // Null when the field is missing or null. The first of two fields with one name counts.
@@ -249,8 +251,10 @@
         Service s;
         s.name = text(v, path, "name");
         if (const Json* health = member(v, "health_path")) {
-            if (health->IsString()) s.healthPath.emplace(health->GetString(), health->GetStringLength());
-            else m_.shape(path + "/health_path", "must be a text or null");
+            if (health->IsString())
+                s.healthPath.emplace(health->GetString(), health->GetStringLength());
+            else
+                m_.shape(path + "/health_path", "must be a text or null");
         }
         // At least 1: with none, no request of the service could ever be sent.
         if (needed(v, path, "max_connections")) s.maxConnections = whole(v, path, "max_connections", 1, 1);
@@ -333,8 +337,10 @@
         if (at.IsObject()) {
             for (const auto& entry : at.GetObject()) {
                 const std::string name(entry.name.GetString(), entry.name.GetStringLength());
-                if (!entry.value.IsNumber()) m_.shape(here + "/" + name, "must be a weight");
-                else addTarget(here + "/" + name, entry.name, entry.value.GetDouble(), r);
+                if (!entry.value.IsNumber())
+                    m_.shape(here + "/" + name, "must be a weight");
+                else
+                    addTarget(here + "/" + name, entry.name, entry.value.GetDouble(), r);
             }
             return;
         }
@@ -347,20 +353,26 @@
             const std::string itemPath = here + "/" + std::to_string(i);
             double weight = 1;
             if (numbers) {
-                if ((*numbers)[i].IsNumber()) weight = (*numbers)[i].GetDouble();
-                else m_.shape(numbersPath + "/" + std::to_string(i), "must be a weight");
+                if ((*numbers)[i].IsNumber())
+                    weight = (*numbers)[i].GetDouble();
+                else
+                    m_.shape(numbersPath + "/" + std::to_string(i), "must be a weight");
             }
             const Json* name = &item;
             if (item.IsObject()) {
                 name = member(item, "service");
                 if (!name) name = member(item, "name");
                 if (const Json* w = member(item, "weight")) {
-                    if (w->IsNumber()) weight = w->GetDouble();
-                    else m_.shape(itemPath + "/weight", "must be a number");
+                    if (w->IsNumber())
+                        weight = w->GetDouble();
+                    else
+                        m_.shape(itemPath + "/weight", "must be a number");
                 }
             }
-            if (!name || !name->IsString()) m_.shape(itemPath, "must name a service");
-            else addTarget(itemPath, *name, weight, r);
+            if (!name || !name->IsString())
+                m_.shape(itemPath, "must name a service");
+            else
+                addTarget(itemPath, *name, weight, r);
         }
     }
 
@@ -469,4 +481,4 @@
     return found == services_.end() ? nullptr : found->second;
 }
 
-}  // namespace petrelpond::tilly
+}  // namespace petrelpond::configuration
--- a/huts/tilly/configuration.hpp
+++ b/system/configuration/configuration.hpp
@@ -10,13 +10,13 @@
 #include <utility>
 #include <vector>
 
-#include "huts/eagle/result.hpp"
 #include "petrelpond/time.hpp"
+#include "system/network/result.hpp"
 
-namespace petrelpond::tilly {
+namespace petrelpond::configuration {
 
-using eagle::Problem;
-using eagle::Result;
+using network::Problem;
+using network::Result;
 
 struct Route {
     std::string name, host, prefix;
@@ -89,4 +89,4 @@
     std::unordered_map<std::string_view, const Service*, Hash, std::equal_to<>> services_;
 };
 
-}  // namespace petrelpond::tilly
+}  // namespace petrelpond::configuration
--- a/huts/tilly/configuration_test.cpp
+++ b/system/configuration/configuration_test.cpp
@@ -1,8 +1,8 @@
-#include "huts/tilly/configuration.hpp"
+#include "system/configuration/configuration.hpp"
 
 #include <gtest/gtest.h>
 
-namespace petrelpond::tilly {
+namespace petrelpond::configuration {
 namespace {
 
 // As on the page of what is spoken.
@@ -53,7 +53,8 @@
 std::string oneRoute(const std::string& fields) {
     return R"({"config_version":1,"service_table":[{"name":"a","max_connections":1},
         {"name":"b","max_connections":1}],"route_table":[{"name":"r","host_name":"h","path_prefix":"/",
-        "route_type":"idempotent","timeout_ms":5)" + fields + "}]}";
+        "route_type":"idempotent","timeout_ms":5)" +
+           fields + "}]}";
 }
 
 TEST(Configuration, TheExampleIsReadWhole) {
@@ -129,7 +130,9 @@
 }
 
 TEST(Configuration, EachRuleIsKept) {
-    const struct { const char *from, *to, *path; } cases[] = {
+    const struct {
+        const char *from, *to, *path;
+    } cases[] = {
         {"\"service\":\"wuno96b\"", "\"service\":\"nobody\"", "/route_table/2/service names"},
         {"/yeje571/", "/gowu780/fi14/", "/route_table/1 shares"},
         {"r-tt35uqh", "r-2bsp73y", "/route_table/1/name repeats"},
@@ -162,10 +165,9 @@
                      "/service_table/1/name repeats", "/service_table/1/boot_ms must",
                      "/service_table/2 must", "/route_table/0/path_prefix must",
                      "/route_table/0/timeout_ms must", "/route_table/0/service names",
-                     "/route_table/1/name repeats",
-                     "/route_table/1/host_name is missing", "/route_table/1/path_prefix must",
-                     "/route_table/1/route_type is missing", "/route_table/1/timeout_ms is missing",
-                     "/route_table/1/service has weights"});
+                     "/route_table/1/name repeats", "/route_table/1/host_name is missing",
+                     "/route_table/1/path_prefix must", "/route_table/1/route_type is missing",
+                     "/route_table/1/timeout_ms is missing", "/route_table/1/service has weights"});
     EXPECT_EQ(line.find("schema"), std::string::npos) << line;
 }
 
@@ -234,8 +236,12 @@
 }
 
 TEST(RouteTable, TheLongestPrefixOfTheHost) {
-    const RouteTable t(places({{"h.example", "/"}, {"h.example", "/a/"}, {"h.example", "/a/b/"},
-                               {"h.example", "/a/b/c/d/"}, {"h.example", "/a/bb/"}, {"h.example", "/z/"},
+    const RouteTable t(places({{"h.example", "/"},
+                               {"h.example", "/a/"},
+                               {"h.example", "/a/b/"},
+                               {"h.example", "/a/b/c/d/"},
+                               {"h.example", "/a/bb/"},
+                               {"h.example", "/z/"},
                                {"Other:8080", "/a/"}}));
     auto prefix = [&](std::string_view host, std::string_view path) {
         const Route* r = t.find(host, path);
@@ -287,4 +293,4 @@
 }
 
 }  // namespace
-}  // namespace petrelpond::tilly
+}  // namespace petrelpond::configuration
--- a/huts/tilly/settings.cpp
+++ b/system/configuration/settings.cpp
@@ -1,4 +1,4 @@
-#include "huts/tilly/settings.hpp"
+#include "system/configuration/settings.hpp"
 
 #include <yaml-cpp/yaml.h>
 
@@ -7,7 +7,7 @@
 #include <fstream>
 #include <sstream>
 
-namespace petrelpond::tilly {
+namespace petrelpond::configuration {
 namespace {
 
 // The longest time and the greatest figure that are believed: about 31 years, so that no sum overflows.
@@ -90,8 +90,10 @@
         if (!n.IsSequence()) return doubt(path + key, "must be a list of texts");
         for (std::size_t i = 0; i < n.size(); ++i) {
             const YAML::Node item = n[i];
-            if (item.IsScalar()) out.insert(item.Scalar());
-            else doubt(path + key + "." + std::to_string(i), "must be a text");
+            if (item.IsScalar())
+                out.insert(item.Scalar());
+            else
+                doubt(path + key + "." + std::to_string(i), "must be a text");
         }
     }
 
@@ -118,8 +120,10 @@
     for (std::size_t i = 0; i < n.size(); ++i) {
         const YAML::Node item = n[i];
         auto a = item.IsScalar() ? parseAddress(item.Scalar()) : std::nullopt;
-        if (a) s.seeds.push_back(std::move(*a));
-        else r.mistake("seed_nodes." + std::to_string(i), "must be an IPv4 address with a port");
+        if (a)
+            s.seeds.push_back(std::move(*a));
+        else
+            r.mistake("seed_nodes." + std::to_string(i), "must be an IPv4 address with a port");
     }
 }
 
@@ -270,4 +274,4 @@
     }
 }
 
-}  // namespace petrelpond::tilly
+}  // namespace petrelpond::configuration
--- a/huts/tilly/settings.hpp
+++ b/system/configuration/settings.hpp
@@ -9,13 +9,13 @@
 #include <string_view>
 #include <vector>
 
-#include "huts/eagle/result.hpp"
 #include "petrelpond/time.hpp"
+#include "system/network/result.hpp"
 
-namespace petrelpond::tilly {
+namespace petrelpond::configuration {
 
-using eagle::Problem;
-using eagle::Result;
+using network::Problem;
+using network::Result;
 
 // An IPv4 address in dotted numbers and a port from 1 to 65535.
 struct Address {
@@ -99,4 +99,4 @@
 // internal_port_range, seed_nodes) is missing or wrong; one Problem lists all of them.
 Result<Settings> parseSettings(std::string_view yaml, std::string_view name);
 
-}  // namespace petrelpond::tilly
+}  // namespace petrelpond::configuration
--- a/huts/tilly/settings_test.cpp
+++ b/system/configuration/settings_test.cpp
@@ -1,10 +1,10 @@
-#include "huts/tilly/settings.hpp"
+#include "system/configuration/settings.hpp"
 
 #include <gtest/gtest.h>
 
 #include <cstdio>
 
-namespace petrelpond::tilly {
+namespace petrelpond::configuration {
 namespace {
 
 // As on the page that says what a process is told.
@@ -162,8 +162,8 @@
     "node_name: n\nrole: r\nip_address: 10.0.0.1\nzone: z\ninternal_port_range: [1, 9]\nseed_nodes: []\n";
 
 TEST(Settings, WhatIsMissingHasTheExamplesValuesAndFieldsToComeAreSkipped) {
-    const Settings s = good(kNecessary +
-                            "zones: {z: here}\nto_come: {a: [1, {b: c}]}\nbounds: {new_s: true}\n");
+    const Settings s =
+        good(kNecessary + "zones: {z: here}\nto_come: {a: [1, {b: c}]}\nbounds: {new_s: true}\n");
     EXPECT_EQ(s.region, "here");
     EXPECT_EQ(s.bounds.grace, Span::seconds(6));
     EXPECT_EQ(s.bounds.stretchMax, Span::seconds(12));
@@ -174,11 +174,12 @@
 }
 
 TEST(Settings, AllMistakesAtOnce) {
-    const std::string line = bad("node_name: [a]\nip_address: 10.1.0.256\ninternal_port_range: [9, 8]\n"
-                                 "seed_nodes: [\"10.0.0.1:80\", \"10.0.0.1\", \"10.0.0.1:0\", {a: b}]\n");
-    for (const char* part : {"boot.yaml", "node_name must", "role is missing", "ip_address must",
-                             "zone is missing", "internal_port_range must", "seed_nodes.1 must",
-                             "seed_nodes.2 must", "seed_nodes.3 must"}) {
+    const std::string line =
+        bad("node_name: [a]\nip_address: 10.1.0.256\ninternal_port_range: [9, 8]\n"
+            "seed_nodes: [\"10.0.0.1:80\", \"10.0.0.1\", \"10.0.0.1:0\", {a: b}]\n");
+    for (const char* part :
+         {"boot.yaml", "node_name must", "role is missing", "ip_address must", "zone is missing",
+          "internal_port_range must", "seed_nodes.1 must", "seed_nodes.2 must", "seed_nodes.3 must"}) {
         EXPECT_NE(line.find(part), std::string::npos) << part << " in " << line;
     }
     EXPECT_EQ(line.find("seed_nodes.0"), std::string::npos);
@@ -229,4 +230,4 @@
 }
 
 }  // namespace
-}  // namespace petrelpond::tilly
+}  // namespace petrelpond::configuration
--- /dev/null
+++ b/system/consensus/core.cpp
@@ -0,0 +1,370 @@
+// The inputs and outputs of Core: what arrives, what is saved and when what was promised may be told.
+#include "system/consensus/core_parts.hpp"
+
+namespace petrelpond::consensus {
+
+Core::Core(Instant now, Options options, std::optional<Durable> found)
+    : o_(std::move(options)), random_(o_.chance), startedAt_(now), helloAt_(now) {
+    sortUnique(o_.seeds);
+    const uint64_t own = std::hash<std::string>{}(o_.self);
+    life_ = (static_cast<uint64_t>(random_()) << 32 ^ own ^ static_cast<uint64_t>(now.inMicros()) << 20) &
+            0x7fffffffffff0000ULL;
+    number_ = life_;
+    if (found) {
+        mem_ = std::move(*found);
+        if (mem_.value.version > 0) {
+            value_ = std::make_shared<const Value>(std::move(mem_.value));
+            diskMark_ = markOf(value_);
+        }
+        mem_.value = {};
+        if (o_.twin == Twin::forgetsPromise) {
+            mem_.term = mem_.rollBallot = mem_.rollAccepted = 0;
+            mem_.votedFor.clear();
+            mem_.promisedTo.clear();
+            mem_.rollOffer.clear();
+        }
+    } else {
+        if (o_.bootstrap) mem_.electors = o_.seeds;
+        mem_.recovering = !o_.bootstrap;
+        mem_.elects = o_.bootstrap;
+        while (mem_.birth == 0) mem_.birth = static_cast<uint64_t>(random_()) << 32 | random_();
+        if (o_.twin == Twin::hastyAmnesiac) {
+            mem_.recovering = false;
+            mem_.elects = true;
+            if (mem_.electors.empty()) mem_.electors = o_.seeds;
+        }
+        touch();
+    }
+    if (mem_.recovering || !mem_.elects) recoverAt_ = now + recoverWait(o_);
+    // Against a promise given before the restart, of which the disk has to whom and not until when: no vote
+    // for another within the time for which it was promised. It harms by one `lapse` after a start of all
+    // without that one. Who had promised to itself stands sooner, as what it held ended with its earlier
+    // life; but not at once: where it alone had gone the others win meanwhile, who need not be found anew.
+    promisedTo_ = mem_.promisedTo;
+    promisedTerm_ = mem_.term;
+    const bool hasty = o_.twin == Twin::forgetsPromise || o_.twin == Twin::votesAfterStart;
+    promisedUntil_ = hasty ? now : now + promised();
+    standAt_ = promisedTo_ == o_.self ? now + o_.lapse * 0.5 : promisedUntil_ + random(o_.lapse * 0.5);
+    proposeAt_ = now + Span::millis(1500);
+    highestTerm_ = mem_.term;
+    highestBallot_ = mem_.rollBallot;
+    for (const NodeId& n : mem_.roll) {
+        if (n != o_.self) peers_[n];
+    }
+    if (value_) suspectAt_ = now + o_.beat * 2 + random(o_.beat * 4);
+    leave(now);
+}
+
+Span Core::random(Span below) {
+    const int64_t us = std::max<int64_t>(1, below.inMicros());
+    return Span::micros(static_cast<int64_t>(random_()) % us);
+}
+
+bool Core::inRoll(const NodeId& n) const { return contains(mem_.roll, n); }
+bool Core::inElectors(const NodeId& n) const { return contains(mem_.electors, n); }
+bool Core::isMember() const { return !mem_.recovering && !diskBroken_ && onRoll(); }
+bool Core::isElector() const { return mem_.elects && !diskBroken_ && inElectors(o_.self); }
+
+// Whatever woke us may have come after a long sleep: what has lapsed meanwhile is told before all else.
+void Core::enter(Instant now) {
+    if (duty_.holder.empty() || now < duty_.validUntil) return;
+    if (duty_.held && o_.twin == Twin::outlastsLease) {
+        duty_.validUntil = now + o_.lapse;
+        return;
+    }
+    setDuty(false, duty_.term, {}, Instant::longAgo());
+    standing_ = Stand::no;
+    standAt_ = std::max(now, promisedUntil_) + random(o_.lapse * 0.5);
+}
+
+void Core::leave(Instant now) {
+    flow(now);
+    if (!dirty_ || now < (diskBroken_ ? retrySaveAt_ : now)) return;
+    dirty_ = false;
+    retrySaveAt_ = Instant::never();
+    Save save{++token_, mem_};
+    if (value_) save.state.value = *value_;
+    saving_.emplace_back(token_, markOf(value_));
+    out_.push_back(std::move(save));
+}
+
+void Core::flow(Instant now) {
+    while (!loop_.empty()) {
+        const Message m = std::move(loop_.front());
+        loop_.pop_front();
+        handle(now, o_.self, m);
+    }
+    stepAll(now);
+    if (!loop_.empty()) flow(now);
+}
+
+Message Core::make(Kind k, uint64_t number) const {
+    Message m;
+    m.kind = k;
+    m.number = number;
+    m.recovering = mem_.recovering;
+    m.counted = o_.counted;
+    m.leaving = released_;
+    m.diskBroken = diskBroken_;
+    m.disk = diskMark_;
+    m.sure = sureMark_;
+    m.term = mem_.term;
+    m.epoch = mem_.epoch;
+    m.entering = mem_.entering;
+    m.birth = mem_.birth;
+    return m;
+}
+
+void Core::send(const NodeId& to, Message m) {
+    if (to == o_.self) {
+        loop_.push_back(std::move(m));
+    } else {
+        out_.push_back(Send{to, std::move(m)});
+    }
+}
+
+void Core::toPeers(const Message& m) {
+    for (const auto& [node, peer] : peers_) send(node, m);
+}
+
+// Against a promise that a power loss takes back: nothing that binds this disk is told before it is synced.
+// It catches slow disks too, which then look like silent members.
+void Core::sendSynced(const NodeId& to, Message m) { sendAfter(nextToken(), to, std::move(m)); }
+
+void Core::sendAfter(uint64_t token, const NodeId& to, Message m) {
+    if (o_.twin == Twin::ackBeforeSync) {
+        m.disk = markOf(value_);
+        return send(to, std::move(m));
+    }
+    if (token <= savedToken_) return diskBroken_ ? void() : send(to, std::move(m));
+    if (!diskBroken_) waiting_.emplace_back(token, Send{to, std::move(m)});
+}
+
+void Core::flush() {
+    std::deque<std::pair<uint64_t, Send>> kept;
+    for (auto& [token, s] : waiting_) {
+        if (token > savedToken_) {
+            kept.emplace_back(token, std::move(s));
+            continue;
+        }
+        s.message.disk = diskMark_;
+        send(s.to, std::move(s.message));
+    }
+    waiting_.swap(kept);
+}
+
+void Core::saved(Instant now, uint64_t token) {
+    enter(now);
+    if (token > savedToken_ && token <= token_) {
+        savedToken_ = token;
+        while (!saving_.empty() && saving_.front().first <= token) {
+            diskMark_ = saving_.front().second;
+            saving_.pop_front();
+        }
+        diskBroken_ = false;
+        savePause_ = Span::millis(500);
+        flush();
+    }
+    leave(now);
+}
+
+// Against a disk that is full or broken: what waits for it is never told, and this core neither answers as a
+// member nor stands for the duty until a whole Save has succeeded. Pauses grow up to 8 s.
+void Core::saveFailed(Instant now, uint64_t token) {
+    enter(now);
+    if (token > savedToken_) {
+        diskBroken_ = true;
+        dirty_ = true;
+        waiting_.clear();
+        standing_ = Stand::no;
+        retrySaveAt_ = now + savePause_ + random(savePause_ * 0.25);
+        savePause_ = std::min(savePause_ * 2, Span::millis(8000));
+    }
+    leave(now);
+}
+
+std::optional<Output> Core::next() {
+    if (out_.empty()) return {};
+    std::optional<Output> o(std::move(out_.front()));
+    out_.pop_front();
+    return o;
+}
+
+std::vector<NodeId> Core::peers() const {
+    std::vector<NodeId> nodes;
+    for (const auto& [node, peer] : peers_) nodes.push_back(node);
+    for (const NodeId& n : o_.seeds) {
+        if (n != o_.self && !peers_.count(n)) nodes.push_back(n);
+    }
+    return nodes;
+}
+
+std::shared_ptr<const Value> Core::held() const {
+    const bool synced = markOf(value_) == diskMark_;
+    return synced && diskMark_ > sureMark_ ? value_ : sure_;
+}
+
+void Core::meet(Instant now, const NodeId& node) {
+    if (node == o_.self || node.empty()) return;
+    Peer& peer = peers_[node];
+    if (peer.heardAt == Instant::longAgo()) peer.knownSince = now;
+    peer.heardAt = now;
+}
+
+void Core::sayHello(const NodeId& to, Kind k) {
+    Message m = make(k);
+    m.yes = mem_.electors.empty() && mem_.roll.empty();
+    withRoll(m);
+    m.electors = mem_.electors;
+    for (const auto& [node, peer] : peers_) {
+        if (peer.heardAt > Instant::longAgo() || inRoll(node)) m.nodes.push_back(node);
+    }
+    send(to, std::move(m));
+}
+
+void Core::hearHello(Instant now, const NodeId& from, const Message& m) {
+    Peer& p = peers_[from];
+    if (!p.said && mem_.roll.empty()) {  // others may be about to come as well: the roll waits for them
+        proposeAt_ = std::max(proposeAt_, now + Span::millis(500));
+    }
+    p.said = true;
+    p.birth = m.birth;
+    p.empty = m.yes;
+    // Against a ballot that begins while the others' processes still come up: who was not there is asked now.
+    if (standing_ == Stand::probing && inRoll(from)) sendAfter(termToken_, from, ballot());
+    if (mem_.electors.empty() && !m.electors.empty()) {
+        mem_.electors = m.electors;
+        touch();
+    }
+    for (const NodeId& n : m.nodes) {
+        if (n != o_.self && !n.empty() && !peers_.count(n)) {
+            peers_[n].knownSince = now;
+            helloAt_ = std::min(helloAt_, now);
+        }
+    }
+    if (m.kind == Kind::hello) sayHello(from, Kind::helloBack);
+}
+
+void Core::heard(Instant now, const NodeId& from, const Message& m) {
+    enter(now);
+    if (from != o_.self && !from.empty()) {
+        meet(now, from);
+        handle(now, from, m);
+    }
+    leave(now);
+}
+
+void Core::handle(Instant now, const NodeId& from, const Message& m) {
+    noteSender(from, m);
+    if (m.kind != Kind::voteProbe) highestTerm_ = std::max(highestTerm_, m.term);
+    learnRoll(now, m.epoch, m.roll, m.former, m.joined);
+    if (m.kind == Kind::value) adopt(m.value);
+    learnMarks(now, from, m);
+    if (!ofOurEpoch(from, m)) return;
+    switch (m.kind) {
+        case Kind::hello:
+        case Kind::helloBack:
+            return hearHello(now, from, m);
+        case Kind::beat:
+        case Kind::beatBack:
+        case Kind::release:
+        case Kind::voteProbe:
+        case Kind::voteProbeBack:
+        case Kind::voteAsk:
+        case Kind::vote:
+            return hearDuty(now, from, m);
+        case Kind::put:
+            if (mem_.roll.empty()) return;
+            adopt(m.value);
+            [[fallthrough]];
+        case Kind::get:
+            if (isMember()) sendSynced(from, make(Kind::held, m.number));
+            return;
+        case Kind::held: {
+            const auto it = ops_.find(m.number);
+            if (it == ops_.end() || !inRoll(from)) return;
+            Mark& mark = it->second.answers[from];
+            mark = std::max(mark, m.disk);
+            return;
+        }
+        case Kind::fetch: {
+            if (!value_ || m.disk >= markOf(value_)) return;
+            Message back = make(Kind::value);
+            withRoll(back);
+            back.value = value_;
+            return send(from, std::move(back));
+        }
+        case Kind::value:
+        case Kind::committed:
+            return;
+        case Kind::recoverAsk:
+        case Kind::recoverTell:
+            return hearRecover(now, from, m);
+        case Kind::prepare:
+        case Kind::promise:
+        case Kind::accept:
+        case Kind::accepted:
+            return hearRoll(now, from, m);
+    }
+}
+
+void Core::lost(Instant now, const NodeId& peer) {
+    enter(now);
+    // What was under way to it may be gone: asked again soon, not only after the whole pause.
+    if (inRoll(peer)) {
+        for (auto& [number, op] : ops_) op.resendAt = std::min(op.resendAt, now + Span::millis(50));
+    }
+    leave(now);
+}
+
+void Core::tick(Instant now) {
+    enter(now);
+    if (now >= helloAt_) {
+        const bool lonely = mem_.roll.empty() || mem_.recovering;
+        helloAt_ = now + (lonely ? o_.beat : duty_.holder.empty() ? o_.beat * 2 : o_.beat * 4);
+        if (lonely || duty_.holder.empty()) {
+            for (const NodeId& n : peers()) sayHello(n, Kind::hello);
+        } else if (o_.counted && !onRoll()) {  // a standby: each member must know of it, see replaceAbsent()
+            for (const NodeId& n : mem_.roll) sayHello(n, Kind::hello);
+        } else if (!peers_.empty() && !duty_.held) {
+            // Cores that hear a holder still compare with one of the others now and then: the holder may be
+            // cut off from whoever holds the newest.
+            const auto any = static_cast<long>(random_() % peers_.size());
+            sayHello(std::next(peers_.begin(), any)->first, Kind::hello);
+        }
+    }
+    if (now >= suspectAt_) {
+        suspectAt_ = Instant::never();
+        Mark highest = markOf(value_);
+        for (const auto& [node, p] : peers_) highest = std::max(highest, p.disk);
+        if (highest > sureMark_) {
+            suspectAt_ = now + o_.beat * 4 + random(o_.beat * 4);
+            newOp(now, 0, false, true, nullptr);
+        }
+    }
+    if (now >= recoverAt_) {
+        beginAnew(now);
+        recover(now);
+    }
+    if (now >= proposeAt_) propose(now);
+    if (now >= standAt_) stand(now);
+    if (duty_.held && now >= beatAt_) {
+        forgetSilentPeers(now);
+        replaceAbsent(now);
+        sendBeats(now);
+    }
+    leave(now);
+}
+
+Instant Core::wakeAt() const {
+    Instant at = std::min({helloAt_, suspectAt_, recoverAt_, proposeAt_, standAt_, retrySaveAt_});
+    if (duty_.held) at = std::min(at, beatAt_);
+    if (!duty_.holder.empty()) at = std::min(at, duty_.validUntil);
+    for (const auto& [number, op] : ops_) {
+        at = std::min(at, op.since + o_.patience + Span::micros(1));
+        if (!mem_.roll.empty()) at = std::min(at, op.resendAt);
+    }
+    return at;
+}
+
+}  // namespace petrelpond::consensus
--- a/huts/muir/core.hpp
+++ b/system/consensus/core.hpp
@@ -20,7 +20,7 @@
 
 #include "petrelpond/time.hpp"
 
-namespace petrelpond::muir {
+namespace petrelpond::consensus {
 
 using NodeId = std::string;  // the ip of a machine; a machine always comes back at its ip
 
@@ -36,46 +36,46 @@
 // What one disk holds; loaded at start, each part saved whole.
 struct Durable {
     Value value;
-    std::vector<NodeId> roll;          // sorted; empty: not agreed yet
-    std::vector<NodeId> electors;      // sorted; who agrees on the roll: the seeds of the first start
-    uint64_t rollBallot = 0;           // the highest ballot promised
-    uint64_t rollAccepted = 0;         // the ballot under which rollOffer was accepted; 0: none
-    std::vector<NodeId> rollOffer;     // what was accepted
-    uint64_t epoch = 0;                // of the roll: 1 for the first, one more with each change; 0: no roll
-    std::vector<NodeId> former;        // sorted; the roll of the epoch before, from which it is taken over
-    std::vector<std::string> joined;   // who came with this epoch, as ip#birth of the disk that was meant
-    uint64_t birth = 0;                // drawn when this disk was first used: another one is another disk
+    std::vector<NodeId> roll;         // sorted; empty: not agreed yet
+    std::vector<NodeId> electors;     // sorted; who agrees on the roll: the seeds of the first start
+    uint64_t rollBallot = 0;          // the highest ballot promised
+    uint64_t rollAccepted = 0;        // the ballot under which rollOffer was accepted; 0: none
+    std::vector<NodeId> rollOffer;    // what was accepted
+    uint64_t epoch = 0;               // of the roll: 1 for the first, one more with each change; 0: no roll
+    std::vector<NodeId> former;       // sorted; the roll of the epoch before, from which it is taken over
+    std::vector<std::string> joined;  // who came with this epoch, as ip#birth of the disk that was meant
+    uint64_t birth = 0;               // drawn when this disk was first used: another one is another disk
     // The roll has changed and is not taken over yet, by a whole disk: 2 took part in the epoch before, 1
     // not.
     uint8_t entering = 0;
-    uint64_t term = 0;                 // the highest term of the duty heard of
-    NodeId votedFor;                   // who got this disk's vote in that term
-    NodeId promisedTo;                 // whose lease it has voted for or answered last; empty: not known
-    bool recovering = false;           // the disk was lost: takes no part as a member of the roll
-    bool elects = true;                // may take part in the agreement on the roll
+    uint64_t term = 0;        // the highest term of the duty heard of
+    NodeId votedFor;          // who got this disk's vote in that term
+    NodeId promisedTo;        // whose lease it has voted for or answered last; empty: not known
+    bool recovering = false;  // the disk was lost: takes no part as a member of the roll
+    bool elects = true;       // may take part in the agreement on the roll
 };
 
 enum class Kind : uint8_t {
-    hello,       // who I am and whom I know; answered by helloBack
+    hello,  // who I am and whom I know; answered by helloBack
     helloBack,
-    beat,        // of the holder of the duty; answered by beatBack
+    beat,  // of the holder of the duty; answered by beatBack
     beatBack,
-    release,     // the holder gives the duty up
-    put,         // save this value; answered by held
-    get,         // what do you hold? answered by held
+    release,  // the holder gives the duty up
+    put,      // save this value; answered by held
+    get,      // what do you hold? answered by held
     held,
-    fetch,       // send me your value; answered by value
+    fetch,  // send me your value; answered by value
     value,
     committed,   // this version lies on a majority
     recoverAsk,  // I lost my disk, tell me all; answered by recoverTell
     recoverTell,
-    voteProbe,   // would you vote for me? answered by voteProbeBack
+    voteProbe,  // would you vote for me? answered by voteProbeBack
     voteProbeBack,
-    voteAsk,     // vote for me; answered by vote
+    voteAsk,  // vote for me; answered by vote
     vote,
-    prepare,     // agreement on the roll, first phase; answered by promise
+    prepare,  // agreement on the roll, first phase; answered by promise
     promise,
-    accept,      // second phase; answered by accepted
+    accept,  // second phase; answered by accepted
     accepted,
     last = accepted,
 };
@@ -89,22 +89,24 @@
 
 struct Message {
     Kind kind = Kind::hello;
-    uint64_t number = 0;          // of the request, repeated in its answer
-    bool yes = false;             // granted
-    bool recovering = false;      // of the sender
-    bool counted = false;         // of the sender
-    Mark disk;                    // what the sender has synced
-    Mark sure;                    // what the sender knows to lie on a majority
-    uint64_t term = 0;            // of the duty
-    uint64_t ballot = 0;          // of the agreement on the roll
+    uint64_t number = 0;      // of the request, repeated in its answer
+    bool yes = false;         // granted
+    bool recovering = false;  // of the sender
+    bool counted = false;     // of the sender
+    bool leaving = false;     // the sender ends in order: its place may be given away at once
+    bool diskBroken = false;  // the sender's disk takes no writes at present
+    Mark disk;                // what the sender has synced
+    Mark sure;                // what the sender knows to lie on a majority
+    uint64_t term = 0;        // of the duty
+    uint64_t ballot = 0;      // of the agreement on the roll
     uint64_t accepted = 0;
-    uint64_t epoch = 0;           // of the sender's roll; 0: it knows none
-    uint8_t entering = 0;         // of the sender, see Durable
-    uint64_t birth = 0;           // of the sender's disk
-    std::vector<NodeId> roll;     // empty: not known to the sender, or known to the receiver
-    std::vector<NodeId> former;   // goes with roll
+    uint64_t epoch = 0;               // of the sender's roll; 0: it knows none
+    uint8_t entering = 0;             // of the sender, see Durable
+    uint64_t birth = 0;               // of the sender's disk
+    std::vector<NodeId> roll;         // empty: not known to the sender, or known to the receiver
+    std::vector<NodeId> former;       // goes with roll
     std::vector<std::string> joined;  // goes with roll
-    std::vector<NodeId> nodes;    // whom the sender knows; in prepare..accepted offers, ip#birth of who comes
+    std::vector<NodeId> nodes;  // whom the sender knows; in prepare..accepted offers, ip#birth of who comes
     std::vector<NodeId> electors;
     std::shared_ptr<const Value> value;
 };
@@ -129,7 +131,7 @@
 struct News {  // a newer value is known to lie on a majority: bring it to everybody
     std::shared_ptr<const Value> value;
 };
-struct Duty {  // whenever who holds the duty, as known here, changes
+struct Duty {           // whenever who holds the duty, as known here, changes
     bool held = false;  // it is me; only good before validUntil, ask Core::duty() for its newest instant
     uint64_t term = 0;  // the fence number
     NodeId holder;      // empty: nobody known
@@ -144,10 +146,10 @@
     ackBeforeSync,
     noWriteBack,
     forgetsPromise,
-    hastyEntry,   // takes part on a changed roll without having taken over what the former one knew
-    emptyEnters,  // an empty disk takes over from the former roll as if it had never been on the new one
-    stalePromise,  // the disk keeps the first promise for the last
-    mixedEpochs,  // counts answers of members that are on another roll already
+    hastyEntry,       // takes part on a changed roll without having taken over what the former one knew
+    emptyEnters,      // an empty disk takes over from the former roll as if it had never been on the new one
+    stalePromise,     // the disk keeps the first promise for the last
+    mixedEpochs,      // counts answers of members that are on another roll already
     votesAfterStart,  // term and vote are kept, but not that a promise may still run
     outlastsLease,    // goes on as holder once its lease is over
     fenceStays,       // stands again under the term that it knows
@@ -162,7 +164,10 @@
     Span beat = Span::millis(250);
     Span lapse = Span::millis(1200);
     Span patience = Span::millis(900);  // of write() and read()
-    uint32_t chance = 1;                // must differ between the lives of a process
+    // Silence after which a member's place is given to a standby. Harm if too short: a member that was only
+    // paused becomes the standby, at the cost of one change; if too long: a second loss meets one copy fewer.
+    Span absence = Span::millis(2000);
+    uint32_t chance = 1;  // must differ between the lives of a process
     Twin twin = Twin::none;
 };
 
@@ -183,27 +188,39 @@
     // why, where it can't be or another change was decided first. noMajority after 4 x patience: it may take
     // hold all the same.
     void change(Instant now, uint64_t ticket, std::vector<NodeId> gone, std::vector<NodeId> come);
-    void release(Instant now);  // leaving in order: gives the duty up at once and stands no more
+    // Leaving in order: gives the duty up at once, stands no more, and says that its place is free. It goes
+    // on counting until mayLeave().
+    void release(Instant now);
+    // Whether nothing would be lost or left without a majority by ending now: the place on the roll has been
+    // taken over by a standby, or there is none, and who is here holds what we know to be acknowledged.
+    bool mayLeave(Instant now) const;
     void tick(Instant now);
     Instant wakeAt() const;
     std::optional<Output> next();
 
     std::vector<NodeId> peers() const;  // all cores known but this one
+    // Cores that would take a place on the roll: not on it, in touch, with a disk that holds what is
+    // acknowledged.
+    std::vector<NodeId> standbys(Instant now) const;
     const std::vector<NodeId>& roll() const { return mem_.roll; }
     uint64_t epoch() const { return mem_.epoch; }  // of the roll; 0: none is known
-    std::shared_ptr<const Value> held() const;  // the newest on our disk or known committed; null: none
+    std::shared_ptr<const Value> held() const;     // the newest on our disk or known committed; null: none
     Duty duty() const { return duty_; }
     bool recovering() const { return mem_.recovering; }
 
   private:
     struct Peer {
         Instant heardAt = Instant::longAgo();
+        Instant knownSince = Instant::longAgo();
         bool counted = false;
         bool recovering = false;
+        bool leaving = false;
+        bool diskBroken = false;
+        uint64_t epoch = 0;  // of its roll, as it said last
         uint64_t birth = 0;  // of its disk
         bool empty = false;  // knows neither electors nor roll
         Mark disk;
-        bool said = false;   // it has said hello itself
+        bool said = false;  // it has said hello itself
     };
     struct Op {
         uint64_t ticket = 0;
@@ -217,8 +234,8 @@
         Mark mark;  // of the target, known before its body is
         std::map<NodeId, Mark> answers;
     };
-    struct Change {                       // asked for by an operator here
-        uint64_t ticket = 0, epoch = 0;   // of the roll that it changes
+    struct Change {                       // asked for by an operator here, or a replacement that we began
+        uint64_t ticket = 0, epoch = 0;   // ticket 0: nobody waits; epoch: of the roll that it changes
         std::vector<NodeId> offer, roll;  // as offered, with ip#birth of who comes; plain
         Instant since;
     };
@@ -264,6 +281,16 @@
     void beginAnew(Instant now);
     bool toldEnough() const;
     void proposeChange(Instant now);
+    void answerChange(uint64_t ticket, Answer::How how, std::string why = {});
+    std::string refusal(const Change& change, const std::vector<NodeId>& gone,
+                        const std::vector<NodeId>& come) const;
+    Change changeOf(Instant now, const std::vector<NodeId>& gone, const std::vector<NodeId>& come) const;
+    bool isHere(Instant now, const NodeId& node) const;
+    bool isAbsent(Instant now, const NodeId& voter) const;
+    bool hasTakenOver(const NodeId& voter) const;
+    void replaceAbsent(Instant now);
+    void noteSender(const NodeId& from, const Message& m);
+    void forgetSilentPeers(Instant now);
     void prepareBallot(Instant now);
     void hearRecover(Instant now, const NodeId& from, const Message& m);
     void propose(Instant now);
@@ -282,7 +309,7 @@
     Span promised() const { return o_.lapse + o_.lapse * 0.0625; }
 
     Options o_;
-    Durable mem_;  // all promised so far, without the value's body
+    Durable mem_;                         // all promised so far, without the value's body
     std::shared_ptr<const Value> value_;  // the newest value to be on our disk
     Mark diskMark_;                       // of the value that is synced
     std::shared_ptr<const Value> sure_;   // the newest value known to lie on a majority
@@ -319,7 +346,7 @@
 
     std::optional<Change> change_;
     Instant proposeAt_ = Instant::never();
-    uint64_t round_ = 0;   // the ballot being run; 0: none
+    uint64_t round_ = 0;  // the ballot being run; 0: none
     bool accepting_ = false;
     Instant ballotSince_;
     std::vector<NodeId> offer_;
@@ -339,9 +366,9 @@
     uint64_t promisedTerm_ = 0;
     Instant promisedUntil_;
     Instant beatAt_ = Instant::never();
-    std::map<uint64_t, Instant> beatsSent_;      // number of a beat: when sent
-    std::map<NodeId, Instant> ackedAt_;          // when the newest beat it answered was sent
-    uint64_t highestTerm_ = 0;                   // heard anywhere
+    std::map<uint64_t, Instant> beatsSent_;  // number of a beat: when sent
+    std::map<NodeId, Instant> ackedAt_;      // when the newest beat it answered was sent
+    uint64_t highestTerm_ = 0;               // heard anywhere
 };
 
-}  // namespace petrelpond::muir
+}  // namespace petrelpond::consensus
--- /dev/null
+++ b/system/consensus/core_parts.hpp
@@ -0,0 +1,56 @@
+// Helpers that the parts of Core share.
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "system/consensus/core.hpp"
+
+namespace petrelpond::consensus {
+
+inline const NodeId nobody = "-";  // a vote that is used up and went to no one
+
+inline Mark markOf(const std::shared_ptr<const Value>& v) { return v ? Mark{v->version, v->digest} : Mark{}; }
+
+inline void sortUnique(std::vector<NodeId>& nodes) {
+    std::sort(nodes.begin(), nodes.end());
+    nodes.erase(std::unique(nodes.begin(), nodes.end()), nodes.end());
+}
+
+inline bool contains(const std::vector<NodeId>& sorted, const NodeId& n) {
+    return std::binary_search(sorted.begin(), sorted.end(), n);
+}
+
+// A machine together with the disk that is meant, as it is written in offers of a roll.
+inline std::string born(const NodeId& n, uint64_t birth) { return n + "#" + std::to_string(birth); }
+
+// How long a ballot for the duty may gather votes, at most. Shorter than `lapse`, so that what it wins still
+// has some validity, and over before a voter that lost its disk votes again.
+inline Span ballotTime(const Options& o) { return o.lapse * 0.5; }
+
+// What a core that lost its disk waits for before it asks the others, and why it may then take part again.
+//
+// Claim: what a majority has promised is still promised by a majority, however many disks are lost.
+//  - All that counts somebody's answers (a write, a read, a vote, a beat, a ballot on the roll) ends at the
+//    latest `patience` or `lapse` after it began, by the clock of who counts. An answer that this core gave
+//    in its earlier life belongs to something begun before the loss; after the wait below (a quarter more
+//    than either, for clocks of different rates) it counts nowhere any more: either it is done, or it never
+//    will be done with that answer.
+//  - Only then do we ask. A majority Q of the roll, not counting us and nobody who still recovers, answers.
+//    Whatever was done with a majority M shares a member with Q. That member either kept its disk since, and
+//    holds it; or it lost it and recovered before it answered Q, thus by this same argument (on the order of
+//    recoveries) it holds it or something newer. So we end up with all that was done; and what was promised
+//    but is not done has ended. A vote in a term t of ours that Q doesn't know of was for a ballot that is
+//    over: voting again in t is harmless. We still use up the highest term that Q knows, for it may be won
+//    by now.
+//  - Q exists as long as N - losses >= majority: 3 - 1 >= 2, 5 - 1 >= 3, 5 - 2 >= 3, 9 - 2 >= 5. With more
+//    losses nobody recovers, but nothing is forgotten silently.
+// The same holds for the agreement on the roll, with the electors in place of the roll, as long as the roll
+// is not known: but that alone makes us an elector (`elects`), no member. A value is only ever saved
+// together with the roll, so those who hold a value know the roll. Once it is known the agreement is never
+// run again. It harms by its length: 1.5 s in which a returned machine counts nowhere.
+inline Span recoverWait(const Options& o) { return std::max(o.patience, o.lapse) * 1.25; }
+
+}  // namespace petrelpond::consensus
--- a/huts/muir/core_search_test.cpp
+++ b/system/consensus/core_search_test.cpp
@@ -6,9 +6,9 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "huts/muir/sim_for_test.hpp"
+#include "system/consensus/sim_for_test.hpp"
 
-namespace petrelpond::muir {
+namespace petrelpond::consensus {
 namespace {
 
 sim::Plan planOf(uint32_t seed, Twin twin) {
@@ -17,14 +17,14 @@
     return {seed, cores, losses, twin, true, 25};
 }
 
-// MUIR_SCHEDULES=10000 for a long search, MUIR_FIRST to begin elsewhere.
+// CONSENSUS_SCHEDULES=10000 for a long search, CONSENSUS_FIRST to begin elsewhere.
 uint32_t asked(const char* name, uint32_t otherwise) {
     const char* said = std::getenv(name);
     return said ? static_cast<uint32_t>(std::atoi(said)) : otherwise;
 }
 
 TEST(CoreSearch, NoScheduleBreaksAnInvariant) {
-    const uint32_t begin = asked("MUIR_FIRST", 1), count = asked("MUIR_SCHEDULES", 300);
+    const uint32_t begin = asked("CONSENSUS_FIRST", 1), count = asked("CONSENSUS_SCHEDULES", 300);
     int writes = 0, reads = 0, terms = 0, wipes = 0;
     for (uint32_t seed = begin; seed < begin + count; ++seed) {
         sim::World world(planOf(seed, Twin::none));
@@ -43,7 +43,7 @@
 
 // Whom a promise binds to after a restart only shows where the holder lives on unheard.
 TEST(CoreSearch, NoScheduleWithACorneredHolderBreaksAnInvariant) {
-    const uint32_t begin = asked("MUIR_FIRST", 1), count = asked("MUIR_SCHEDULES", 100);
+    const uint32_t begin = asked("CONSENSUS_FIRST", 1), count = asked("CONSENSUS_SCHEDULES", 100);
     for (uint32_t seed = begin; seed < begin + count; ++seed) {
         sim::Plan plan = planOf(seed, Twin::none);
         plan.cornered = true;
@@ -67,8 +67,8 @@
 }
 
 TEST(CoreSearch, NoScheduleBreaksAnInvariantWhileTheRollChanges) {
-    const char* wanted = std::getenv("MUIR_SCHEDULES");
-    const char* first = std::getenv("MUIR_FIRST");
+    const char* wanted = std::getenv("CONSENSUS_SCHEDULES");
+    const char* first = std::getenv("CONSENSUS_FIRST");
     const uint32_t begin = first ? static_cast<uint32_t>(std::atoi(first)) : 1;
     const uint32_t count = wanted ? static_cast<uint32_t>(std::atoi(wanted)) : 200;
     int writes = 0, changes = 0, wipes = 0;
@@ -118,15 +118,13 @@
 TEST(CoreSearch, AHolderThatOutlastsItsLeaseIsCaught) {
     EXPECT_GT(schedulesUntilCaught(Twin::outlastsLease, 100), 0);
 }
-TEST(CoreSearch, AFenceThatDoesNotGrowIsCaught) {
-    EXPECT_GT(schedulesUntilCaught(Twin::fenceStays, 100), 0);
-}
+TEST(CoreSearch, AFenceThatDoesNotGrowIsCaught) { EXPECT_GT(schedulesUntilCaught(Twin::fenceStays, 100), 0); }
 
-// How many schedules of `first`.. a twin breaks: MUIR_TWIN=4 MUIR_SCHEDULES=300.
+// How many schedules of `first`.. a twin breaks: CONSENSUS_TWIN=4 CONSENSUS_SCHEDULES=300.
 TEST(CoreSearch, CountOfOneTwin) {
-    const char* wanted = std::getenv("MUIR_TWIN");
-    if (!wanted) GTEST_SKIP() << "for measuring: MUIR_TWIN, MUIR_SCHEDULES";
-    const char* count = std::getenv("MUIR_SCHEDULES");
+    const char* wanted = std::getenv("CONSENSUS_TWIN");
+    if (!wanted) GTEST_SKIP() << "for measuring: CONSENSUS_TWIN, CONSENSUS_SCHEDULES";
+    const char* count = std::getenv("CONSENSUS_SCHEDULES");
     int broken = 0, first = 0;
     const int all = count ? std::atoi(count) : 300;
     for (int seed = 1; seed <= all; ++seed) {
@@ -157,4 +155,4 @@
 }
 
 }  // namespace
-}  // namespace petrelpond::muir
+}  // namespace petrelpond::consensus
--- a/huts/muir/core_test.cpp
+++ b/system/consensus/core_test.cpp
@@ -1,11 +1,11 @@
 // What a schedule found by chance may miss: each of these fails without the defence that it names.
-#include "huts/muir/core.hpp"
+#include "system/consensus/core.hpp"
 
 #include <gtest/gtest.h>
 
-#include "huts/muir/sim_for_test.hpp"
+#include "system/consensus/sim_for_test.hpp"
 
-namespace petrelpond::muir {
+namespace petrelpond::consensus {
 namespace {
 
 const NodeId a = "10.0.0.1", b = "10.0.0.2", c = "10.0.0.3";
@@ -392,7 +392,8 @@
             const Duty* d = std::get_if<Duty>(&*first);
             ASSERT_TRUE(d);
             EXPECT_FALSE(d->held);
-            while (n.core->next()) {}
+            while (n.core->next()) {
+            }
             n.frozenUntil = 0;
             bool another = false;
             for (size_t i = 0; i < w.nodes_.size(); ++i) {
@@ -453,4 +454,4 @@
 }
 
 }  // namespace
-}  // namespace petrelpond::muir
+}  // namespace petrelpond::consensus
--- a/huts/muir/keeper.cpp
+++ b/system/consensus/keeper.cpp
@@ -1,4 +1,4 @@
-#include "huts/muir/keeper.hpp"
+#include "system/consensus/keeper.hpp"
 
 #include <fcntl.h>
 #include <leveldb/db.h>
@@ -9,14 +9,14 @@
 #include <chrono>
 #include <cstring>
 
-#include "huts/muir/torn.hpp"
+#include "system/consensus/torn.hpp"
 
 #define MSGPACK_NO_BOOST
 #include <msgpack.hpp>
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
-namespace petrelpond::muir {
+namespace petrelpond::consensus {
 namespace {
 
 const char* const valueKey = "value";  // the long part, rarely changed
@@ -124,10 +124,7 @@
 }  // namespace
 
 Keeper::Keeper(std::filesystem::path dataDir, int wake, const std::function<void()>& pause)
-    : parent_(std::move(dataDir)),
-      folder_(parent_ / "muir"),
-      wake_(wake),
-      found_(std::optional<Durable>{}),
+    : parent_(std::move(dataDir)), folder_(parent_ / kFolder), wake_(wake), found_(std::optional<Durable>{}),
       quiet_(std::make_unique<Quiet>()) {
     found_ = load(pause);
     thread_ = std::thread([this] { work(); });
@@ -187,11 +184,11 @@
     return {};
 }
 
-eagle::Result<std::optional<Durable>> Keeper::load(const std::function<void()>& pause) {
+network::Result<std::optional<Durable>> Keeper::load(const std::function<void()>& pause) {
     const auto damaged = [this](std::string what) {
         db_.reset();
         anew_ = true;
-        return eagle::Problem{"read the kept state", folder_.string(), std::move(what)};
+        return network::Problem{"read the kept state", folder_.string(), std::move(what)};
     };
     std::error_code ec;
     if (!std::filesystem::exists(folder_, ec)) return std::optional<Durable>{};
@@ -299,4 +296,4 @@
     }
 }
 
-}  // namespace petrelpond::muir
+}  // namespace petrelpond::consensus
--- a/huts/muir/keeper.hpp
+++ b/system/consensus/keeper.hpp
@@ -1,4 +1,4 @@
-// Brings what a Core has to save to disk: one thread that owns a LevelDB database in the folder "muir".
+// Brings what a Core has to save to disk: one thread that owns a LevelDB database in a folder of its own.
 #pragma once
 
 #include <condition_variable>
@@ -12,15 +12,15 @@
 #include <thread>
 #include <vector>
 
-#include "huts/eagle/result.hpp"
-#include "huts/muir/core.hpp"
+#include "system/consensus/core.hpp"
+#include "system/network/result.hpp"
 
 namespace leveldb {
 class DB;
 class Logger;
 }  // namespace leveldb
 
-namespace petrelpond::muir {
+namespace petrelpond::consensus {
 
 class Keeper {
   public:
@@ -30,9 +30,14 @@
         std::string why;     // if not ok
     };
 
+    // The folder below dataDir. It keeps the name that it had in the first version: under another one the
+    // disks that are in service would look empty, and each of their machines would count as one that lost its
+    // disk.
+    static constexpr const char* kFolder = "muir";
+
     static void aMoment();
 
-    // Opens dataDir/"muir" and reads what it holds. `wake` is an eventfd of the caller, which outlives the
+    // Opens dataDir/kFolder and reads what it holds. `wake` is an eventfd of the caller, which outlives the
     // Keeper; it is written when collect() has something.
     // `pause` waits a moment, where the folder can be read but not opened yet.
     Keeper(std::filesystem::path dataDir, int wake, const std::function<void()>& pause = aMoment);
@@ -43,20 +48,20 @@
     // What was found at the start, once: nullopt for an empty disk, a Problem for a damaged one. Either way
     // the disk has forgotten what it promised, and the Core gets nullopt; the first save() begins the folder
     // anew.
-    eagle::Result<std::optional<Durable>> takeFound() { return std::move(found_); }
+    network::Result<std::optional<Durable>> takeFound() { return std::move(found_); }
 
     void save(Save save);            // from any thread; only the newest pending one is written
     std::vector<Outcome> collect();  // from any thread; in the order of tokens
 
   private:
-    eagle::Result<std::optional<Durable>> load(const std::function<void()>& pause);
-    std::string open();               // empty: done; else why not
-    std::string write(const Save&);   // empty: done; else why not
+    network::Result<std::optional<Durable>> load(const std::function<void()>& pause);
+    std::string open();              // empty: done; else why not
+    std::string write(const Save&);  // empty: done; else why not
     void work();
 
     const std::filesystem::path parent_, folder_;
     const int wake_;
-    eagle::Result<std::optional<Durable>> found_;
+    network::Result<std::optional<Durable>> found_;
     std::unique_ptr<leveldb::Logger> quiet_;
     std::unique_ptr<leveldb::DB> db_;
     bool anew_ = false;     // what is there is of no use: remove it before the next write
@@ -73,4 +78,4 @@
     std::thread thread_;  // last: it uses all the others
 };
 
-}  // namespace petrelpond::muir
+}  // namespace petrelpond::consensus
--- a/huts/muir/keeper_test.cpp
+++ b/system/consensus/keeper_test.cpp
@@ -1,4 +1,4 @@
-#include "huts/muir/keeper.hpp"
+#include "system/consensus/keeper.hpp"
 
 #include <gtest/gtest.h>
 #include <poll.h>
@@ -9,13 +9,13 @@
 #include <cstdlib>
 #include <fstream>
 
-namespace petrelpond::muir {
+namespace petrelpond::consensus {
 namespace {
 
 class KeeperTest : public ::testing::Test {
   protected:
     KeeperTest() {
-        std::string name = (std::filesystem::temp_directory_path() / "muir-XXXXXX").string();
+        std::string name = (std::filesystem::temp_directory_path() / "consensus-XXXXXX").string();
         dir_ = ::mkdtemp(name.data());
         wake_ = ::eventfd(0, EFD_CLOEXEC);
     }
@@ -54,7 +54,7 @@
     std::optional<Durable> reopened() {
         Keeper keeper(dir_, wake_);
         auto found = keeper.takeFound();
-        if (auto* p = std::get_if<eagle::Problem>(&found)) {
+        if (auto* p = std::get_if<network::Problem>(&found)) {
             ADD_FAILURE() << p->line();
             return {};
         }
@@ -121,7 +121,7 @@
     // LevelDB numbers its files and begins new ones after each 256 kB.
     const auto files = [&] {
         int highest = 0;
-        for (const auto& e : std::filesystem::directory_iterator(dir_ / "muir")) {
+        for (const auto& e : std::filesystem::directory_iterator(dir_ / Keeper::kFolder)) {
             highest = std::max(highest, std::atoi(e.path().stem().c_str()));
         }
         return highest;
@@ -143,7 +143,7 @@
         ASSERT_TRUE(outcomeOf(keeper, 1).ok);
     }
     int damaged = 0;
-    for (const auto& e : std::filesystem::directory_iterator(dir_ / "muir")) {
+    for (const auto& e : std::filesystem::directory_iterator(dir_ / Keeper::kFolder)) {
         const auto ext = e.path().extension();
         if ((ext != ".log" && ext != ".ldb") || e.file_size() < 1000) continue;
         std::fstream f(e.path(), std::ios::in | std::ios::out | std::ios::binary);
@@ -155,7 +155,7 @@
     {
         Keeper keeper(dir_, wake_);
         const auto found = keeper.takeFound();
-        ASSERT_TRUE(std::holds_alternative<eagle::Problem>(found));
+        ASSERT_TRUE(std::holds_alternative<network::Problem>(found));
         keeper.save({1, d});
         EXPECT_TRUE(outcomeOf(keeper, 1).ok);
     }
@@ -179,7 +179,7 @@
 // Three saves in one log; the bytes between two places of it are lost. Places: 0 to 3 as each save ends.
 class TornTest : public KeeperTest {
   protected:
-    eagle::Result<std::optional<Durable>> after(size_t body, int save, double from, double to) {
+    network::Result<std::optional<Durable>> after(size_t body, int save, double from, double to) {
         Durable d = sample(1000);
         std::vector<uintmax_t> ends{0};
         {
@@ -202,7 +202,7 @@
         return keeper.takeFound();
     }
     std::filesystem::path log() const {
-        for (const auto& e : std::filesystem::directory_iterator(dir_ / "muir"))
+        for (const auto& e : std::filesystem::directory_iterator(dir_ / Keeper::kFolder))
             if (e.path().extension() == ".log") return e.path();
         return {};
     }
@@ -214,11 +214,11 @@
         for (const auto& [from, to] : {std::pair(0.0, 0.4), {0.02, 1.0}, {0.5, 0.6}, {0.9, 1.0}}) {
             const auto found = after(body, 3, from, to);
             ASSERT_TRUE(std::holds_alternative<std::optional<Durable>>(found))
-                << body << " " << from << ": " << std::get<eagle::Problem>(found).line();
+                << body << " " << from << ": " << std::get<network::Problem>(found).line();
             ASSERT_TRUE(std::get<0>(found));
             EXPECT_EQ(std::get<0>(found)->term, 8u);  // as the second save had it
             EXPECT_EQ(std::get<0>(found)->value.body.size(), body > 0 ? body : 1000);
-            std::filesystem::remove_all(dir_ / "muir");
+            std::filesystem::remove_all(dir_ / Keeper::kFolder);
         }
     }
 }
@@ -226,8 +226,8 @@
 // What is followed by what was written later had been synced: its disk forgot something that was told.
 TEST_F(TornTest, DamageBeforeTheEndIsStillDamage) {
     for (const size_t body : {0, 40000, 90000}) {
-        EXPECT_TRUE(std::holds_alternative<eagle::Problem>(after(body, 2, 0.5, 0.6))) << body;
-        std::filesystem::remove_all(dir_ / "muir");
+        EXPECT_TRUE(std::holds_alternative<network::Problem>(after(body, 2, 0.5, 0.6))) << body;
+        std::filesystem::remove_all(dir_ / Keeper::kFolder);
     }
 }
 
@@ -240,11 +240,11 @@
     }
     // A folder in the place of LevelDB's lock: an error of the same kind as a full disk's, for the
     // superuser too.
-    std::filesystem::remove(dir_ / "muir" / "LOCK");
-    std::filesystem::create_directory(dir_ / "muir" / "LOCK");
+    std::filesystem::remove(dir_ / Keeper::kFolder / "LOCK");
+    std::filesystem::create_directory(dir_ / Keeper::kFolder / "LOCK");
     int pauses = 0;
     Keeper keeper(dir_, wake_, [&] {
-        if (++pauses == 3) std::filesystem::remove(dir_ / "muir" / "LOCK");
+        if (++pauses == 3) std::filesystem::remove(dir_ / Keeper::kFolder / "LOCK");
     });
     const auto found = keeper.takeFound();
     ASSERT_TRUE(std::holds_alternative<std::optional<Durable>>(found));
@@ -254,4 +254,4 @@
 }
 
 }  // namespace
-}  // namespace petrelpond::muir
+}  // namespace petrelpond::consensus
--- /dev/null
+++ b/system/consensus/membership.cpp
@@ -0,0 +1,303 @@
+// Who counts towards a majority: the agreement on the first roll, and on each that follows it.
+#include "system/consensus/core_parts.hpp"
+
+namespace petrelpond::consensus {
+
+// A roll is taken over from the one before it, as a lost disk is rebuilt: whoever learns of a new one takes
+// no part any more until a majority of the former roll, all of whom have heard of the new one too, has told
+// it all that it knows (toldEnough). Why nothing is lost: what was done under the former roll was done by a
+// majority M of it; the tellers Q are another, so some q is in both, and it answered M before it heard of the
+// new roll, thus before it told us. From then on no majority of the former roll answers under it, so nothing
+// more is done there. Epochs decide who is counted with whom; each is decided by ballots among the members of
+// the one before, hence there is one roll an epoch. Whose disk was lost can't know whether it took part
+// already, and takes over from the members of its own roll alone. Who comes may have an empty disk too; that
+// it is the very disk that was meant (its birth) shows that it never took part. It harms by a pause of some
+// round trips and one sync in which there is no majority, and by one lapse without a new duty.
+void Core::learnRoll(Instant now, uint64_t epoch, std::vector<NodeId> roll, std::vector<NodeId> former,
+                     std::vector<std::string> joined) {
+    if (roll.empty() || epoch <= mem_.epoch) return;
+    const bool tookPart = mem_.epoch + 1 == epoch && onRoll() && !mem_.recovering;
+    sortUnique(joined);
+    const bool meant = contains(joined, born(o_.self, mem_.birth));
+    const bool whole = !mem_.recovering || mem_.entering > 0 || meant;
+    sortUnique(roll);
+    sortUnique(former);
+    mem_.roll = std::move(roll);
+    mem_.former = std::move(former);
+    mem_.joined = std::move(joined);
+    mem_.epoch = epoch;
+    mem_.rollBallot = mem_.rollAccepted = 0;  // of the ballots on this roll; those on the next begin anew
+    mem_.rollOffer.clear();
+    // Of the first roll nobody has had a promise before, so a disk that was meant has none to rebuild.
+    if (epoch == 1 && meant) mem_.recovering = false, mem_.elects = true;
+    if (epoch > 1) {
+        mem_.entering = tookPart ? 2 : whole ? 1 : 0;
+        mem_.recovering = o_.twin != Twin::hastyEntry || !whole;
+        if (o_.twin == Twin::emptyEnters) mem_.entering = std::max<uint8_t>(mem_.entering, 1);
+        if (meant) mem_.elects = true;
+        recoverNumber_ = 0;
+        if (mem_.entering > 0) recoverAt_ = now;  // a lost disk still has its wait
+        standing_ = Stand::no;
+        ackedAt_.clear();
+        beatsSent_.clear();
+        if (duty_.held && !onRoll()) {  // it could not be renewed: given up at once, so that others may stand
+            Message m = make(Kind::release);
+            m.term = duty_.term;
+            setDuty(false, duty_.term, {}, Instant::longAgo());
+            toPeers(m);
+        }
+        if (standAt_ == Instant::never() && !duty_.held && duty_.holder.empty() && !released_)
+            standAt_ = now + o_.lapse;
+        for (auto& [number, op] : ops_) {  // what members of the former roll said counts no more
+            op.answers.clear();
+            if (op.reading) op.putting = false, op.target = nullptr, op.mark = {};
+        }
+    }
+    for (const auto* all : {&mem_.roll, &mem_.former}) {
+        for (const NodeId& n : *all) {
+            if (n != o_.self) peers_[n];
+        }
+    }
+    round_ = 0;
+    if (change_) proposeAt_ = now;
+    touch();
+    for (auto& [number, op] : ops_) op.resendAt = Instant::longAgo();
+    for (const auto& [node, peer] : peers_) sayHello(node, Kind::helloBack);
+}
+
+void Core::withRoll(Message& m) const {
+    m.roll = mem_.roll;
+    m.former = mem_.former;
+    m.joined = mem_.joined;
+}
+
+// Whether what binds a member of a roll may be answered and counted: only between cores that are on the same
+// one. Whoever is behind is told of the newer roll, or asks for it. One that knows none yet is heard as
+// before.
+bool Core::ofOurEpoch(const NodeId& from, const Message& m) {
+    if (m.epoch == mem_.epoch || m.epoch == 0 || mem_.epoch == 0 || o_.twin == Twin::mixedEpochs) return true;
+    switch (m.kind) {
+        case Kind::hello:
+        case Kind::helloBack:
+        case Kind::release:
+        case Kind::fetch:
+        case Kind::value:
+        case Kind::committed:
+            return true;
+        default:
+            break;
+    }
+    if (from != o_.self) sayHello(from, m.epoch < mem_.epoch ? Kind::helloBack : Kind::hello);
+    return false;
+}
+
+void Core::propose(Instant now) {
+    if (!mem_.roll.empty()) return proposeChange(now);
+    proposeAt_ = now + o_.beat * 0.5;
+    if (round_ != 0 && now - ballotSince_ <= o_.patience) return;
+    round_ = 0;
+    if (!isElector()) return;
+    size_t heard = 1;
+    for (const NodeId& n : mem_.electors) {
+        const auto it = peers_.find(n);
+        heard += it != peers_.end() && now - it->second.heardAt <= o_.beat * 3;
+    }
+    const bool all = heard == mem_.electors.size();
+    const bool enough = heard > mem_.electors.size() / 2 && now - startedAt_ >= Span::millis(5000);
+    if (!all && !enough) return;
+    // Against proposers that outbid one another for ever: each waits for a while of its own before it tries.
+    if (random(Span::millis(1000)) < Span::millis(700)) return;
+    startBallot(now);
+}
+
+void Core::startBallot(Instant now) {
+    std::vector<NodeId> fit, all;
+    if (o_.counted) (mem_.recovering ? all : fit).push_back(born(o_.self, mem_.birth));
+    for (const auto& [node, p] : peers_) {
+        if (p.said && p.counted) (p.recovering ? all : fit).push_back(born(node, p.birth));
+    }
+    all.insert(all.end(), fit.begin(), fit.end());
+    // Those who lost their disk belong on the roll too, unless they are so many that they could not recover.
+    // Nor can anybody recover on a roll of less than 2 losses + 1. Both may pass, and a roll is for ever: the
+    // few are proposed only after a long while. It harms where fewer cores were set up than that.
+    const bool able = fit.size() >= all.size() / 2 + 1;
+    // With fewer than three seeds there are no more cores than those.
+    size_t needed = 2 * static_cast<size_t>(std::max(0, o_.machineLosses)) + 1;
+    if (mem_.electors.size() < 3) needed = std::min(needed, mem_.electors.size());
+    const bool large = all.size() >= needed;
+    if ((!able || !large) && now - startedAt_ < Span::millis(15000)) return;
+    offer_ = able ? all : fit;
+    sortUnique(offer_);
+    if (offer_.empty()) return;
+    prepareBallot(now);
+}
+
+void Core::prepareBallot(Instant now) {
+    const auto& all = acceptors();
+    const auto at = std::lower_bound(all.begin(), all.end(), o_.self);
+    round_ = ((highestBallot_ >> 8) + 1) << 8 | static_cast<uint64_t>(at - all.begin());
+    highestBallot_ = round_;
+    accepting_ = false;
+    ballotSince_ = now;
+    promises_.clear();
+    acceptances_.clear();
+    // Saved before it is told: against a restart that would use the same number for another offer.
+    mem_.rollBallot = round_;
+    touch();
+    Message m = make(Kind::prepare);
+    m.ballot = round_;
+    for (const NodeId& n : all) sendSynced(n, m);
+}
+
+void Core::change(Instant now, uint64_t ticket, std::vector<NodeId> gone, std::vector<NodeId> come) {
+    enter(now);
+    sortUnique(gone);
+    sortUnique(come);
+    Change wanted = changeOf(now, gone, come);
+    wanted.ticket = ticket;
+    const std::string why = refusal(wanted, gone, come);
+    if (!isMember()) {
+        answerChange(ticket, Answer::noMajority);
+    } else if (!why.empty()) {
+        answerChange(ticket, Answer::refused, why);
+    } else if (wanted.roll == mem_.roll) {
+        newOp(now, ticket, true, true, nullptr);  // it is in force; done once it answers
+    } else {
+        change_ = std::move(wanted);
+        proposeChange(now);
+    }
+    leave(now);
+}
+
+Core::Change Core::changeOf(Instant now, const std::vector<NodeId>& gone,
+                            const std::vector<NodeId>& come) const {
+    Change change{0, mem_.epoch, {}, {}, now};
+    for (const NodeId& n : mem_.roll) {
+        if (contains(gone, n)) continue;
+        change.roll.push_back(n);
+        change.offer.push_back(n);
+    }
+    for (const NodeId& n : come) {
+        if (contains(change.roll, n)) continue;
+        const auto it = peers_.find(n);
+        const uint64_t birth = n == o_.self ? mem_.birth : it == peers_.end() ? 0 : it->second.birth;
+        change.roll.push_back(n);
+        change.offer.push_back(born(n, birth));
+    }
+    sortUnique(change.roll);
+    sortUnique(change.offer);
+    return change;
+}
+
+// Why a change can't be; empty: it can.
+std::string Core::refusal(const Change& change, const std::vector<NodeId>& gone,
+                          const std::vector<NodeId>& come) const {
+    if (change_) return "another change is under way";
+    const size_t least = 2 * static_cast<size_t>(std::max(0, o_.machineLosses)) + 1;
+    if (change.roll.size() < std::min(least, mem_.roll.size())) {
+        return "a roll of " + std::to_string(change.roll.size()) + " does not bear the loss of " +
+               std::to_string(o_.machineLosses);
+    }
+    // Said again after an answer that was lost, it finds all done; else a wrong address would only add to the
+    // roll.
+    const bool there = std::all_of(come.begin(), come.end(), [&](const NodeId& n) { return inRoll(n); });
+    for (const NodeId& n : gone) {
+        if (!there && !inRoll(n)) return n + " is not on the roll";
+    }
+    for (const NodeId& n : come) {
+        if (inRoll(n) && !contains(gone, n)) continue;
+        const auto it = peers_.find(n);
+        const bool here = it != peers_.end() && it->second.said && it->second.counted &&
+                          change.since - it->second.heardAt <= o_.beat * 120;
+        if (n == o_.self ? !o_.counted : !here) return n + " is not heard of as a core whose disk may count";
+    }
+    return {};
+}
+
+// Ticket 0 is a replacement that was begun here: nobody waits for its answer.
+void Core::answerChange(uint64_t ticket, Answer::How how, std::string why) {
+    if (ticket == 0) return;
+    out_.push_back(Answer{ticket, how, nullptr, std::move(why)});
+}
+
+void Core::proposeChange(Instant now) {
+    proposeAt_ = Instant::never();
+    if (!change_) return;
+    proposeAt_ = now + o_.beat * 0.5;
+    if (mem_.epoch > change_->epoch) {
+        const uint64_t ticket = change_->ticket;
+        const bool ours = mem_.epoch == change_->epoch + 1 && mem_.roll == change_->roll;
+        change_.reset();
+        proposeAt_ = Instant::never();
+        if (!ours) return answerChange(ticket, Answer::refused, "another change was decided first");
+        // Decided; done once the new roll answers: till then the machine that leaves is still needed.
+        return newOp(now, ticket, ticket != 0, true, nullptr);
+    }
+    if (now - change_->since > o_.patience * 4) {
+        answerChange(change_->ticket, Answer::noMajority);
+        change_.reset();
+        return;
+    }
+    if (!isAcceptor() || (round_ != 0 && now - ballotSince_ <= o_.patience)) return;
+    if (round_ != 0 && random(Span::millis(1000)) < Span::millis(500)) {
+        return;  // against two that outbid each other
+    }
+    offer_ = change_->offer;
+    prepareBallot(now);
+}
+
+void Core::hearRoll(Instant now, const NodeId& from, const Message& m) {
+    highestBallot_ = std::max(highestBallot_, m.ballot);
+    if (m.kind == Kind::prepare || m.kind == Kind::accept) {
+        Message back = make(m.kind == Kind::prepare ? Kind::promise : Kind::accepted, m.ballot);
+        withRoll(back);
+        if (m.epoch < mem_.epoch) return send(from, std::move(back));  // decided
+        if (!isAcceptor()) return;
+        const bool own = from == o_.self && m.ballot == mem_.rollBallot;
+        if (m.kind == Kind::prepare && (m.ballot > mem_.rollBallot || own)) {
+            mem_.rollBallot = m.ballot;
+            back.yes = true;
+            touch();
+        } else if (m.kind == Kind::accept && m.ballot >= mem_.rollBallot && !m.nodes.empty()) {
+            mem_.rollBallot = mem_.rollAccepted = m.ballot;
+            mem_.rollOffer = m.nodes;
+            back.yes = true;
+            touch();
+        }
+        back.ballot = mem_.rollBallot;
+        back.accepted = mem_.rollAccepted;
+        back.nodes = mem_.rollOffer;
+        return sendSynced(from, std::move(back));
+    }
+    // The ballot's time is bounded for the same reason as that of a write.
+    if (round_ == 0 || m.number != round_ || !m.yes || now - ballotSince_ > o_.patience) return;
+    if (!isAcceptor() || !contains(acceptors(), from)) return;
+    const size_t needed = acceptors().size() / 2 + 1;
+    if (m.kind == Kind::promise && !accepting_) {
+        promises_[from] = m;
+        if (promises_.size() < needed) return;
+        uint64_t highest = 0;
+        for (const auto& [node, p] : promises_) {
+            if (p.accepted > highest) {
+                highest = p.accepted;
+                offer_ = p.nodes;
+            }
+        }
+        accepting_ = true;
+        Message ask = make(Kind::accept);
+        ask.ballot = round_;
+        ask.nodes = offer_;
+        for (const NodeId& n : acceptors()) send(n, ask);
+    } else if (m.kind == Kind::accepted && accepting_) {
+        acceptances_.insert(from);
+        if (acceptances_.size() < needed) return;
+        std::vector<NodeId> roll, joined;
+        for (const NodeId& n : offer_) {
+            roll.push_back(n.substr(0, n.find('#')));
+            if (roll.back() != n) joined.push_back(n);
+        }
+        learnRoll(now, mem_.epoch + 1, std::move(roll), mem_.roll, std::move(joined));
+    }
+}
+
+}  // namespace petrelpond::consensus
--- a/huts/muir/message.cpp
+++ b/system/consensus/message.cpp
@@ -2,9 +2,9 @@
 #define MSGPACK_NO_BOOST
 #include <msgpack.hpp>
 
-#include "huts/muir/core.hpp"
+#include "system/consensus/core.hpp"
 
-namespace petrelpond::muir {
+namespace petrelpond::consensus {
 namespace {
 
 constexpr uint32_t fields = 22;
@@ -24,7 +24,8 @@
     p.pack_array(fields);
     p.pack(static_cast<uint8_t>(m.kind));
     p.pack(m.number);
-    p.pack(static_cast<uint8_t>((m.yes ? 1 : 0) | (m.recovering ? 2 : 0) | (m.counted ? 4 : 0)));
+    p.pack(static_cast<uint8_t>((m.yes ? 1 : 0) | (m.recovering ? 2 : 0) | (m.counted ? 4 : 0) |
+                                (m.leaving ? 8 : 0) | (m.diskBroken ? 16 : 0)));
     p.pack(m.disk.version);
     p.pack(m.disk.digest);
     p.pack(m.sure.version);
@@ -68,6 +69,8 @@
         m.yes = flags & 1;
         m.recovering = flags & 2;
         m.counted = flags & 4;
+        m.leaving = flags & 8;
+        m.diskBroken = flags & 16;
         m.disk = {f[3].as<int64_t>(), f[4].as<uint64_t>()};
         m.sure = {f[5].as<int64_t>(), f[6].as<uint64_t>()};
         m.term = f[7].as<uint64_t>();
@@ -96,4 +99,4 @@
     }
 }
 
-}  // namespace petrelpond::muir
+}  // namespace petrelpond::consensus
--- /dev/null
+++ b/system/consensus/recovery.cpp
@@ -0,0 +1,125 @@
+// How a member whose disk was lost, or that is new on a roll, learns all that it may have promised.
+#include "system/consensus/core_parts.hpp"
+
+namespace petrelpond::consensus {
+
+void Core::recover(Instant now) {
+    if (!mem_.recovering && mem_.elects) {
+        recoverAt_ = Instant::never();
+        return;
+    }
+    recoverAt_ = now + o_.beat * 2;
+    if (recoverNumber_ == 0 || recoverByRoll_ != !mem_.roll.empty()) {
+        recoverByRoll_ = !mem_.roll.empty();
+        recoverNumber_ = ++number_;
+        told_.clear();
+    }
+    if (recoverByRoll_ || inElectors(o_.self)) {
+        std::vector<NodeId> asked = recoverByRoll_ ? mem_.roll : mem_.electors;
+        if (mem_.entering > 0) asked.insert(asked.end(), mem_.former.begin(), mem_.former.end());
+        sortUnique(asked);
+        Message ask = make(Kind::recoverAsk, recoverNumber_);
+        withRoll(ask);
+        for (const NodeId& n : asked) {
+            if (n != o_.self) sendSynced(n, ask);
+        }
+    }
+}
+
+// No roll anywhere, and not even anybody who knows the electors: all lost power in the first instant, before
+// their first sync. As no more than machineLosses disks are lost, the other seeds never promised a thing. If
+// those are a majority of the seeds, no roll was ever decided, and we begin anew. We wait for 3 s after it
+// was seen, so that all seeds see it before the first of them begins. It harms only if more disks are lost
+// than may be; with two losses and three seeds it can't be known, and nobody begins anew.
+void Core::beginAnew(Instant now) {
+    if (!mem_.recovering || mem_.elects || !mem_.roll.empty() || !contains(o_.seeds, o_.self)) return;
+    const auto losses = static_cast<size_t>(std::max(0, o_.machineLosses));
+    if (o_.seeds.size() < losses + o_.seeds.size() / 2 + 1) return;
+    if (mem_.electors.empty() && bareAt_ == Instant::never()) {
+        for (const auto& [node, p] : peers_) {
+            if (p.said && !p.empty) return;
+        }
+        for (const NodeId& n : o_.seeds) {
+            const auto it = peers_.find(n);
+            const bool said = it != peers_.end() && it->second.said;
+            if (n != o_.self && (!said || now - it->second.heardAt > o_.beat * 6)) return;
+        }
+        bareAt_ = now + Span::millis(3000);
+    }
+    if (now < bareAt_ || (!mem_.electors.empty() && mem_.electors != o_.seeds)) return;
+    mem_.electors = o_.seeds;
+    mem_.elects = true;
+    mem_.recovering = false;
+    touch();
+}
+
+// A majority of our roll that takes part, ourselves left out. With a whole disk after a change also: anyone
+// who takes part already, as it has taken over all of the former roll; or a majority of the former roll,
+// ourselves included, each of which took part in it.
+bool Core::toldEnough() const {
+    size_t ours = 0, formers = mem_.entering == 2, entered = 0;
+    for (const auto& [node, t] : told_) {
+        ours += !t.recovering && inRoll(node);
+        entered += !t.recovering;
+        formers += t.entering == 2 && contains(mem_.former, node);
+    }
+    if (ours >= majority()) return true;
+    return mem_.entering > 0 && (entered > 0 || formers >= mem_.former.size() / 2 + 1);
+}
+
+void Core::hearRecover(Instant now, const NodeId& from, const Message& m) {
+    if (m.kind == Kind::recoverAsk) {
+        Message tell = make(Kind::recoverTell, m.number);
+        tell.yes = mem_.elects;
+        tell.ballot = mem_.rollBallot;
+        tell.accepted = mem_.rollAccepted;
+        tell.nodes = mem_.rollOffer;
+        withRoll(tell);
+        tell.electors = mem_.electors;
+        tell.value = value_;
+        // Marks alone when the asker has the same value already: the body is long.
+        if (tell.value && m.disk >= markOf(value_)) tell.value = nullptr;
+        if (mem_.elects || !mem_.recovering) sendSynced(from, std::move(tell));
+        return;
+    }
+    if (m.number != recoverNumber_ || (!mem_.recovering && mem_.elects)) return;
+    adopt(m.value);
+    const bool before = recoverByRoll_;
+    if (before != !mem_.roll.empty()) {  // the roll has just been learned: ask its members instead
+        recoverAt_ = std::min(recoverAt_, now);
+        return;
+    }
+    if (!before && (!m.yes || !inElectors(from))) return;
+    told_[from] = m;
+    told_[from].value = nullptr;
+    if (before ? !toldEnough() : told_.size() < mem_.electors.size() / 2 + 1) return;
+    for (const auto& [node, t] : told_) {
+        mem_.rollBallot = std::max(mem_.rollBallot, t.ballot);
+        if (t.accepted > mem_.rollAccepted) {
+            mem_.rollAccepted = t.accepted;
+            mem_.rollOffer = t.nodes;
+        }
+        highestTerm_ = std::max(highestTerm_, t.term);
+    }
+    highestBallot_ = std::max(highestBallot_, mem_.rollBallot);
+    mem_.elects = true;
+    if (before) {
+        // What is not known here any more, or was promised on the former roll, may be another's by now.
+        promisedTo_.clear();
+        mem_.promisedTo.clear();
+        mem_.term = std::max(mem_.term, highestTerm_);
+        mem_.votedFor = nobody;
+        mem_.recovering = false;
+        mem_.entering = 0;
+        // Against a lease that the former roll gave: a teller may have answered its holder just before.
+        if (mem_.epoch > 1) promisedUntil_ = std::max(promisedUntil_, now + promised());
+        if (!duty_.held) standAt_ = std::max(now, promisedUntil_) + random(o_.lapse * 0.5);
+        for (auto& [number, op] : ops_) op.resendAt = Instant::longAgo();
+    }
+    touch();
+    termToken_ = nextToken();
+    told_.clear();
+    recoverNumber_ = 0;
+}
+
+}  // namespace petrelpond::consensus
--- /dev/null
+++ b/system/consensus/replacement.cpp
@@ -0,0 +1,103 @@
+// Replacement of members that are gone, without an operator.
+//
+// The roll keeps its size. A core whose disk may count and that is not on the roll is a standby: it learns
+// the roll and the value like everybody, holds both on its disk, and is counted nowhere. The holder of the
+// lease gives it the place of a member that has not been heard for Options::absence, or that says that it
+// leaves. A member that was only cut off or paused comes back as a standby that holds its data; the next
+// place that falls free may be its own. So a wrong suspicion costs one change and no copy. Why not grow first
+// and shrink later: a roll of four bears one loss like one of three, but needs three to rebuild a lost disk;
+// between the two changes a second loss would find too few. Without a standby nothing changes, however long a
+// member is silent: a smaller roll bears fewer losses.
+//
+// Only the holder begins: it alone has heard a majority within the last lapse, and one proposer needs no
+// second ballot. The decision itself is made by a majority of the present members, whoever began it.
+#include "system/consensus/core_parts.hpp"
+
+namespace petrelpond::consensus {
+namespace {
+
+// A core that is on no roll is forgotten after so long a silence; each replaced machine would be tried for
+// ever.
+const Span kForgetAfter = Span::seconds(120);
+
+}  // namespace
+
+void Core::noteSender(const NodeId& from, const Message& m) {
+    if (from == o_.self) return;
+    Peer& peer = peers_[from];
+    peer.counted = m.counted;
+    peer.recovering = m.recovering;
+    peer.leaving = m.leaving;
+    peer.diskBroken = m.diskBroken;
+    peer.epoch = m.epoch;
+}
+
+// Heard so lately that it would take part in a change now.
+bool Core::isHere(Instant now, const NodeId& node) const {
+    const auto it = peers_.find(node);
+    return it != peers_.end() && now - it->second.heardAt <= o_.absence * 0.75;
+}
+
+bool Core::isAbsent(Instant now, const NodeId& voter) const {
+    if (voter == o_.self) return false;
+    const auto it = peers_.find(voter);
+    if (it == peers_.end()) return now - startedAt_ > o_.absence;
+    if (it->second.leaving) return true;
+    return now - std::max(it->second.heardAt, startedAt_) > o_.absence;
+}
+
+bool Core::hasTakenOver(const NodeId& voter) const {
+    if (voter == o_.self) return isMember();
+    const auto it = peers_.find(voter);
+    return it != peers_.end() && it->second.epoch == mem_.epoch && !it->second.recovering;
+}
+
+std::vector<NodeId> Core::standbys(Instant now) const {
+    std::vector<NodeId> fit;
+    for (const auto& [node, peer] : peers_) {
+        if (inRoll(node) || !peer.said || !peer.counted || peer.leaving || peer.diskBroken) continue;
+        // With the value on its disk it is a copy from the first instant; what else it has to know is little.
+        if (isHere(now, node) && peer.disk >= sureMark_) fit.push_back(node);
+    }
+    return fit;
+}
+
+void Core::replaceAbsent(Instant now) {
+    if (change_ || !isMember()) return;
+    const NodeId* gone = nullptr;
+    for (const NodeId& voter : mem_.roll) {
+        const bool absent = isAbsent(now, voter);
+        // Against a second change before the first is taken over: until then a member that is here may still
+        // be needed to tell the others. Harm: waits for a member that does not get on.
+        if (!absent && voter != o_.self && peers_[voter].epoch != mem_.epoch) return;
+        if (absent && !gone) gone = &voter;
+    }
+    if (!gone) return;
+    const std::vector<NodeId> fit = standbys(now);
+    if (fit.empty()) return;
+    change_ = changeOf(now, {*gone}, {fit.front()});
+    proposeChange(now);
+}
+
+void Core::forgetSilentPeers(Instant now) {
+    std::erase_if(peers_, [&](const auto& entry) {
+        const auto& [node, peer] = entry;
+        if (inRoll(node) || contains(o_.seeds, node)) return false;
+        return now - std::max(peer.heardAt, peer.knownSince) > kForgetAfter;
+    });
+}
+
+bool Core::mayLeave(Instant now) const {
+    if (mem_.roll.empty() || diskBroken_) return true;
+    if (!onRoll()) {  // replaced: we may be needed to tell what we know until a majority has taken over
+        const auto done = std::count_if(mem_.roll.begin(), mem_.roll.end(),
+                                        [this](const NodeId& n) { return hasTakenOver(n); });
+        return static_cast<size_t>(done) >= majority();
+    }
+    if (!standbys(now).empty()) return false;
+    return std::all_of(mem_.roll.begin(), mem_.roll.end(), [&](const NodeId& n) {
+        return n == o_.self || !isHere(now, n) || peers_.at(n).disk >= sureMark_;
+    });
+}
+
+}  // namespace petrelpond::consensus
--- a/huts/muir/sim_for_test.hpp
+++ b/system/consensus/sim_for_test.hpp
@@ -11,9 +11,9 @@
 #include <string>
 #include <vector>
 
-#include "huts/muir/core.hpp"
+#include "system/consensus/core.hpp"
 
-namespace petrelpond::muir::sim {
+namespace petrelpond::consensus::sim {
 
 struct Plan {
     uint32_t seed = 1;
@@ -23,9 +23,9 @@
     bool faults = true;
     double seconds = 25;  // of faults; then all heals and must work
     bool clients = true;
-    int spares = 0;  // cores that start later, and may come onto the roll
+    int spares = 0;          // cores that start later, and may come onto the roll
     bool bareSeeds = false;  // two seeds may lose their disks before there is a roll: no work asked for then
-    bool cornered = false;  // all but the holder start anew, while nobody hears it
+    bool cornered = false;   // all but the holder start anew, while nobody hears it
 };
 
 class World {
@@ -57,7 +57,10 @@
         const int64_t calm = millis(static_cast<int64_t>(plan_.seconds * 1000));
         at(calm, [this] { heal(); });
         const int64_t end = calm + millis(25000);
-        at(end - millis(6000), [this] { calmWrites_ = doneWrites_; calmReads_ = doneReads_; });
+        at(end - millis(6000), [this] {
+            calmWrites_ = doneWrites_;
+            calmReads_ = doneReads_;
+        });
         while (!events_.empty() && broken_.empty()) {
             const Event e = events_.top();
             events_.pop();
@@ -214,9 +217,8 @@
             if (chance(loss_)) delay += below(millis(chance(0.2) ? 4000 : 600));
             at(delay, [this, from, to, message] {
                 if (cut_.count({from, to})) return;
-                in(to, nodes_[to].life, [this, from, to, message](Core& c) {
-                    c.heard(clock(to), nodes_[from].id, *message);
-                });
+                in(to, nodes_[to].life,
+                   [this, from, to, message](Core& c) { c.heard(clock(to), nodes_[from].id, *message); });
             });
         }
     }
@@ -463,4 +465,4 @@
     int doneWrites_ = 0, doneReads_ = 0, calmWrites_ = 0, calmReads_ = 0, wipes_ = 0;
 };
 
-}  // namespace petrelpond::muir::sim
+}  // namespace petrelpond::consensus::sim
--- a/huts/muir/torn.cpp
+++ b/system/consensus/torn.cpp
@@ -1,4 +1,4 @@
-#include "huts/muir/torn.hpp"
+#include "system/consensus/torn.hpp"
 
 #include <algorithm>
 #include <cstring>
@@ -6,7 +6,7 @@
 #include <iterator>
 #include <string>
 
-namespace petrelpond::muir {
+namespace petrelpond::consensus {
 namespace {
 
 // Of LevelDB's log: blocks, in them fragments of a sum, a length and a kind.
@@ -105,4 +105,4 @@
     return !ec;
 }
 
-}  // namespace petrelpond::muir
+}  // namespace petrelpond::consensus
--- a/huts/muir/torn.hpp
+++ b/system/consensus/torn.hpp
@@ -4,7 +4,7 @@
 #include <filesystem>
 #include <string_view>
 
-namespace petrelpond::muir {
+namespace petrelpond::consensus {
 
 // Where the last whole record ends, if all that can't be read lies behind it and nothing that can; -1 where a
 // record follows that can be read, or nothing is wrong.
@@ -16,4 +16,4 @@
 // Whether every byte of the folder's files can be read.
 bool readable(const std::filesystem::path& folder);
 
-}  // namespace petrelpond::muir
+}  // namespace petrelpond::consensus
--- a/huts/cloudcap/backlog.hpp
+++ b/system/control_plane/backlog.hpp
@@ -13,7 +13,7 @@
 
 #include "petrelpond/time.hpp"
 
-namespace petrelpond::cloudcap {
+namespace petrelpond::control_plane {
 
 class Backlog {
   public:
@@ -46,4 +46,4 @@
     std::deque<Waiting> all_;
 };
 
-}  // namespace petrelpond::cloudcap
+}  // namespace petrelpond::control_plane
--- a/huts/cloudcap/backlog_test.cpp
+++ b/system/control_plane/backlog_test.cpp
@@ -1,10 +1,10 @@
-#include "huts/cloudcap/backlog.hpp"
+#include "system/control_plane/backlog.hpp"
 
 #include <gtest/gtest.h>
 
 #include <vector>
 
-namespace petrelpond::cloudcap {
+namespace petrelpond::control_plane {
 namespace {
 
 // However many came at once, a turn ends, and none is lost or overtakes another.
@@ -31,4 +31,4 @@
 }
 
 }  // namespace
-}  // namespace petrelpond::cloudcap
+}  // namespace petrelpond::control_plane
--- a/huts/cloudcap/control.cpp
+++ b/system/control_plane/control.cpp
@@ -1,4 +1,4 @@
-#include "huts/cloudcap/control.hpp"
+#include "system/control_plane/control.hpp"
 
 #include <rapidjson/document.h>
 #include <spdlog/spdlog.h>
@@ -9,12 +9,12 @@
 
 #include <algorithm>
 
-namespace petrelpond::cloudcap {
+namespace petrelpond::control_plane {
 
-using eagle::HttpRequest;
-using eagle::HttpVisit;
-using eagle::Kind;
-using eagle::Link;
+using network::HttpRequest;
+using network::HttpVisit;
+using network::Kind;
+using network::Link;
 
 namespace {
 
@@ -52,7 +52,7 @@
         auto* ips = name == "gone" ? &out.gone : name == "come" ? &out.come : nullptr;
         if (!ips || !m.value.IsArray() || m.value.Size() > 32) return {};
         for (const auto& each : m.value.GetArray()) {
-            if (!each.IsString() || !eagle::Address::parse(each.GetString(), 1)) return {};
+            if (!each.IsString() || !network::Address::parse(each.GetString(), 1)) return {};
             ips->emplace_back(each.GetString());
         }
     }
@@ -74,7 +74,8 @@
     return Unknown{visit, 405};
 }
 
-Control::Control(eagle::Loop& loop, const tilly::Settings& settings, uint32_t chance, muir::Twin twin)
+Control::Control(network::Loop& loop, const configuration::Settings& settings, uint32_t chance,
+                 consensus::Twin twin)
     : loop_(loop), settings_(settings), beatAt_(loop.now()), chance_(chance), twin_(twin) {
     limits_.bodyBytes = 4u << 20;
     limits_.headerTimeout = Span::seconds(5), limits_.idleTimeout = Span::seconds(30);
@@ -89,17 +90,17 @@
         return error = "listen_addresses: control expected for a role that serves control_plane", false;
     if (!settings_.dataDir) return error = "data_dir: a folder on a disk expected", false;
     keeperFd_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-    keeper_ = std::make_unique<muir::Keeper>(*settings_.dataDir, keeperFd_, [told = false]() mutable {
+    keeper_ = std::make_unique<consensus::Keeper>(*settings_.dataDir, keeperFd_, [told = false]() mutable {
         if (!std::exchange(told, true))
             spdlog::warn("state: the disk can be read but takes no writes: waiting until it does");
-        muir::Keeper::aMoment();
+        consensus::Keeper::aMoment();
     });
     auto taken = keeper_->takeFound();
-    if (auto* problem = std::get_if<eagle::Problem>(&taken))
+    if (auto* problem = std::get_if<network::Problem>(&taken))
         spdlog::error("{}; this machine's part of the state is taken for lost", problem->line());
-    std::optional<muir::Durable> found;
-    if (auto* whole = std::get_if<std::optional<muir::Durable>>(&taken)) found = std::move(*whole);
-    muir::Options o;
+    std::optional<consensus::Durable> found;
+    if (auto* whole = std::get_if<std::optional<consensus::Durable>>(&taken)) found = std::move(*whole);
+    consensus::Options o;
     o.self = settings_.ip;
     for (const auto& seed : settings_.seeds) o.seeds.push_back(seed.ip);
     o.bootstrap = settings_.bootstrap, o.counted = settings_.quorumMember;
@@ -108,20 +109,20 @@
     o.beat = kDutyBeat, o.lapse = kDutyLapse;
     spdlog::info("state: {} bootstrap={} counted={}", found ? "found on disk" : "disk is empty", o.bootstrap,
                  o.counted);
-    core_ = std::make_unique<muir::Core>(loop_.now(), o, std::move(found));
+    core_ = std::make_unique<consensus::Core>(loop_.now(), o, std::move(found));
     loop_.watch(keeperFd_, EPOLLIN, this);
-    control_ = eagle::Listener::open(
-        loop_, *eagle::Address::parse(settings_.control->text()),
-        [this](int fd, eagle::Address) {
+    control_ = network::Listener::open(
+        loop_, *network::Address::parse(settings_.control->text()),
+        [this](int fd, network::Address) {
             uint64_t id = nextVisit_++;
             visits_[id] = std::make_unique<HttpVisit>(loop_, *this, fd, id);
         },
         error);
     if (!control_) return error = settings_.control->text() + ": " + error, false;
-    auto inner = eagle::Address::parse(settings_.ip, static_cast<uint16_t>(settings_.portFirst));
-    inner_ = eagle::Listener::open(
+    auto inner = network::Address::parse(settings_.ip, static_cast<uint16_t>(settings_.portFirst));
+    inner_ = network::Listener::open(
         loop_, *inner,
-        [this](int fd, eagle::Address) {
+        [this](int fd, network::Address) {
             uint64_t tag = nextTag_++;
             Guest& g = guests_[tag];
             g.link = Link::adopt(loop_, *this, fd, Span::millis(2500));
@@ -134,7 +135,7 @@
     return true;
 }
 
-void Control::newSettings(const tilly::Settings& settings) {
+void Control::newSettings(const configuration::Settings& settings) {
     // Other seeds are other names for what is known already; the roll and the fellows stand in the state.
     settings_.seeds = settings.seeds;
 }
@@ -165,16 +166,16 @@
     ++puts_;
     auto visit = visits_.find(c.visit);
     if (visit == visits_.end()) return;
-    auto read = tilly::readConfiguration(c.text);
-    if (auto* problem = std::get_if<eagle::Problem>(&read)) {
+    auto read = configuration::readConfiguration(c.text);
+    if (auto* problem = std::get_if<network::Problem>(&read)) {
         ++invalid_;
         spdlog::info("configuration refused: {}", problem->line());
         return visit->second->answer(400, kJson, json(problem->line()));
     }
     const auto& configuration = std::get<0>(read);
-    auto value = std::make_shared<muir::Value>();
+    auto value = std::make_shared<consensus::Value>();
     value->version = configuration->version;
-    value->digest = tilly::digest(c.text);
+    value->digest = configuration::digest(c.text);
     value->body = c.text;
     uint64_t ticket = nextTicket_++;
     // What a majority holds is read first: a version that does not exceed it alters nothing, another text
@@ -198,25 +199,25 @@
     core_->change(loop_.now(), ticket, c.gone, c.come);
 }
 
-void Control::answered(const muir::Answer& a) {
+void Control::answered(const consensus::Answer& a) {
     auto found = tickets_.find(a.ticket);
     if (found == tickets_.end()) return;
     Ticket t = found->second;
     tickets_.erase(found);
     auto visit = visits_.find(t.visit);
     if (visit == visits_.end()) return;
-    if (a.how == muir::Answer::refused) {
+    if (a.how == consensus::Answer::refused) {
         spdlog::info("roll: change refused: {}", a.why);
         return visit->second->answer(409, kJson, json(a.why));
     }
-    if (t.roll && a.how == muir::Answer::done) {
+    if (t.roll && a.how == consensus::Answer::done) {
         std::string all;
         for (const auto& ip : core_->roll()) all += (all.empty() ? "\"" : ",\"") + ip + "\"";
         spdlog::info("roll: epoch {} is at work: {}", core_->epoch(), all);
         return visit->second->answer(
             200, kJson, "{\"epoch\":" + std::to_string(core_->epoch()) + ",\"roll\":[" + all + "]}");
     }
-    if (a.how != muir::Answer::done) {
+    if (a.how != consensus::Answer::done) {
         ++noMajority_;
         spdlog::warn("{}: no majority in time", t.roll  ? "roll change"
                                                 : t.put ? "configuration write"
@@ -277,24 +278,24 @@
 void Control::pump() {
     pumping_ = false;
     while (auto output = core_->next()) {
-        if (auto* s = std::get_if<muir::Send>(&*output))
+        if (auto* s = std::get_if<consensus::Send>(&*output))
             toPeer(s->to, s->message);
-        else if (auto* s = std::get_if<muir::Save>(&*output))
+        else if (auto* s = std::get_if<consensus::Save>(&*output))
             ++saves_, keeper_->save(std::move(*s));
-        else if (auto* a = std::get_if<muir::Answer>(&*output))
+        else if (auto* a = std::get_if<consensus::Answer>(&*output))
             answered(*a);
-        else if (auto* n = std::get_if<muir::News>(&*output))
+        else if (auto* n = std::get_if<consensus::News>(&*output))
             news(n->value);
-        else if (auto* d = std::get_if<muir::Duty>(&*output))
+        else if (auto* d = std::get_if<consensus::Duty>(&*output))
             duty(*d);
     }
     arm();
 }
 
 void Control::arm() {
-    // What is armed sooner stays. Against calls that come faster than the millisecond: each of them used to put the
-    // core's next turn off by one more, so no duty was won, renewed or told while they lasted. Harm: a turn for
-    // nothing where the core meanwhile has more time.
+    // What is armed sooner stays. Against calls that come faster than the millisecond: each of them used to
+    // put the core's next turn off by one more, so no duty was won, renewed or told while they lasted. Harm:
+    // a turn for nothing where the core meanwhile has more time.
     Instant wake = std::max(core_->wakeAt(), loop_.now() + Span::millis(1));
     if (timer_ != 0 && armedFor_ <= wake) return;
     loop_.cancel(timer_);
@@ -306,9 +307,9 @@
     });
 }
 
-void Control::toPeer(const std::string& ip, const muir::Message& message) {
+void Control::toPeer(const std::string& ip, const consensus::Message& message) {
     Peer& peer = peers_[ip];
-    std::string bytes = muir::encode(message);
+    std::string bytes = consensus::encode(message);
     if (peer.link && peer.link->isUp()) {
         // What a peer does not read is not piled up: the core's messages are said again.
         if (peer.link->unsent() < (1u << 20)) peer.link->send(Kind::coreMessage, bytes);
@@ -320,22 +321,22 @@
     // only: so long all cores that came back would be without a majority.
     if (peer.link) peer.link->close(), loop_.bury(std::move(peer.link));
     peer.triedAt = loop_.now();
-    auto to = eagle::Address::parse(ip, static_cast<uint16_t>(settings_.portFirst));
+    auto to = network::Address::parse(ip, static_cast<uint16_t>(settings_.portFirst));
     if (to) peer.link = Link::connect(loop_, *this, *to, Span::millis(1500));
     if (peer.link) peer.link->tag = 0;
 }
 
-void Control::news(const std::shared_ptr<const muir::Value>& value) {
+void Control::news(const std::shared_ptr<const consensus::Value>& value) {
     if (!value || (value_ && !value->newerThan(*value_))) return;
     value_ = value;
-    configuration_ = tilly::trusted(value->body);
+    configuration_ = configuration::trusted(value->body);
     deflated_.reset();
     spdlog::info("configuration {} lies on a majority", value->version);
     if (warden_ && configuration_) warden_->configured(*configuration_);
     beatSoon();
 }
 
-void Control::duty(const muir::Duty& d) {
+void Control::duty(const consensus::Duty& d) {
     bool was = duty_.held;
     uint64_t term = duty_.term;
     duty_ = d;
@@ -351,7 +352,7 @@
     if (d.held && !warden_) {
         spdlog::info("startup duty won, term {}", d.term);
         warden_ = std::make_unique<Warden>(loop_, settings_, d.term, chance_ + static_cast<uint32_t>(d.term),
-                                           [this](const std::string& sender, const crest::Grants& grants) {
+                                           [this](const std::string& sender, const scaler::Grants& grants) {
                                                auto tag = agentByName_.find(sender);
                                                if (tag == agentByName_.end()) return;
                                                auto guest = guests_.find(tag->second);
@@ -366,10 +367,10 @@
 
 // --- agents and fellows ------------------------------------------------------------------------------------
 
-const eagle::Config* Control::deflated() {
+const network::Config* Control::deflated() {
     if (!value_) return nullptr;
     if (!deflated_) {
-        auto made = std::make_unique<eagle::Config>();
+        auto made = std::make_unique<network::Config>();
         made->version = value_->version, made->digest = value_->digest;
         made->size = static_cast<uint32_t>(value_->body.size());
         uLongf size = compressBound(value_->body.size());
@@ -383,7 +384,7 @@
 }
 
 void Control::sendConfig(Link& link) {
-    if (const eagle::Config* c = deflated()) link.say(Kind::config, *c);
+    if (const network::Config* c = deflated()) link.say(Kind::config, *c);
 }
 
 void Control::beatSoon() {
@@ -403,17 +404,17 @@
 
 void Control::beatAgent(Guest& guest) {
     guest.link->say(Kind::beat,
-                    eagle::Beat{value_ ? value_->version : 0, value_ ? value_->digest : 0, duty_.term,
-                                duty_.holder, static_cast<uint32_t>(agentByName_.size())});
+                    network::Beat{value_ ? value_->version : 0, value_ ? value_->digest : 0, duty_.term,
+                                  duty_.holder, static_cast<uint32_t>(agentByName_.size())});
 }
 
 void Control::welcome(Guest& guest) {
-    eagle::Welcome w;
+    network::Welcome w;
     w.cores = core_->peers();
     w.cores.push_back(settings_.ip);
     for (const auto& [name, tag] : agentByName_) {
         if (w.senders.size() >= 16) break;
-        const eagle::Hello& h = guests_[tag].hello;
+        const network::Hello& h = guests_[tag].hello;
         if (name != guest.hello.name) w.senders.push_back({h.name, h.ip, h.zone, h.life});
     }
     guest.link->say(Kind::welcome, w);
@@ -423,7 +424,7 @@
 void Control::linkUp(Link& link) {
     for (auto& [ip, peer] : peers_) {
         if (peer.link.get() != &link) continue;
-        link.say(Kind::coreHello, eagle::CoreHello{settings_.ip});
+        link.say(Kind::coreHello, network::CoreHello{settings_.ip});
         for (const std::string& bytes : peer.waiting) link.send(Kind::coreMessage, bytes);
         peer.waiting.clear();
     }
@@ -436,14 +437,14 @@
     guest.heardAt = loop_.now();
     switch (kind) {
         case Kind::coreHello:
-            if (auto h = eagle::unpacked<eagle::CoreHello>(payload)) guest.coreIp = h->ip;
+            if (auto h = network::unpacked<network::CoreHello>(payload)) guest.coreIp = h->ip;
             break;
         case Kind::coreMessage:
             if (guest.coreIp.empty()) break;
-            if (auto m = muir::decode(payload)) core_->heard(loop_.now(), guest.coreIp, *m), pumpSoon();
+            if (auto m = consensus::decode(payload)) core_->heard(loop_.now(), guest.coreIp, *m), pumpSoon();
             break;
         case Kind::hello: {
-            auto h = eagle::unpacked<eagle::Hello>(payload);
+            auto h = network::unpacked<network::Hello>(payload);
             if (!h) break;
             auto earlier = agentByName_.find(h->name);
             if (earlier != agentByName_.end() && earlier->second != link.tag) {
@@ -463,10 +464,11 @@
             break;
         }
         case Kind::beat:
-            if (auto b = eagle::unpacked<eagle::Beat>(payload)) guest.version = b->version;
+            if (auto b = network::unpacked<network::Beat>(payload)) guest.version = b->version;
             break;
         case Kind::want:
-            if (auto b = eagle::unpacked<eagle::Beat>(payload); b && value_ && b->version <= value_->version)
+            if (auto b = network::unpacked<network::Beat>(payload);
+                b && value_ && b->version <= value_->version)
                 sendConfig(link);
             break;
         case Kind::report:
@@ -491,13 +493,13 @@
         // Of a link that ended: the sender's next link begins with a whole report of its own.
         auto guest = guests_.find(tag);
         if (!warden_ || guest == guests_.end() || !guest->second.agent) return;
-        auto r = eagle::unpacked<crest::Report>(payload);
+        auto r = network::unpacked<scaler::Report>(payload);
         if (r) warden_->reported(guest->second.hello.name, *r);
     });
     // Who seems to say nothing may have said it here, where it waits.
     if (warden_ && reports_.age(loop_.now()) > kBehind) warden_->behind();
     // In the next round, after what has come for the duty meanwhile.
-    if (!reports_.empty()) reportsSoon(std::max(eagle::Loop::clock(), loop_.now() + Span::micros(1)));
+    if (!reports_.empty()) reportsSoon(std::max(network::Loop::clock(), loop_.now() + Span::micros(1)));
 }
 
 void Control::linkDown(Link& link, bool closed) {
@@ -549,8 +551,8 @@
 
 void Control::mayEnd() {
     Span lasts = loop_.now() - leavingSince_;
-    if ((tickets_.empty() && lasts > Span::millis(500)) ||
-        lasts > settings_.bounds.grace - Span::millis(800)) {
+    const bool dispensable = lasts > Span::millis(500) && core_->mayLeave(loop_.now());
+    if ((tickets_.empty() && dispensable) || lasts > settings_.bounds.grace - Span::millis(800)) {
         logCounters();
         loop_.stop();
     }
@@ -567,4 +569,4 @@
     if (warden_) warden_->logCounters();
 }
 
-}  // namespace petrelpond::cloudcap
+}  // namespace petrelpond::control_plane
