--- a/system/cli/commands_test.cpp
+++ b/system/cli/commands_test.cpp
@@ -198,7 +198,7 @@
     three.says("PUT /elsewhere", {{200, R"({"config_version":7})", "", false}});
     EXPECT_EQ(run({"put", file_, "--control", one.text() + "," + two.text()}), 0) << err();
     EXPECT_EQ(out(), three.text() + " acknowledged version 7\n");
-    EXPECT_EQ(err(), "petrelctl: put: " + one.text() + ": 503\nskyline: put: " + two.text() + ": 307\n");
+    EXPECT_EQ(err(), "petrelctl: put: " + one.text() + ": 503\npetrelctl: put: " + two.text() + ": 307\n");
     EXPECT_EQ(pauses_.size(), 1u);
     EXPECT_EQ(three.heard("PUT /elsewhere"), std::vector<std::string>{configuration(7)});  // byte for byte
 }
