Each version of the configuration is decided once, by ballots; the loser of a race is told 409

Cause: a write counted a disk that held the same number with a higher digest as having taken it. Ruled out: reading before each write narrows the gap only; one writer by the lease stops orders while it is vacant. Change: register.cpp: a writer claims its version under a ballot from a majority, takes over what was accepted there, and puts its text; claims are on disk, are rebuilt with a lost one, and go over with a change of members. A read settles what a dead writer left. The disk's older form is still read.

--- a/system/consensus/core.cpp
+++ b/system/consensus/core.cpp
@@ -106,7 +106,7 @@
     m.counted = o_.counted;
     m.leaving = released_;
     m.diskBroken = diskBroken_;
-    m.disk = diskMark_;
+    m.disk = toldMark();
     m.sure = sureMark_;
     m.term = mem_.term;
     m.epoch = mem_.epoch;
@@ -147,7 +147,7 @@
             kept.emplace_back(token, std::move(s));
             continue;
         }
-        s.message.disk = diskMark_;
+        s.message.disk = toldMark();
         send(s.to, std::move(s.message));
     }
     waiting_.swap(kept);
@@ -201,7 +201,7 @@
 
 std::shared_ptr<const Value> Core::held() const {
     const bool synced = markOf(value_) == diskMark_;
-    return synced && diskMark_ > sureMark_ ? value_ : sure_;
+    return synced && diskMark_.version > sureMark_.version ? value_ : sure_;
 }
 
 void Core::meet(Instant now, const NodeId& node) {
@@ -258,7 +258,7 @@
     noteSender(now, from, m);
     if (m.kind != Kind::voteProbe) highestTerm_ = std::max(highestTerm_, m.term);
     learnRoll(now, m.epoch, m.roll, m.former, m.joined);
-    if (m.kind == Kind::value) adopt(m.value);
+
     learnMarks(now, from, m);
     if (!ofOurEpoch(from, m)) return;
     switch (m.kind) {
@@ -274,27 +274,18 @@
         case Kind::vote:
             return hearDuty(now, from, m);
         case Kind::put:
-            if (mem_.roll.empty()) return;
-            adopt(m.value);
-            [[fallthrough]];
+            return hearPut(from, m);
         case Kind::get:
-            if (isMember()) sendSynced(from, make(Kind::held, m.number));
-            return;
-        case Kind::held: {
-            const auto it = ops_.find(m.number);
-            if (it == ops_.end() || !inRoll(from)) return;
-            Mark& mark = it->second.answers[from];
-            mark = std::max(mark, m.disk);
-            return;
-        }
-        case Kind::fetch: {
-            if (!value_ || m.disk >= markOf(value_)) return;
-            Message back = make(Kind::value);
-            withRoll(back);
-            back.value = value_;
-            return send(from, std::move(back));
-        }
+            return hearGet(from, m);
+        case Kind::claim:
+            return hearClaim(from, m);
+        case Kind::held:
+        case Kind::claimed:
+            return hearRegister(now, from, m);
+        case Kind::fetch:
+            return hearFetch(from, m);
         case Kind::value:
+            return hearValue(m);
         case Kind::committed:
             return;
         case Kind::recoverAsk:
@@ -337,7 +328,7 @@
         suspectAt_ = Instant::never();
         Mark highest = markOf(value_);
         for (const auto& [node, p] : peers_) highest = std::max(highest, p.disk);
-        if (highest > sureMark_) {
+        if (highest.version > sureMark_.version) {
             suspectAt_ = now + o_.beat * 4 + random(o_.beat * 4);
             newOp(now, 0, false, true, nullptr);
         }
@@ -362,7 +353,7 @@
     if (!duty_.holder.empty()) at = std::min(at, duty_.validUntil);
     for (const auto& [number, op] : ops_) {
         at = std::min(at, op.since + o_.patience + Span::micros(1));
-        if (!mem_.roll.empty()) at = std::min(at, op.resendAt);
+        if (!mem_.roll.empty()) at = std::min(at, std::max(op.resendAt, op.pausedUntil));
     }
     return at;
 }
--- a/system/consensus/core.hpp
+++ b/system/consensus/core.hpp
@@ -1,9 +1,9 @@
 // The control state of the cores: one register on a majority of disks, the roll of those who count towards a
 // majority, and ballots for one duty. No I/O, no threads, no clocks: inputs carry `now`, outputs are pulled.
 //
-// The register: the highest (version, digest) wins; there is no log and no leader, any core may write or
-// read. Clocks: every span is measured on the steady clock of one machine; the rates may differ by a
-// sixteenth.
+// The register: the highest version wins, and each version has one text (register.cpp); there is no log and
+// no leader, any core may write or read. Clocks: every span is measured on the steady clock of one machine;
+// the rates may differ by a sixteenth.
 #pragma once
 
 #include <cstdint>
@@ -24,10 +24,14 @@
 
 using NodeId = std::string;  // the ip of a machine; a machine always comes back at its ip
 
+// The ballot of a text that is known to be chosen: none is above it.
+constexpr uint64_t kChosen = ~0ULL;
+
 struct Value {
     int64_t version = 0;  // 0: none
     uint64_t digest = 0;
     std::string body;
+    uint64_t ballot = 0;  // under which it was accepted
     bool newerThan(const Value& o) const {
         return version != o.version ? version > o.version : digest > o.digest;
     }
@@ -36,11 +40,12 @@
 // What one disk holds; loaded at start, each part saved whole.
 struct Durable {
     Value value;
-    std::vector<NodeId> roll;         // sorted; empty: not agreed yet
-    std::vector<NodeId> electors;     // sorted; who agrees on the roll: the seeds of the first start
-    uint64_t rollBallot = 0;          // the highest ballot promised
-    uint64_t rollAccepted = 0;        // the ballot under which rollOffer was accepted; 0: none
-    std::vector<NodeId> rollOffer;    // what was accepted
+    std::map<int64_t, uint64_t> claims;  // by version: the highest ballot promised
+    std::vector<NodeId> roll;            // sorted; empty: not agreed yet
+    std::vector<NodeId> electors;        // sorted; who agrees on the roll: the seeds of the first start
+    uint64_t rollBallot = 0;             // the highest ballot promised
+    uint64_t rollAccepted = 0;           // the ballot under which rollOffer was accepted; 0: none
+    std::vector<NodeId> rollOffer;       // what was accepted
     uint64_t epoch = 0;               // of the roll: 1 for the first, one more with each change; 0: no roll
     std::vector<NodeId> former;       // sorted; the roll of the epoch before, from which it is taken over
     std::vector<std::string> joined;  // who came with this epoch, as ip#birth of the disk that was meant
@@ -61,7 +66,7 @@
     beat,  // of the holder of the duty; answered by beatBack
     beatBack,
     release,  // the holder gives the duty up
-    put,      // save this value; answered by held
+    put,      // accept this value under its ballot; answered by held, yes: accepted
     get,      // what do you hold? answered by held
     held,
     fetch,  // send me your value; answered by value
@@ -77,12 +82,15 @@
     promise,
     accept,  // second phase; answered by accepted
     accepted,
-    last = accepted,
+    claim,    // promise this ballot for this version; answered by claimed
+    claimed,  // yes: promised; with what was accepted and the highest promise
+    last = claimed,
 };
 
-// A mark of a value without its body, in the order of values.
+// A mark of a value without its body, in the order in which one replaces another on a disk.
 struct Mark {
     int64_t version = 0;
+    uint64_t ballot = 0;
     uint64_t digest = 0;
     auto operator<=>(const Mark&) const = default;
 };
@@ -98,7 +106,9 @@
     Mark disk;                // what the sender has synced
     Mark sure;                // what the sender knows to lie on a majority
     uint64_t term = 0;        // of the duty
-    uint64_t ballot = 0;      // of the agreement on the roll
+    uint64_t ballot =
+        0;  // of the agreement on the roll; of a claim or put, or the promise that stands against it
+    int64_t version = 0;  // that a claim, a put or its answer is about
     uint64_t accepted = 0;
     uint64_t epoch = 0;               // of the sender's roll; 0: it knows none
     uint8_t entering = 0;             // of the sender, see Durable
@@ -108,6 +118,7 @@
     std::vector<std::string> joined;  // goes with roll
     std::vector<NodeId> nodes;  // whom the sender knows; in prepare..accepted offers, ip#birth of who comes
     std::vector<NodeId> electors;
+    std::map<int64_t, uint64_t> claims;  // in recoverTell
     std::shared_ptr<const Value> value;
 };
 std::string encode(const Message&);
@@ -124,7 +135,9 @@
 };
 struct Answer {  // of write(), read() and change()
     uint64_t ticket = 0;
-    enum How { done, noMajority, refused } how = noMajority;  // refused: of a change alone, never carried out
+    // refused: of a change alone, never carried out. conflict: of a write alone, its version has another
+    // text.
+    enum How { done, noMajority, refused, conflict } how = noMajority;
     std::shared_ptr<const Value> value;  // the newest known to lie on a majority; null: none
     std::string why = {};                // if refused
 };
@@ -154,6 +167,8 @@
     outlastsLease,    // goes on as holder once its lease is over
     fenceStays,       // stands again under the term that it knows
     neverReplaces,    // leaves the place of a member that is gone empty
+    ignoresClaims,    // accepts a text below the ballot that it promised: the digest decides, as it once did
+    putsItsOwn,       // puts its own text although another one was accepted for the version
     leavesAtOnce,     // ends in order without waiting for who takes its place
 };
 
@@ -227,14 +242,22 @@
     struct Op {
         uint64_t ticket = 0;
         bool wanted = false;  // somebody waits for the Answer
-        bool reading = false;
-        bool putting = false;  // the target is settled
+        enum class Step : uint8_t { asking, claiming, putting } step = Step::asking;
         Instant since;
+        Instant pausedUntil = Instant::longAgo();
         Instant resendAt = Instant::longAgo();
+        Instant settleAt = Instant::never();  // another writer's text is settled by us then
         Span pause = Span::millis(200);
-        std::shared_ptr<const Value> target;
-        Mark mark;  // of the target, known before its body is
-        std::map<NodeId, Mark> answers;
+        int outbid = 0;                      // times, for a pause that grows
+        std::shared_ptr<const Value> own;    // what is to be written; null: a read
+        std::shared_ptr<const Value> text;   // what is claimed for or put
+        std::shared_ptr<const Value> found;  // fetched from another core
+        uint64_t ballot = 0;                 // of this claim; 0: not drawn yet
+        Mark highest;                        // asking: of all answers
+        Mark accepted;                       // claiming: the highest accepted for the version
+        std::map<NodeId, Mark> marks;        // what each answer held
+        std::set<NodeId> open;               // whose promise is above what it accepted
+        std::set<NodeId> yes;                // who promised, or accepted
     };
     struct Change {                       // asked for by an operator here, or a replacement that we began
         uint64_t ticket = 0, epoch = 0;   // ticket 0: nobody waits; epoch: of the roll that it changes
@@ -265,6 +288,21 @@
     bool ofOurEpoch(const NodeId& from, const Message& m);
     void learnMarks(Instant now, const NodeId& from, const Message& m);
     void adopt(const std::shared_ptr<const Value>& v);
+    Mark toldMark() const;
+    uint64_t claimOf(int64_t version) const;
+    bool decided(int64_t version) const;
+    void forgetClaims(int64_t below);
+    void hearClaim(const NodeId& from, const Message& m);
+    void hearPut(const NodeId& from, const Message& m);
+    void hearGet(const NodeId& from, const Message& m);
+    void hearValue(const Message& m);
+    void hearFetch(const NodeId& to, const Message& m);
+    void hearRegister(Instant now, const NodeId& from, const Message& m);
+    void finish(const Op& op, const std::shared_ptr<const Value>& chosen);
+    void beginStep(Op& op, Op::Step step, Instant from);
+    bool stepAsking(Instant now, Op& op);
+    void stepClaiming(Instant now, Op& op);
+    std::shared_ptr<const Value> bodyOf(Instant now, Op& op, const Mark& mark);
     void sure(const std::shared_ptr<const Value>& v);
     bool onRoll() const { return inRoll(o_.self); }
     bool inRoll(const NodeId& n) const;
@@ -275,7 +313,7 @@
     const std::vector<NodeId>& acceptors() const { return mem_.epoch == 0 ? mem_.electors : mem_.roll; }
     bool isAcceptor() const { return mem_.epoch == 0 ? isElector() : isMember(); }
     size_t majority() const { return mem_.roll.size() / 2 + 1; }
-    void newOp(Instant now, uint64_t ticket, bool wanted, bool reading, std::shared_ptr<const Value> target);
+    void newOp(Instant now, uint64_t ticket, bool wanted, bool reading, std::shared_ptr<const Value> own);
     bool step(Instant now, uint64_t number, Op& op);  // true: finished
     void stepAll(Instant now);
     void resend(Instant now, uint64_t number, Op& op);
@@ -316,7 +354,10 @@
     std::shared_ptr<const Value> value_;  // the newest value to be on our disk
     Mark diskMark_;                       // of the value that is synced
     std::shared_ptr<const Value> sure_;   // the newest value known to lie on a majority
-    Mark sureMark_;
+    Mark sureMark_;                       // its ballot is kChosen
+    uint64_t highestClaim_ = 0;           // the highest round of a claim heard of
+    std::map<int64_t, std::pair<NodeId, uint64_t>>
+        claimNumbers_;    // by version: whose claim was promised, its number
     Mark sureAtRelease_;  // what was known to lie on a majority as this core began to leave
     std::mt19937 random_;
     uint64_t life_ = 0;  // numbers of requests start here, so that answers to an earlier life match none
--- a/system/consensus/core_parts.hpp
+++ b/system/consensus/core_parts.hpp
@@ -12,7 +12,18 @@
 
 inline const NodeId nobody = "-";  // a vote that is used up and went to no one
 
-inline Mark markOf(const std::shared_ptr<const Value>& v) { return v ? Mark{v->version, v->digest} : Mark{}; }
+inline Mark markOf(const std::shared_ptr<const Value>& v) {
+    return v ? Mark{v->version, v->ballot, v->digest} : Mark{};
+}
+
+inline bool sameText(const Mark& a, const Mark& b) {
+    return a.version == b.version && a.digest == b.digest && a.version > 0;
+}
+
+// Whether a disk holds the text that is known to be chosen, or a higher version.
+inline bool reaches(const Mark& disk, const Mark& chosen) {
+    return disk.version > chosen.version || chosen.version == 0 || sameText(disk, chosen);
+}
 
 inline void sortUnique(std::vector<NodeId>& nodes) {
     std::sort(nodes.begin(), nodes.end());
--- a/system/consensus/keeper.cpp
+++ b/system/consensus/keeper.cpp
@@ -56,7 +56,8 @@
     return s;
 }
 
-constexpr uint32_t restFields = 17;
+constexpr uint32_t restFields = 19;
+constexpr uint32_t restFieldsBeforeBallots = 17;  // of disks written before versions were decided by ballots
 
 std::string packRest(const Durable& d) {
     msgpack::sbuffer buffer(512);
@@ -79,6 +80,8 @@
     p.pack(d.joined);
     p.pack(d.birth);
     p.pack(d.promisedTo);
+    p.pack(d.value.ballot);
+    p.pack(d.claims);
     return std::string(buffer.data(), buffer.size());
 }
 
@@ -86,7 +89,9 @@
     try {
         const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
         const msgpack::object& o = handle.get();
-        if (o.type != msgpack::type::ARRAY || o.via.array.size != restFields) return {};
+        if (o.type != msgpack::type::ARRAY) return {};
+        const uint32_t size = o.via.array.size;
+        if (size != restFields && size != restFieldsBeforeBallots) return {};
         const msgpack::object* f = o.via.array.ptr;
         Durable d;
         d.value.version = f[0].as<int64_t>();
@@ -106,6 +111,9 @@
         d.joined = f[14].as<std::vector<std::string>>();
         d.birth = f[15].as<uint64_t>();
         d.promisedTo = f[16].as<NodeId>();
+        if (size == restFieldsBeforeBallots) return d;
+        d.value.ballot = f[17].as<uint64_t>();
+        d.claims = f[18].as<std::map<int64_t, uint64_t>>();
         return d;
     } catch (const std::exception&) {
         return {};
@@ -217,7 +225,7 @@
     if (!restContent) return damaged("rest: wrong checksum");
     std::optional<Durable> d = unpackRest(*restContent);
     if (!d) return damaged("rest: not of this form");
-    value_ = {d->value.version, d->value.digest};
+    value_ = {d->value.version, 0, d->value.digest};
     if (d->value.version > 0) {
         if (!valueRead.ok()) return damaged("value: " + valueRead.ToString());
         const auto content = unframed(value);
@@ -238,7 +246,8 @@
         const std::string why = open();
         if (!why.empty()) return why;
     }
-    const Mark mark{save.state.value.version, save.state.value.digest};
+    // The ballot stands with the rest: the same text under another ballot is not written again.
+    const Mark mark{save.state.value.version, 0, save.state.value.digest};
     std::string rest = packRest(save.state);
     leveldb::WriteBatch batch;  // both parts or neither
     const bool newValue = mark.version > 0 && (!written_ || mark != value_);
--- a/system/consensus/membership.cpp
+++ b/system/consensus/membership.cpp
@@ -45,8 +45,7 @@
         if (standAt_ == Instant::never() && !duty_.held && duty_.holder.empty() && !released_)
             standAt_ = now + o_.lapse;
         for (auto& [number, op] : ops_) {  // what members of the former roll said counts no more
-            op.answers.clear();
-            if (op.reading) op.putting = false, op.target = nullptr, op.mark = {};
+            beginStep(op, Op::Step::asking, now);
         }
     }
     for (const auto* all : {&mem_.roll, &mem_.former}) {
--- a/system/consensus/message.cpp
+++ b/system/consensus/message.cpp
@@ -7,12 +7,12 @@
 namespace petrelpond::consensus {
 namespace {
 
-constexpr uint32_t fields = 22;
+constexpr uint32_t fields = 26;
 
 // What a core may send at most: against a length that makes us reserve memory for garbage. It harms where a
 // configuration outgrows 64 MB or a system 4096 cores.
 const msgpack::unpack_limit& limits() {
-    static const msgpack::unpack_limit limit(4096, 0, 4096, 64u << 20, 0, 4);
+    static const msgpack::unpack_limit limit(4096, 4096, 4096, 64u << 20, 0, 4);
     return limit;
 }
 
@@ -28,8 +28,10 @@
                                 (m.leaving ? 8 : 0) | (m.diskBroken ? 16 : 0)));
     p.pack(m.disk.version);
     p.pack(m.disk.digest);
+    p.pack(m.disk.ballot);
     p.pack(m.sure.version);
     p.pack(m.sure.digest);
+    p.pack(m.version);
     p.pack(m.term);
     p.pack(m.ballot);
     p.pack(m.accepted);
@@ -41,9 +43,11 @@
     p.pack(m.former);
     p.pack(m.joined);
     p.pack(m.birth);
+    p.pack(m.claims);
     p.pack(m.value != nullptr);
-    p.pack(m.value ? m.value->version : 0);
-    p.pack(m.value ? m.value->digest : 0);
+    p.pack(m.value ? m.value->version : int64_t{0});
+    p.pack(m.value ? m.value->digest : uint64_t{0});
+    p.pack(m.value ? m.value->ballot : uint64_t{0});
     const size_t size = m.value ? m.value->body.size() : 0;
     p.pack_bin(static_cast<uint32_t>(size));
     if (size > 0) p.pack_bin_body(m.value->body.data(), static_cast<uint32_t>(size));
@@ -64,33 +68,28 @@
         const auto kind = f[0].as<uint8_t>();
         if (kind > static_cast<uint8_t>(Kind::last)) return {};
         m.kind = static_cast<Kind>(kind);
-        m.number = f[1].as<uint64_t>();
-        const auto flags = f[2].as<uint8_t>();
+        size_t field = 1;
+        const auto next = [&](auto& into) { into = f[field++].as<std::decay_t<decltype(into)>>(); };
+        uint8_t flags = 0;
+        next(m.number), next(flags);
         m.yes = flags & 1;
         m.recovering = flags & 2;
         m.counted = flags & 4;
         m.leaving = flags & 8;
         m.diskBroken = flags & 16;
-        m.disk = {f[3].as<int64_t>(), f[4].as<uint64_t>()};
-        m.sure = {f[5].as<int64_t>(), f[6].as<uint64_t>()};
-        m.term = f[7].as<uint64_t>();
-        m.ballot = f[8].as<uint64_t>();
-        m.accepted = f[9].as<uint64_t>();
-        m.roll = f[10].as<std::vector<NodeId>>();
-        m.nodes = f[11].as<std::vector<NodeId>>();
-        m.electors = f[12].as<std::vector<NodeId>>();
-        m.epoch = f[13].as<uint64_t>();
-        m.entering = f[14].as<uint8_t>();
-        m.former = f[15].as<std::vector<NodeId>>();
-        m.joined = f[16].as<std::vector<std::string>>();
-        m.birth = f[17].as<uint64_t>();
-        if (f[18].as<bool>()) {
-            if (f[21].type != msgpack::type::BIN) return {};
+        next(m.disk.version), next(m.disk.digest), next(m.disk.ballot);
+        next(m.sure.version), next(m.sure.digest), next(m.version);
+        if (m.sure.version > 0) m.sure.ballot = kChosen;
+        next(m.term), next(m.ballot), next(m.accepted);
+        next(m.roll), next(m.nodes), next(m.electors);
+        next(m.epoch), next(m.entering), next(m.former), next(m.joined), next(m.birth), next(m.claims);
+        bool withValue = false;
+        next(withValue);
+        if (withValue) {
             auto value = std::make_shared<Value>();
-            value->version = f[19].as<int64_t>();
-            value->digest = f[20].as<uint64_t>();
-            value->body.assign(f[21].via.bin.ptr, f[21].via.bin.size);
-            if (value->version <= 0) return {};
+            next(value->version), next(value->digest), next(value->ballot);
+            if (f[field].type != msgpack::type::BIN || value->version <= 0) return {};
+            value->body.assign(f[field].via.bin.ptr, f[field].via.bin.size);
             m.value = std::move(value);
         }
         return m;
--- a/system/consensus/recovery.cpp
+++ b/system/consensus/recovery.cpp
@@ -77,6 +77,7 @@
         withRoll(tell);
         tell.electors = mem_.electors;
         tell.value = value_;
+        tell.claims = mem_.claims;
         // Marks alone when the asker has the same value already: the body is long.
         if (tell.value && m.disk >= markOf(value_)) tell.value = nullptr;
         if (mem_.elects || !mem_.recovering) sendSynced(from, std::move(tell));
@@ -100,6 +101,8 @@
             mem_.rollOffer = t.nodes;
         }
         highestTerm_ = std::max(highestTerm_, t.term);
+        for (const auto& [version, ballot] : t.claims)
+            mem_.claims[version] = std::max(claimOf(version), ballot);
     }
     highestBallot_ = std::max(highestBallot_, mem_.rollBallot);
     mem_.elects = true;
--- a/system/consensus/replacement.cpp
+++ b/system/consensus/replacement.cpp
@@ -101,7 +101,7 @@
     }
     if (!standbys(now).empty()) return false;
     return std::all_of(mem_.roll.begin(), mem_.roll.end(), [&](const NodeId& n) {
-        return n == o_.self || !isHere(now, n) || peers_.at(n).disk >= sureAtRelease_;
+        return n == o_.self || !isHere(now, n) || reaches(peers_.at(n).disk, sureAtRelease_);
     });
 }
 
--- a/system/control_plane/control.cpp
+++ b/system/control_plane/control.cpp
@@ -178,24 +178,22 @@
     value->digest = configuration::digest(c.text);
     value->body = c.text;
     uint64_t ticket = nextTicket_++;
-    // What a majority holds is read first: a version that does not exceed it alters nothing, another text
-    // under the same number included. Only two that cross on their way are told apart by their digests. Harm:
-    // a round trip.
-    tickets_[ticket] = {c.visit, true, value->version, std::move(value)};
-    core_->read(loop_.now(), ticket);
+    const int64_t version = value->version;
+    tickets_[ticket] = {c.visit, true, version};
+    core_->write(loop_.now(), ticket, std::move(value));
 }
 
 void Control::run(const GetConfiguration& c) {
     ++gets_;
     uint64_t ticket = nextTicket_++;
-    tickets_[ticket] = {c.visit, false, 0, nullptr};
+    tickets_[ticket] = {c.visit, false, 0};
     core_->read(loop_.now(), ticket);
 }
 
 void Control::run(const ChangeRoll& c) {
     if (!visits_.count(c.visit)) return;
     uint64_t ticket = nextTicket_++;
-    tickets_[ticket] = {c.visit, false, 0, nullptr, true};
+    tickets_[ticket] = {c.visit, false, 0, true};
     core_->change(loop_.now(), ticket, c.gone, c.come);
 }
 
@@ -217,6 +215,13 @@
         return visit->second->answer(
             200, kJson, "{\"epoch\":" + std::to_string(core_->epoch()) + ",\"roll\":[" + all + "]}");
     }
+    if (a.how == consensus::Answer::conflict) {
+        ++conflicts_;
+        spdlog::warn("configuration {}: refused, another text is in force under this version", t.version);
+        return visit->second->answer(
+            409, kJson,
+            json("version " + std::to_string(t.version) + " has another text; take a higher one"));
+    }
     if (a.how != consensus::Answer::done) {
         ++noMajority_;
         spdlog::warn("{}: no majority in time", t.roll  ? "roll change"
@@ -225,14 +230,6 @@
         return visit->second->answer(503, std::string(kJson) + "Retry-After: 0.3\r\n",
                                      json("no majority of the disks answered in time"));
     }
-    if (t.put && t.toWrite && (!a.value || a.value->version < t.version)) {
-        uint64_t ticket = nextTicket_++;
-        auto value = std::move(t.toWrite);
-        t.toWrite = nullptr;
-        tickets_[ticket] = t;
-        core_->write(loop_.now(), ticket, std::move(value));
-        return pumpSoon();
-    }
     if (t.put) {
         ++acked_;
         spdlog::info("configuration {} acknowledged", t.version);
@@ -560,12 +557,13 @@
 
 void Control::logCounters() const {
     spdlog::info(
-        "counters puts={} acknowledged={} invalid={} no_majority={} gets={} agents={} agent_breaks={} "
+        "counters puts={} acknowledged={} invalid={} conflicts={} no_majority={} gets={} agents={} "
+        "agent_breaks={} "
         "peers={} saves={} "
         "save_failures={} roll={} recovering={} version={} term={} holder={}",
-        puts_, acked_, invalid_, noMajority_, gets_, agentByName_.size(), agentBreaks_, core_->peers().size(),
-        saves_, saveFailures_, core_->roll().size(), core_->recovering(), value_ ? value_->version : 0,
-        duty_.term, duty_.holder);
+        puts_, acked_, invalid_, conflicts_, noMajority_, gets_, agentByName_.size(), agentBreaks_,
+        core_->peers().size(), saves_, saveFailures_, core_->roll().size(), core_->recovering(),
+        value_ ? value_->version : 0, duty_.term, duty_.holder);
     if (warden_) warden_->logCounters();
 }
 
--- a/system/control_plane/control.hpp
+++ b/system/control_plane/control.hpp
@@ -120,7 +120,6 @@
         uint64_t visit;
         bool put;
         int64_t version;
-        std::shared_ptr<const consensus::Value> toWrite;  // of a put whose majority is still being read
         bool roll = false;
     };
     std::map<uint64_t, Ticket> tickets_;
@@ -133,8 +132,8 @@
     Instant leavingSince_, beatAt_, logAt_;
     network::TimerId timer_ = 0;
     Instant armedFor_ = Instant::never();
-    uint64_t puts_ = 0, acked_ = 0, invalid_ = 0, noMajority_ = 0, gets_ = 0, agentBreaks_ = 0, saves_ = 0,
-             saveFailures_ = 0;
+    uint64_t puts_ = 0, acked_ = 0, invalid_ = 0, conflicts_ = 0, noMajority_ = 0, gets_ = 0,
+             agentBreaks_ = 0, saves_ = 0, saveFailures_ = 0;
     uint32_t chance_;
     consensus::Twin twin_;
 };
