--- a/system/proxy/proxy.cpp
+++ b/system/proxy/proxy.cpp
@@ -102,11 +102,11 @@
     std::string instance;
     std::unique_ptr<Stream> stream;
     RequestId request = 0;  // 0: none
-    bool probe = false, idle = false, spoilt = false;
+    bool probe = false, idle = false;
+    AnswerReading reading{kMostAnswer};
     network::TimerId timer = 0;
     Instant connectBy, patientUntil, deadline, idleSince;
     Span keep = kIdleMost;  // as the endpoint told
-    bool told = false;      // it told one
 
     Line(Proxy& p, uint64_t i, InstanceIx a, std::string name)
         : of(p), id(i), at(a), instance(std::move(name)) {}
@@ -417,7 +417,7 @@
         p.idle.pop_back();
         Span lay = now - last->idleSince;
         Span most = e.repeatable ? last->keep : std::min(kIdleOnce, last->keep * 0.5);
-        if (lay < most && !last->spoilt) {
+        if (lay < most && !last->reading.spoilt()) {
             line = last;
             break;
         }
@@ -498,73 +498,27 @@
     auto found = exchanges_.find(line.request);
     if (found == exchanges_.end()) return endLine(line, Ending::broken);
     Exchange& e = found->second;
-    std::string& in = line.stream->in();
-    while (true) {
-        auto answer = std::make_unique<HttpAnswer>();
-        Reading read = network::takeAnswer(in, line.stream->isClosed(), kMostAnswer, *answer,
-                                           e.request.method() == "HEAD");
-        if (read == Reading::incomplete) return;
-        if (read == Reading::malformed) {
-            ++spoilt_;
-            in.clear();
-            return endLine(line, Ending::broken);
-        }
-        auto id = answer->head.field("X-Attempt-Id");
-        if (id && *id != e.attemptId) {
-            // An answer in excess, to an earlier request, in the place of this one's: it belongs to nobody.
-            // Ours is still to come; the connection ends behind it.
-            ++excess_;
-            line.spoilt = true;
-            if (in.empty() && line.stream->isClosed()) return endLine(line, Ending::broken);
-            if (in.empty()) return;
-            continue;
-        }
-        bool notRun = answer->head.field("X-Not-Executed").has_value();
-        Ending how = Ending::passed;
-        int status = answer->status;
-        // Without its id it may be the answer to another request, and its promise that one's: ours may run.
-        if (!id)
-            how = Ending::broken;  // not told whose it is
-        else if (status == 421)
-            how = Ending::misdirected;
-        else if (notRun)
-            how = Ending::notRun;
-        else if (status >= 200 && status < 300 &&
-                 (!answer->head.field("X-Endpoint-Seal") || answer->head.field("Content-Encoding")))
-            how = Ending::broken;  // not the endpoint's body
-        // Without the word that it has not run, these may have: passed on to who may send it but once they
-        // would promise what nobody knows.
-        else if ((status == 429 || status == 503 || status == 408) && !e.repeatable)
-            how = Ending::broken;
-        else if (status >= 500 || status == 429 || status == 408)
-            how = Ending::failed;
-        if (how == Ending::broken) ++spoilt_;
-        bool keeps = !answer->closes && in.empty() && !line.spoilt && !line.stream->isClosed() &&
-                     how != Ending::broken;
-        if (!in.empty()) ++excess_;
-        if (auto keep = answer->head.field("Keep-Alive")) {
-            if (size_t at = keep->find("timeout="); at != std::string_view::npos) {
-                auto digits = keep->substr(at + 8);
-                digits = digits.substr(0, digits.find_first_not_of("0123456789"));
-                if (auto s = http::wholeNumber(digits))
-                    line.keep = std::max(Span(), Span::seconds(static_cast<double>(*s) - 0.3)),
-                    line.told = true;
-            }
-        }
-        RequestId request = line.request;
-        line.request = 0, e.line = nullptr;
-        loop_.cancel(line.timer);
-        e.answer = std::move(answer);
-        weigh(e);
-        if (keeps) {
-            line.idle = true, line.idleSince = loop_.now();
-            place(line.at).idle.push_back(&line);
-        } else {
-            buryLine(line);
-        }
-        dispatch_.ended(loop_.now(), request, how);
-        return pumpSoon();
+    const Expected expected{e.attemptId, e.repeatable, e.request.method() == "HEAD"};
+    const uint64_t excessBefore = line.reading.excess();
+    auto conclusion = line.reading.read(line.stream->in(), line.stream->isClosed(), expected);
+    excess_ += line.reading.excess() - excessBefore;
+    if (!conclusion) return;
+    spoilt_ += conclusion->spoilt;
+    if (!conclusion->answer) return endLine(line, conclusion->how);
+    if (conclusion->keepAlive) line.keep = *conclusion->keepAlive;
+    const RequestId request = line.request;
+    line.request = 0, e.line = nullptr;
+    loop_.cancel(line.timer);
+    e.answer = std::move(conclusion->answer);
+    weigh(e);
+    if (conclusion->keep) {
+        line.idle = true, line.idleSince = loop_.now();
+        place(line.at).idle.push_back(&line);
+    } else {
+        buryLine(line);
     }
+    dispatch_.ended(loop_.now(), request, conclusion->how);
+    pumpSoon();
 }
 
 void Proxy::passOn(RequestId id) {
--- a/system/proxy/proxy.hpp
+++ b/system/proxy/proxy.hpp
@@ -12,6 +12,7 @@
 #include "system/network/http_server.hpp"
 #include "system/network/link.hpp"
 #include "system/network/loop.hpp"
+#include "system/proxy/answer_reading.hpp"
 #include "system/proxy/dispatch.hpp"
 
 namespace petrelpond::proxy {
