--- a/fleet/system/command.cpp
+++ b/fleet/system/command.cpp
@@ -26,7 +26,7 @@
 
 struct Command::Parts {
     CLI::App *all, *demo, *run, *check, *kills, *storm;
-    std::string file, programs, keep, twin;
+    std::string file, programs, keep, defect;
     uint64_t seed = 0;
     int plays = 1;
     bool quiet = false;
@@ -44,9 +44,9 @@
                 folder = pattern;
             }
             // What is made inside the programs needs the range's own set of them.
-            bool own = plan.needsWeather() || !twin.empty() || countsAtRest(plan);
+            bool own = plan.needsWeather() || !defect.empty() || countsAtRest(plan);
             std::string from = programsFolder(programs) + (own && programs.empty() ? "/range" : "");
-            Outcome o = range::play(plan, {from, folder, quiet, twin});
+            Outcome o = range::play(plan, {from, folder, quiet, defect});
             std::cout << inWords(o) << std::flush;
             std::error_code error;
             if (keep.empty()) std::filesystem::remove_all(folder, error);
@@ -74,8 +74,9 @@
         c->add_flag("-q,--quiet", p.quiet, "no progress");
         c->add_option("-n,--plays", p.plays, "how many, each with the next seed")->check(CLI::Range(1, 1000));
     };
-    auto twins = [&p](CLI::App* c) {
-        c->add_option("--twin", p.twin, "cores that are broken on purpose, as consensus's search knows them")
+    auto defects = [&p](CLI::App* c) {
+        c->add_option("--defect", p.defect,
+                      "cores that are broken on purpose, as consensus's search knows them")
             ->check(CLI::IsMember({"hasty-amnesiac", "ack-before-sync", "no-write-back", "forgets-promise"}));
     };
     p.demo = p.all->add_subcommand(
@@ -85,7 +86,7 @@
     p.run->add_option("scenario", p.file, "the file (TOML)")->required();
     p.run->add_option("--senders", p.edges, "in place of the file's")->check(CLI::Range(1, 200));
     p.run->add_option("--cores", p.cores, "in place of the file's")->check(CLI::Range(1, 9));
-    usual(p.run), twins(p.run);
+    usual(p.run), defects(p.run);
     p.check = p.all->add_subcommand("check", "read a scenario file and name every mistake in it by line");
     p.check->add_option("scenario", p.file, "the file (TOML)")->required();
     p.kills =
@@ -99,7 +100,7 @@
     p.storm->add_option("--rounds", p.storm_.rounds)->check(CLI::Range(1, 10000));
     p.storm->add_option("--senders", p.storm_.edges)->check(CLI::Range(1, 200));
     p.storm->add_option("--cores", p.storm_.cores)->check(CLI::Range(3, 9));
-    usual(p.storm), twins(p.storm);
+    usual(p.storm), defects(p.storm);
 }
 
 Command::~Command() = default;
--- a/fleet/system/machines.cpp
+++ b/fleet/system/machines.cpp
@@ -154,7 +154,7 @@
         if (fd >= 0) dup2(fd, 1), dup2(fd, 2);
         setenv("PETRELPOND_NODE_FILE", settings.c_str(), 1);
         setenv(kFolderVariable, m.folder.c_str(), 1);
-        if (!twin.empty()) setenv("PETRELPOND_TWIN", twin.c_str(), 1);
+        if (!defect.empty()) setenv("PETRELPOND_TWIN", defect.c_str(), 1);
         signal(SIGINT, SIG_DFL), signal(SIGTERM, SIG_DFL);
         execv(argv[0], argv.data());
         _exit(127);
--- a/fleet/system/machines.hpp
+++ b/fleet/system/machines.hpp
@@ -59,9 +59,9 @@
     void count();
     std::pair<double, double> counted() const;
     int fileLosses() const { return fileLosses_; }
-    std::string twin;  // of the cores: broken on purpose
-    void look();       // who ended by itself: is started again
-    void endAll();     // the play is over
+    std::string defect;  // of the cores: broken on purpose
+    void look();         // who ended by itself: is started again
+    void endAll();       // the play is over
 
     double cpuSeconds() const;
     double mostMemoryMb() const { return mostMemory_; }
--- a/fleet/system/stage.cpp
+++ b/fleet/system/stage.cpp
@@ -37,7 +37,7 @@
     Outcome run() {
         for (int number : {SIGINT, SIGTERM})
             loop_.onSignal(number, [this] { out_.interrupted = true, loop_.stop(); });
-        machines_.twin = options_.twin;
+        machines_.defect = options_.defect;
         platform_.open(*network::Address::parse(machines_.ip(0, 10), machines_.ports.platform));
         machines_.startAll();
         loop_.at(began_ + Span::millis(300), [this] { operators_.first(); });
--- a/fleet/system/stage.hpp
+++ b/fleet/system/stage.hpp
@@ -16,7 +16,7 @@
 struct StageOptions {
     std::string programs, folder;  // where the programs lie; a scratch folder of the play's own
     bool quiet = false;
-    std::string twin;  // of the cores, broken on purpose: consensus's name of it
+    std::string defect;  // of the cores, broken on purpose: consensus's name of it
 };
 
 struct Outcome {
--- a/system/cli/commands.cpp
+++ b/system/cli/commands.cpp
@@ -58,7 +58,7 @@
     return std::move(all).str();
 }
 
-Span patience(const Surroundings& s, size_t bytes) {
+Span operationTimeout(const Surroundings& s, size_t bytes) {
     return s.silence + Span::micros(static_cast<int64_t>(bytes));  // a second a megabyte
 }
 
@@ -83,7 +83,8 @@
     while (true) {
         const network::Address to = errand.to();
         Span left = std::max(until - s.clock(), Span::millis(10));
-        Reply reply = ask({{to, method, errand.target(), body, std::min(patience(s, body.size()), left)}})[0];
+        Reply reply =
+            ask({{to, method, errand.target(), body, std::min(operationTimeout(s, body.size()), left)}})[0];
         Errand::Verdict verdict = errand.answered(reply.status, reply.location);
         out.tries.push_back({to.text(), reply.status, reply.why});
         out.reply = std::move(reply), out.core = to.text();
@@ -347,11 +348,11 @@
 
 int replace(const Orders& o, const Surroundings& s, Instant until) {
     const std::string body = "{\"gone\":[\"" + o.operand + "\"],\"come\":[\"" + o.second + "\"]}";
-    // A core answers once the new roll is at work, which takes several rounds and a sync; it gives up by
+    // A core answers once the new voters are at work, which takes several rounds and a sync; it gives up by
     // itself.
     Surroundings patient = s;
     patient.silence = s.silence * 6.0;
-    Outcome got = carry(patient, Errand(o.cores, "/roll"), "POST", body, until);
+    Outcome got = carry(patient, Errand(o.cores, "/voters"), "POST", body, until);
     for (size_t i = 0; i + 1 < got.tries.size(); ++i)
         s.err << "petrelctl: replace: " << said(got.tries[i]) << "\n";
     if (got.how == Outcome::done) {
@@ -360,9 +361,9 @@
         } else {
             rapidjson::Document d;
             d.Parse<rapidjson::kParseIterativeFlag>(got.reply.body.c_str(), got.reply.body.size());
-            s.out << "the roll is";
-            if (!d.HasParseError() && d.IsObject() && d.HasMember("roll") && d["roll"].IsArray())
-                for (const auto& ip : d["roll"].GetArray())
+            s.out << "the voters are";
+            if (!d.HasParseError() && d.IsObject() && d.HasMember("voters") && d["voters"].IsArray())
+                for (const auto& ip : d["voters"].GetArray())
                     if (ip.IsString()) s.out << " " << ip.GetString();
             s.out << "; " << o.operand << " may be switched off\n";
         }
--- a/system/cli/commands_test.cpp
+++ b/system/cli/commands_test.cpp
@@ -221,13 +221,13 @@
 TEST_F(Commands, ReplaceSaysWhoCountsNowOrWhyNot) {
     PlayedCore one, two;
     const std::string both = one.text() + "," + two.text();
-    one.says("POST /roll", {{503, "", "", false}});  // not on the roll itself
-    two.says("POST /roll", {{200, R"({"epoch":2,"roll":["10.0.0.1","10.0.0.9"]})", "", false}});
+    one.says("POST /voters", {{503, "", "", false}});  // not among the voters itself
+    two.says("POST /voters", {{200, R"({"epoch":2,"voters":["10.0.0.1","10.0.0.9"]})", "", false}});
     EXPECT_EQ(run({"replace", "10.0.0.3", "10.0.0.9", "--control", both}), 0) << err();
-    EXPECT_EQ(out(), "the roll is 10.0.0.1 10.0.0.9; 10.0.0.3 may be switched off\n");
-    EXPECT_EQ(two.heard("POST /roll"),
+    EXPECT_EQ(out(), "the voters are 10.0.0.1 10.0.0.9; 10.0.0.3 may be switched off\n");
+    EXPECT_EQ(two.heard("POST /voters"),
               std::vector<std::string>{R"({"gone":["10.0.0.3"],"come":["10.0.0.9"]})"});
-    two.says("POST /roll", {{409, R"({"cause":"10.0.0.9 is not heard of"})", "", false}});
+    two.says("POST /voters", {{409, R"({"cause":"10.0.0.9 is not heard of"})", "", false}});
     EXPECT_EQ(run({"replace", "10.0.0.3", "10.0.0.9", "--control", two.text()}), 1);
     EXPECT_EQ(err(), "petrelctl: replace: refused by " + two.text() + ": 409 10.0.0.9 is not heard of\n");
 }
@@ -298,8 +298,8 @@
 std::string statusOf(const std::string& ip, const std::string& seeds, int64_t agentVersion,
                      bool agents = true) {
     return R"({"name":"n-)" + ip + R"(","ip":")" + ip +
-           R"(","configuration":{"on_majority":7,"held":7},"disk":{"counts":true,"on_roll":true},)"
-           R"("roll":["127.0.9.1","127.0.9.2","127.0.9.3"],)"
+           R"(","configuration":{"on_majority":7,"held":7},"disk":{"counts":true,"is_voter":true},)"
+           R"("voters":["127.0.9.1","127.0.9.2","127.0.9.3"],)"
            R"("seeds":[)" +
            seeds + R"(],"duty":{"holder":"127.0.9.1","term":2,"held_here":false},"agents_linked":)" +
            (agents ? "1" : "0") + R"(,"agents":[)" +
@@ -329,10 +329,10 @@
 
 TEST_F(Commands, WaitsUntilAllLinkedAgentsHaveIt) {
     PlayedCore one;
-    const std::string alone = R"("roll":[])";
+    const std::string alone = R"("voters":[])";
     auto with = [&](int64_t version, bool agents = true) {
         std::string s = statusOf("127.0.9.1", "", version, agents);
-        s.replace(s.find(R"("roll":[)"), s.find(']', s.find(R"("roll":[)")) + 1 - s.find(R"("roll":[)"),
+        s.replace(s.find(R"("voters":[)"), s.find(']', s.find(R"("voters":[)")) + 1 - s.find(R"("voters":[)"),
                   alone);
         return Said{200, s, "", false};
     };
--- a/system/cli/courier.cpp
+++ b/system/cli/courier.cpp
@@ -32,9 +32,9 @@
                 "Content-Type: application/json\r\nContent-Length: " + std::to_string(q.body.size()) + "\r\n";
         stream_->send(bytes + "\r\n" + q.body);
         char why[48];
-        std::snprintf(why, sizeof why, "no answer within %.2g s", q.patience.inSeconds());
-        timer_ =
-            loop.at(network::Loop::clock() + q.patience, [this, said = std::string(why)] { fail(said); });
+        std::snprintf(why, sizeof why, "no answer within %.2g s", q.operationTimeout.inSeconds());
+        timer_ = loop.at(network::Loop::clock() + q.operationTimeout,
+                         [this, said = std::string(why)] { fail(said); });
     }
 
     void data(network::Stream&) override { take(); }
--- a/system/cli/courier.hpp
+++ b/system/cli/courier.hpp
@@ -12,7 +12,7 @@
 struct Question {
     network::Address to;
     std::string method, target, body;
-    Span patience;  // from now to the whole answer
+    Span operationTimeout;  // from now to the whole answer
 };
 
 struct Reply {
--- a/system/cli/overview.cpp
+++ b/system/cli/overview.cpp
@@ -100,7 +100,7 @@
     if (c.counts) return "counts";
     if (c.recovering) return "lost, rebuilding: does not count";
     if (c.saveFailed) return "last save failed: does not count";
-    if (!c.onRoll) return c.roll.empty() ? "roll not agreed on" : "not on the roll";
+    if (!c.selfIsVoter) return c.voters.empty() ? "voters not agreed on" : "not among the voters";
     return "does not count";
 }
 
@@ -119,8 +119,10 @@
             holders.push_back(nameOf(a) + " (term " + std::to_string(a.core->term) + ")");
     if (holders.size() > 1) out.push_back("duty: more than one says that it holds it: " + joined(holders));
     compare(
-        o, "roll",
-        [](const CoreView& c) { return c.roll.empty() ? std::string("not agreed on") : joined(c.roll, 32); },
+        o, "voters",
+        [](const CoreView& c) {
+            return c.voters.empty() ? std::string("not agreed on") : joined(c.voters, 32);
+        },
         out);
     compare(
         o, "version on a majority", [](const CoreView& c) { return shown(c.onMajority); }, out);
@@ -172,8 +174,8 @@
     }
     std::set<std::string> asked = answered;
     for (const Answer& a : o.cores) asked.insert(ipOf(a.address));
-    for (const std::string& ip : o.roll)
-        if (!asked.count(ip)) o.unknown.push_back(ip + ": on the roll, not asked");
+    for (const std::string& ip : o.voters)
+        if (!asked.count(ip)) o.unknown.push_back(ip + ": among the voters, not asked");
     bool any = !answered.empty();
     if (any && !o.planner) {
         if (o.holder && !answered.count(*o.holder))
@@ -181,10 +183,10 @@
         else
             o.unknown.push_back("functions: no core that answered holds the duty");
     }
-    if (any && o.rollAgreed && !o.majority)
+    if (any && o.votersAgreed && !o.majority)
         o.unknown.push_back("whether a majority is there: " + std::to_string(o.countedHere) + " of " +
-                            std::to_string(o.roll.size()) + " disks answered and count, " +
-                            std::to_string(o.roll.size() / 2 + 1) + " are needed");
+                            std::to_string(o.voters.size()) + " disks answered and count, " +
+                            std::to_string(o.voters.size() / 2 + 1) + " are needed");
     if (!o.agentsWhole) o.unknown.push_back("agents: a core has more links than it lists");
     if (o.planner && o.planner->servicesKnown > o.planner->services.size())
         o.unknown.push_back(
@@ -211,10 +213,10 @@
     if (!disk) disk = &none;
     if (!duty) duty = &none;
     c.onMajority = version(*configuration, "on_majority"), c.held = version(*configuration, "held");
-    c.counts = yes(*disk, "counts"), c.onRoll = yes(*disk, "on_roll"),
+    c.counts = yes(*disk, "counts"), c.selfIsVoter = yes(*disk, "is_voter"),
     c.recovering = yes(*disk, "recovering");
     c.saveFailed = yes(*disk, "last_save_failed");
-    c.roll = words(d, "roll"), c.seeds = words(d, "seeds");
+    c.voters = words(d, "voters"), c.seeds = words(d, "seeds");
     each(d, "peers", [&](const Json& v) { c.peers.push_back({text(v, "ip"), seconds(v, "heard_s_ago")}); });
     c.holder = text(*duty, "holder"), c.term = number(*duty, "term"), c.heldHere = yes(*duty, "held_here");
     c.left = seconds(*duty, "left_s");
@@ -258,7 +260,7 @@
     }
     for (const Answer& a : asked) {
         if (!a.core) continue;
-        std::vector<std::string> others = a.core->roll;
+        std::vector<std::string> others = a.core->voters;
         for (const PeerView& p : a.core->peers) others.push_back(p.ip);
         for (const std::string& ip : others)
             if (auto at = network::Address::parse(ip, a.address.port); at && !ips.count(ip)) add(*at, true);
@@ -288,12 +290,12 @@
         o.cores.push_back(std::move(a));
     }
     std::map<std::string, AgentView> agents;
-    std::map<std::vector<std::string>, size_t> rolls;
+    std::map<std::vector<std::string>, size_t> voterSets;
     const CoreView* planning = nullptr;
     for (const Answer& a : o.cores) {
         if (!a.core) continue;
         const CoreView& c = *a.core;
-        if (!c.roll.empty()) ++rolls[c.roll];
+        if (!c.voters.empty()) ++voterSets[c.voters];
         o.version = std::max(o.version, c.onMajority);
         o.term = std::max(o.term, c.term);
         if (c.plans && c.heldHere && (!planning || c.term > planning->term)) planning = &c;
@@ -307,12 +309,12 @@
         }
     }
     for (auto& [name, agent] : agents) o.agents.push_back(std::move(agent));
-    for (const auto& [roll, count] : rolls)
-        if (!o.rollAgreed || count > rolls[o.roll]) o.roll = roll, o.rollAgreed = true;
+    for (const auto& [voters, count] : voterSets)
+        if (!o.votersAgreed || count > voterSets[o.voters]) o.voters = voters, o.votersAgreed = true;
     for (const Answer& a : o.cores)
-        o.countedHere +=
-            a.core && a.core->counts && std::find(o.roll.begin(), o.roll.end(), a.core->ip) != o.roll.end();
-    o.majority = o.rollAgreed && o.countedHere >= o.roll.size() / 2 + 1;
+        o.countedHere += a.core && a.core->counts &&
+                         std::find(o.voters.begin(), o.voters.end(), a.core->ip) != o.voters.end();
+    o.majority = o.votersAgreed && o.countedHere >= o.voters.size() / 2 + 1;
     // The holder: as it says itself; else as those of the highest term say with one voice.
     if (planning) {
         o.holder = planning->ip, o.planner = planning;
@@ -343,12 +345,12 @@
                (c.held != c.onMajority ? ", holds " + shown(c.held) : "") + "; " +
                std::to_string(c.agentsLinked) + " agents" + (c.leaving ? "; leaving" : "") + "\n";
     }
-    if (o.rollAgreed)
-        out += "roll: " + joined(o.roll, 32) + ": " + std::to_string(o.countedHere) + " of " +
-               std::to_string(o.roll.size()) + " answered and count, " +
+    if (o.votersAgreed)
+        out += "voters: " + joined(o.voters, 32) + ": " + std::to_string(o.countedHere) + " of " +
+               std::to_string(o.voters.size()) + " answered and count, " +
                (o.majority ? "a majority" : "no majority seen") + "\n";
     else if (answered > 0)
-        out += "roll: not agreed on\n";
+        out += "voters: not agreed on\n";
     if (answered > 0) {
         out +=
             "configuration: " + (o.version ? "version " + shown(o.version) + " lies on a majority" : "none") +
@@ -417,7 +419,7 @@
         w.EndObject();
     }
     w.EndArray();
-    list("roll", o.roll);
+    list("voters", o.voters);
     w.Key("disks_counting"), w.Uint64(o.countedHere), w.Key("majority"), w.Bool(o.majority);
     w.Key("version"), w.Int64(o.version);
     w.Key("holder");
--- a/system/cli/overview.hpp
+++ b/system/cli/overview.hpp
@@ -30,8 +30,8 @@
     std::string name, ip, zone;
     bool leaving = false;
     int64_t onMajority = 0, held = 0;  // versions; 0: none
-    bool counts = false, onRoll = false, recovering = false, saveFailed = false;
-    std::vector<std::string> roll, seeds;
+    bool counts = false, selfIsVoter = false, recovering = false, saveFailed = false;
+    std::vector<std::string> voters, seeds;
     std::vector<PeerView> peers;
     std::string holder;  // of the duty, its ip; empty: nobody known
     uint64_t term = 0;
@@ -55,7 +55,7 @@
     bool guessed = false;  // its port was told by nobody
 };
 
-// Addresses worth asking that have not been asked: seeds as told; peers' and roll's ip at the port of the
+// Addresses worth asking that have not been asked: seeds as told; peers' and voters' ips at the port of the
 // core that told of them.
 struct Hint {
     network::Address address;
@@ -65,9 +65,9 @@
 
 struct Overview {
     std::vector<Answer> cores;  // by ip, each once
-    std::vector<std::string> roll;
-    bool rollAgreed = false;
-    size_t countedHere = 0;  // disks of the roll that answered and count
+    std::vector<std::string> voters;
+    bool votersAgreed = false;
+    size_t countedHere = 0;  // disks of the voters that answered and count
     bool majority = false;
     int64_t version = 0;                // the newest known to lie on a majority
     std::optional<std::string> holder;  // ip; nothing: not agreed on, or nobody
--- a/system/cli/overview_test.cpp
+++ b/system/cli/overview_test.cpp
@@ -7,15 +7,15 @@
 namespace petrelpond::cli {
 namespace {
 
-const std::vector<std::string> kRoll = {"10.0.0.1", "10.0.0.2", "10.0.0.3"};
+const std::vector<std::string> kVoters = {"10.0.0.1", "10.0.0.2", "10.0.0.3"};
 
 // A core in good order; 1 holds the duty.
 Answer core(int n) {
     CoreView c;
-    c.name = "core-" + std::to_string(n), c.ip = kRoll[static_cast<size_t>(n - 1)], c.zone = "z";
-    c.onMajority = c.held = 7, c.counts = c.onRoll = true, c.roll = kRoll;
+    c.name = "core-" + std::to_string(n), c.ip = kVoters[static_cast<size_t>(n - 1)], c.zone = "z";
+    c.onMajority = c.held = 7, c.counts = c.selfIsVoter = true, c.voters = kVoters;
     c.holder = "10.0.0.1", c.term = 4, c.heldHere = n == 1;
-    for (const auto& ip : kRoll)
+    for (const auto& ip : kVoters)
         if (ip != c.ip) c.peers.push_back({ip, 0.1});
     c.agents = {{"edge-1", "10.0.1.1", "z", 0.2, 7}, {"edge-2", "10.0.1.2", "z", 0.4, 7}};
     c.agentsLinked = 2;
@@ -27,7 +27,7 @@
     return {*network::Address::parse(c.ip + ":80"), c, "", false};
 }
 Answer silent(int n) {
-    return {*network::Address::parse(kRoll[static_cast<size_t>(n - 1)] + ":80"),
+    return {*network::Address::parse(kVoters[static_cast<size_t>(n - 1)] + ":80"),
             {},
             "no answer within 1 s",
             false};
@@ -85,7 +85,7 @@
     Answer two = core(2), three = core(3);
     two.core->heldHere = true, two.core->holder = "10.0.0.2", two.core->term = 5, two.core->onMajority = 8;
     two.core->held = 9;
-    three.core->roll = {"10.0.0.2", "10.0.0.3"};
+    three.core->voters = {"10.0.0.2", "10.0.0.3"};
     three.core->peers = {{"10.0.0.1", 6.0}, {"10.0.0.2", std::nullopt}};
     three.core->agents.push_back({"edge-3", "10.0.1.3", "z", 0.1, 6}), three.core->agentsLinked = 3;
     Overview o = merge({core(1), two, three});
@@ -95,7 +95,7 @@
     EXPECT_TRUE(
         has(o.disagreements, "more than one says that it holds it: core-1 (term 4), core-2 (term 5)"));
     EXPECT_TRUE(has(o.disagreements,
-                    "roll: core-1, core-2: 10.0.0.1, 10.0.0.2, 10.0.0.3; core-3: 10.0.0.2, 10.0.0.3"));
+                    "voters: core-1, core-2: 10.0.0.1, 10.0.0.2, 10.0.0.3; core-3: 10.0.0.2, 10.0.0.3"));
     EXPECT_TRUE(has(o.disagreements, "version on a majority: core-1, core-3: 7; core-2: 8"));
     EXPECT_TRUE(has(o.disagreements, "core-2 holds 9"));
     EXPECT_TRUE(has(o.disagreements, "core-3 has not heard core-1 for 6.0 s"));
@@ -145,11 +145,11 @@
                                    std::string(R"({"ip":5})"), std::string(1'000'000, '[')})
         EXPECT_TRUE(std::holds_alternative<network::Problem>(readStatus(odd, "x"))) << odd.substr(0, 20);
     auto read =
-        readStatus(R"({"ip":"10.0.0.1","disk":[],"duty":null,"roll":[1,"a"],"peers":[7,{}],"agents":{},
+        readStatus(R"({"ip":"10.0.0.1","disk":[],"duty":null,"voters":[1,"a"],"peers":[7,{}],"agents":{},
                                "planner":{"services":[null],"starts":-1}})",
                    "x");
     const auto& c = std::get<CoreView>(read);
-    EXPECT_EQ(c.roll, std::vector<std::string>{"a"});
+    EXPECT_EQ(c.voters, std::vector<std::string>{"a"});
     EXPECT_FALSE(c.counts);
     EXPECT_TRUE(c.plannerCounts.empty());
 }
--- a/system/consensus/core.cpp
+++ b/system/consensus/core.cpp
@@ -19,17 +19,17 @@
             peers_[node].knownSince = now;
         }
         mem_.seen.clear();
-        ageChecked_ = mem_.roll.size() <= 1 || mem_.recovering;
+        ageChecked_ = mem_.voters.size() <= 1 || mem_.recovering;
         if (mem_.value.version > 0) {
             value_ = std::make_shared<const Value>(std::move(mem_.value));
             diskMark_ = markOf(value_);
         }
         mem_.value = {};
-        if (o_.twin == Twin::forgetsPromise) {
-            mem_.term = mem_.rollBallot = mem_.rollAccepted = 0;
+        if (o_.defect == Defect::forgetsPromise) {
+            mem_.term = mem_.votersBallot = mem_.votersAccepted = 0;
             mem_.votedFor.clear();
             mem_.promisedTo.clear();
-            mem_.rollOffer.clear();
+            mem_.votersOffer.clear();
         }
     } else {
         ageChecked_ = true;
@@ -37,7 +37,7 @@
         mem_.recovering = !o_.bootstrap;
         mem_.elects = o_.bootstrap;
         while (mem_.birth == 0) mem_.birth = static_cast<uint64_t>(random_()) << 32 | random_();
-        if (o_.twin == Twin::hastyAmnesiac) {
+        if (o_.defect == Defect::hastyAmnesiac) {
             mem_.recovering = false;
             mem_.elects = true;
             if (mem_.electors.empty()) mem_.electors = o_.seeds;
@@ -46,18 +46,19 @@
     }
     if (mem_.recovering || !mem_.elects) recoverAt_ = now + recoverWait(o_);
     // Against a promise given before the restart, of which the disk has to whom and not until when: no vote
-    // for another within the time for which it was promised. It harms by one `lapse` after a start of all
+    // for another within the time for which it was promised. It harms by one `leaseTime` after a start of all
     // without that one. Who had promised to itself stands sooner, as what it held ended with its earlier
     // life; but not at once: where it alone had gone the others win meanwhile, who need not be found anew.
     promisedTo_ = mem_.promisedTo;
     promisedTerm_ = mem_.term;
-    const bool hasty = o_.twin == Twin::forgetsPromise || o_.twin == Twin::votesAfterStart;
+    const bool hasty = o_.defect == Defect::forgetsPromise || o_.defect == Defect::votesAfterStart;
     promisedUntil_ = hasty ? now : now + promised();
-    standAt_ = promisedTo_ == o_.self ? now + o_.lapse * 0.5 : promisedUntil_ + random(o_.lapse * 0.5);
+    standAt_ =
+        promisedTo_ == o_.self ? now + o_.leaseTime * 0.5 : promisedUntil_ + random(o_.leaseTime * 0.5);
     proposeAt_ = now + Span::millis(1500);
     highestTerm_ = mem_.term;
-    highestBallot_ = mem_.rollBallot;
-    for (const NodeId& n : mem_.roll) {
+    highestBallot_ = mem_.votersBallot;
+    for (const NodeId& n : mem_.voters) {
         if (n != o_.self) peers_[n];
     }
     if (value_) suspectAt_ = now + o_.beat * 2 + random(o_.beat * 4);
@@ -69,21 +70,21 @@
     return Span::micros(static_cast<int64_t>(random_()) % us);
 }
 
-bool Core::inRoll(const NodeId& n) const { return contains(mem_.roll, n); }
+bool Core::isVoter(const NodeId& n) const { return contains(mem_.voters, n); }
 bool Core::inElectors(const NodeId& n) const { return contains(mem_.electors, n); }
-bool Core::isMember() const { return !mem_.recovering && !diskBroken_ && onRoll() && ageChecked_; }
+bool Core::isMember() const { return !mem_.recovering && !diskBroken_ && selfIsVoter() && ageChecked_; }
 bool Core::isElector() const { return mem_.elects && !diskBroken_ && inElectors(o_.self); }
 
 // Whatever woke us may have come after a long sleep: what has lapsed meanwhile is told before all else.
 void Core::enter(Instant now) {
     if (duty_.holder.empty() || now < duty_.validUntil) return;
-    if (duty_.held && o_.twin == Twin::outlastsLease) {
-        duty_.validUntil = now + o_.lapse;
+    if (duty_.held && o_.defect == Defect::outlastsLease) {
+        duty_.validUntil = now + o_.leaseTime;
         return;
     }
     setDuty(false, duty_.term, {}, Instant::longAgo());
     standing_ = Stand::no;
-    standAt_ = std::max(now, promisedUntil_) + random(o_.lapse * 0.5);
+    standAt_ = std::max(now, promisedUntil_) + random(o_.leaseTime * 0.5);
 }
 
 void Core::leave(Instant now) {
@@ -146,7 +147,7 @@
 void Core::sendSynced(const NodeId& to, Message m) { sendAfter(nextToken(), to, std::move(m)); }
 
 void Core::sendAfter(uint64_t token, const NodeId& to, Message m) {
-    if (o_.twin == Twin::ackBeforeSync) {
+    if (o_.defect == Defect::ackBeforeSync) {
         m.disk = markOf(value_);
         return send(to, std::move(m));
     }
@@ -229,24 +230,24 @@
 void Core::sayHello(const NodeId& to, Kind k) {
     Message m = make(k);
     if (const auto it = peers_.find(to); it != peers_.end()) m.knownSaves = it->second.saves;
-    m.yes = mem_.electors.empty() && mem_.roll.empty();
-    withRoll(m);
+    m.yes = mem_.electors.empty() && mem_.voters.empty();
+    withVoters(m);
     m.electors = mem_.electors;
     for (const auto& [node, peer] : peers_) {
-        if (peer.heardAt > Instant::longAgo() || inRoll(node)) m.nodes.push_back(node);
+        if (peer.heardAt > Instant::longAgo() || isVoter(node)) m.nodes.push_back(node);
     }
     send(to, std::move(m));
 }
 
 void Core::hearHello(Instant now, const NodeId& from, const Message& m) {
     Peer& p = peers_[from];
-    if (!p.said && mem_.roll.empty()) {  // others may be about to come as well: the roll waits for them
+    if (!p.said && mem_.voters.empty()) {  // others may be about to come as well: the voters wait for them
         proposeAt_ = std::max(proposeAt_, now + Span::millis(500));
     }
     p.said = true;
     p.empty = m.yes;
     // Against a ballot that begins while the others' processes still come up: who was not there is asked now.
-    if (standing_ == Stand::probing && inRoll(from)) sendAfter(termToken_, from, ballot());
+    if (standing_ == Stand::probing && isVoter(from)) sendAfter(termToken_, from, ballot());
     if (mem_.electors.empty() && !m.electors.empty()) {
         mem_.electors = m.electors;
         touch();
@@ -273,7 +274,7 @@
 void Core::handle(Instant now, const NodeId& from, const Message& m) {
     noteSender(now, from, m);
     if (m.kind != Kind::voteProbe) highestTerm_ = std::max(highestTerm_, m.term);
-    learnRoll(now, m.epoch, m.roll, m.former, m.joined);
+    learnVoters(now, m.epoch, m.voters, m.former, m.joined);
 
     learnMarks(now, from, m);
     if (!ofOurEpoch(from, m)) return;
@@ -311,14 +312,14 @@
         case Kind::promise:
         case Kind::accept:
         case Kind::accepted:
-            return hearRoll(now, from, m);
+            return hearBallot(now, from, m);
     }
 }
 
 void Core::lost(Instant now, const NodeId& peer) {
     enter(now);
     // What was under way to it may be gone: asked again soon, not only after the whole pause.
-    if (inRoll(peer)) {
+    if (isVoter(peer)) {
         for (auto& [number, op] : ops_) op.resendAt = std::min(op.resendAt, now + Span::millis(50));
     }
     leave(now);
@@ -327,12 +328,13 @@
 void Core::tick(Instant now) {
     enter(now);
     if (now >= helloAt_) {
-        const bool lonely = mem_.roll.empty() || mem_.recovering || !ageChecked_;
+        const bool lonely = mem_.voters.empty() || mem_.recovering || !ageChecked_;
         helloAt_ = now + (lonely ? o_.beat : duty_.holder.empty() ? o_.beat * 2 : o_.beat * 4);
         if (lonely || duty_.holder.empty()) {
             for (const NodeId& n : peers()) sayHello(n, Kind::hello);
-        } else if (o_.counted && !onRoll()) {  // a standby: each member must know of it, see replaceAbsent()
-            for (const NodeId& n : mem_.roll) sayHello(n, Kind::hello);
+        } else if (o_.counted &&
+                   !selfIsVoter()) {  // a standby: each member must know of it, see replaceAbsent()
+            for (const NodeId& n : mem_.voters) sayHello(n, Kind::hello);
         } else if (!peers_.empty() && !duty_.held) {
             // Cores that hear a holder still compare with one of the others now and then: the holder may be
             // cut off from whoever holds the newest.
@@ -368,8 +370,8 @@
     if (duty_.held) at = std::min(at, beatAt_);
     if (!duty_.holder.empty()) at = std::min(at, duty_.validUntil);
     for (const auto& [number, op] : ops_) {
-        at = std::min(at, op.since + o_.patience + Span::micros(1));
-        if (!mem_.roll.empty()) at = std::min(at, std::max(op.resendAt, op.pausedUntil));
+        at = std::min(at, op.since + o_.operationTimeout + Span::micros(1));
+        if (!mem_.voters.empty()) at = std::min(at, std::max(op.resendAt, op.pausedUntil));
     }
     return at;
 }
--- a/system/consensus/core.hpp
+++ b/system/consensus/core.hpp
@@ -1,5 +1,6 @@
-// The control state of the cores: one register on a majority of disks, the roll of those who count towards a
-// majority, and ballots for one duty. No I/O, no threads, no clocks: inputs carry `now`, outputs are pulled.
+// The control state of the cores: one register on a majority of disks, the voters, whose disks
+// make up a majority, and ballots for one duty. No I/O, no threads, no clocks: inputs carry `now`, outputs
+// are pulled.
 //
 // The register: the highest version wins, and each version has one text (register.cpp); there is no log and
 // no leader, any core may write or read. Clocks: every span is measured on the steady clock of one machine;
@@ -47,23 +48,23 @@
 struct Durable {
     Value value;
     std::map<int64_t, uint64_t> claims;  // by version: the highest ballot promised
-    std::vector<NodeId> roll;            // sorted; empty: not agreed yet
-    std::vector<NodeId> electors;        // sorted; who agrees on the roll: the seeds of the first start
-    uint64_t rollBallot = 0;             // the highest ballot promised
-    uint64_t rollAccepted = 0;           // the ballot under which rollOffer was accepted; 0: none
-    std::vector<NodeId> rollOffer;       // what was accepted
-    uint64_t epoch = 0;               // of the roll: 1 for the first, one more with each change; 0: no roll
-    std::vector<NodeId> former;       // sorted; the roll of the epoch before, from which it is taken over
+    std::vector<NodeId> voters;          // sorted; empty: not agreed yet
+    std::vector<NodeId> electors;        // sorted; who agrees on the voters: the seeds of the first start
+    uint64_t votersBallot = 0;           // the highest ballot promised
+    uint64_t votersAccepted = 0;         // the ballot under which votersOffer was accepted; 0: none
+    std::vector<NodeId> votersOffer;     // what was accepted
+    uint64_t epoch = 0;          // of the voters: 1 for the first, one more with each change; 0: no voters
+    std::vector<NodeId> former;  // sorted; the voters of the epoch before, from which it is taken over
     std::vector<std::string> joined;  // who came with this epoch, as ip#birth of the disk that was meant
     uint64_t birth = 0;               // drawn when this disk was first used: another one is another disk
-    // The roll has changed and is not taken over yet, by a whole disk: 2 took part in the epoch before, 1
+    // The voters have changed and are not taken over yet, by a whole disk: 2 took part in the epoch before, 1
     // not.
     uint8_t entering = 0;
     uint64_t term = 0;               // the highest term of the duty heard of
     NodeId votedFor;                 // who got this disk's vote in that term
     NodeId promisedTo;               // whose lease it has voted for or answered last; empty: not known
-    bool recovering = false;         // the disk was lost: takes no part as a member of the roll
-    bool elects = true;              // may take part in the agreement on the roll
+    bool recovering = false;         // the disk was lost: takes no part as a voter
+    bool elects = true;              // may take part in the agreement on the voters
     uint64_t saves = 0;              // how often this disk was saved, this time included
     std::map<NodeId, DiskAge> seen;  // the newest that was heard of the others' disks
 };
@@ -86,7 +87,7 @@
     voteProbeBack,
     voteAsk,  // vote for me; answered by vote
     vote,
-    prepare,  // agreement on the roll, first phase; answered by promise
+    prepare,  // agreement on the voters, first phase; answered by promise
     promise,
     accept,  // second phase; answered by accepted
     accepted,
@@ -117,17 +118,17 @@
     Mark sure;                // what the sender knows to lie on a majority
     uint64_t term = 0;        // of the duty
     uint64_t ballot =
-        0;  // of the agreement on the roll; of a claim or put, or the promise that stands against it
+        0;  // of the agreement on the voters; of a claim or put, or the promise that stands against it
     int64_t version = 0;  // that a claim, a put or its answer is about
     uint64_t accepted = 0;
-    uint64_t epoch = 0;        // of the sender's roll; 0: it knows none
-    uint8_t entering = 0;      // of the sender, see Durable
-    uint64_t birth = 0;        // of the sender's disk
-    uint64_t saves = 0;        // of the sender's disk, synced
-    uint64_t knownSaves = 0;   // in helloBack: of the receiver's disk, the most that the sender has heard of
-    std::vector<NodeId> roll;  // empty: not known to the sender, or known to the receiver
-    std::vector<NodeId> former;       // goes with roll
-    std::vector<std::string> joined;  // goes with roll
+    uint64_t epoch = 0;       // of the sender's voters; 0: it knows none
+    uint8_t entering = 0;     // of the sender, see Durable
+    uint64_t birth = 0;       // of the sender's disk
+    uint64_t saves = 0;       // of the sender's disk, synced
+    uint64_t knownSaves = 0;  // in helloBack: of the receiver's disk, the most that the sender has heard of
+    std::vector<NodeId> voters;       // empty: not known to the sender, or known to the receiver
+    std::vector<NodeId> former;       // goes with voters
+    std::vector<std::string> joined;  // goes with voters
     std::vector<NodeId> nodes;  // whom the sender knows; in prepare..accepted offers, ip#birth of who comes
     std::vector<NodeId> electors;
     std::map<int64_t, uint64_t> claims;  // in recoverTell
@@ -165,16 +166,17 @@
 using Output = std::variant<Send, Save, Answer, News, Duty>;
 
 // Defects for the tests alone: the search has to find each of them.
-enum class Twin : uint8_t {
+enum class Defect : uint8_t {
     none,
     hastyAmnesiac,
     ackBeforeSync,
     noWriteBack,
     forgetsPromise,
-    hastyEntry,       // takes part on a changed roll without having taken over what the former one knew
-    emptyEnters,      // an empty disk takes over from the former roll as if it had never been on the new one
-    stalePromise,     // the disk keeps the first promise for the last
-    mixedEpochs,      // counts answers of members that are on another roll already
+    hastyEntry,    // takes part on changed voters without having taken over what the former ones knew
+    emptyEnters,   // an empty disk takes over from the former voters as if it had never been one of the new
+                   // ones
+    stalePromise,  // the disk keeps the first promise for the last
+    mixedEpochs,   // counts answers of members that are on other voters already
     votesAfterStart,  // term and vote are kept, but not that a promise may still run
     outlastsLease,    // goes on as holder once its lease is over
     fenceStays,       // stands again under the term that it knows
@@ -190,18 +192,18 @@
     NodeId self;
     std::vector<NodeId> seeds;
     bool bootstrap = false;  // the very first start of the whole, on empty disks
-    bool counted = true;     // may be put on the roll
+    bool counted = true;     // may be put among the voters
     int machineLosses = 1;   // disks that may be lost at the same time
     Span beat = Span::millis(250);
-    Span lapse = Span::millis(1200);
-    Span patience = Span::millis(900);  // of write() and read()
+    Span leaseTime = Span::millis(1200);
+    Span operationTimeout = Span::millis(900);  // of write() and read()
     // Silence after which a member's place is given to a standby. Harm if too short: a member that was only
     // paused becomes the standby, at the cost of one change; if too long: a second loss meets one copy fewer.
     Span absence = Span::millis(2000);
     // How long what was confirmed last may pass for current; see Core::inContact.
     Span contact = Span::millis(1500);
     uint32_t chance = 1;  // must differ between the lives of a process
-    Twin twin = Twin::none;
+    Defect defect = Defect::none;
 };
 
 class Core {
@@ -212,31 +214,31 @@
     void saved(Instant now, uint64_t token);
     // The disk is full or broken: it counts no more until a later Save (with growing pauses) succeeds.
     void saveFailed(Instant now, uint64_t token);
-    // Done once a majority of the roll has synced it or something newer. noMajority after Options::patience,
-    // though it may still take hold.
+    // Done once a majority of the voters have synced it or something newer. noMajority after
+    // Options::operationTimeout, though it may still take hold.
     void write(Instant now, uint64_t ticket, std::shared_ptr<const Value>);
     // Writes back where the members differ, so that what was once read can't go back.
     void read(Instant now, uint64_t ticket);
-    // Another roll: `gone` leave it, `come` join. Done once the new roll has answered a read. Refused, with
-    // why, where it can't be or another change was decided first. noMajority after 4 x patience: it may take
-    // hold all the same.
+    // Other voters: `gone` leave it, `come` join. Done once the new voters have answered a read. Refused,
+    // with why, where it can't be or another change was decided first. noMajority after 4 x operationTimeout:
+    // it may take hold all the same.
     void change(Instant now, uint64_t ticket, std::vector<NodeId> gone, std::vector<NodeId> come);
     // Leaving in order: gives the duty up at once, stands no more, and says that its place is free. It goes
     // on counting until mayLeave().
     void release(Instant now);
-    // Whether nothing would be lost or left without a majority by ending now: the place on the roll has been
-    // taken over by a standby, or there is none, and who is here holds what we know to be acknowledged.
+    // Whether nothing would be lost or left without a majority by ending now: the place among the voters has
+    // been taken over by a standby, or there is none, and who is here holds what we know to be acknowledged.
     bool mayLeave(Instant now) const;
     void tick(Instant now);
     Instant wakeAt() const;
     std::optional<Output> next();
 
     std::vector<NodeId> peers() const;  // all cores known but this one
-    // Cores that would take a place on the roll: not on it, in touch, with a disk that holds what is
+    // Cores that would take a place among the voters: not on it, in touch, with a disk that holds what is
     // acknowledged or nearly.
     std::vector<NodeId> standbys(Instant now) const;
-    const std::vector<NodeId>& roll() const { return mem_.roll; }
-    uint64_t epoch() const { return mem_.epoch; }  // of the roll; 0: none is known
+    const std::vector<NodeId>& voters() const { return mem_.voters; }
+    uint64_t epoch() const { return mem_.epoch; }  // of the voters; 0: none is known
     std::shared_ptr<const Value> held() const;     // the newest on our disk or known committed; null: none
     Duty duty() const { return duty_; }
     // Whether a majority has been heard of so lately that what we know may pass for current: the holder while
@@ -256,10 +258,10 @@
         bool recovering = false;
         bool leaving = false;
         bool diskBroken = false;
-        uint64_t epoch = 0;  // of its roll, as it said last
+        uint64_t epoch = 0;  // of its voters, as it said last
         uint64_t saves = 0;  // of its disk
         uint64_t birth = 0;  // of its disk
-        bool empty = false;  // knows neither electors nor roll
+        bool empty = false;  // knows neither electors nor voters
         Mark disk;
         bool said = false;  // it has said hello itself
     };
@@ -283,9 +285,9 @@
         std::set<NodeId> open;               // whose promise is above what it accepted
         std::set<NodeId> yes;                // who promised, or accepted
     };
-    struct Change {                       // asked for by an operator here, or a replacement that we began
-        uint64_t ticket = 0, epoch = 0;   // ticket 0: nobody waits; epoch: of the roll that it changes
-        std::vector<NodeId> offer, roll;  // as offered, with ip#birth of who comes; plain
+    struct Change {                         // asked for by an operator here, or a replacement that we began
+        uint64_t ticket = 0, epoch = 0;     // ticket 0: nobody waits; epoch: of the voters that it changes
+        std::vector<NodeId> offer, voters;  // as offered, with ip#birth of who comes; plain
         Instant since;
     };
     enum class Stand : uint8_t { no, probing, asking };
@@ -306,9 +308,9 @@
     void meet(Instant now, const NodeId& node);
     void sayHello(const NodeId& to, Kind k);
     void hearHello(Instant now, const NodeId& from, const Message& m);
-    void learnRoll(Instant now, uint64_t epoch, std::vector<NodeId> roll, std::vector<NodeId> former,
-                   std::vector<std::string> joined);
-    void withRoll(Message& m) const;
+    void learnVoters(Instant now, uint64_t epoch, std::vector<NodeId> voters, std::vector<NodeId> former,
+                     std::vector<std::string> joined);
+    void withVoters(Message& m) const;
     bool ofOurEpoch(const NodeId& from, const Message& m);
     void learnMarks(Instant now, const NodeId& from, const Message& m);
     void adopt(const std::shared_ptr<const Value>& v);
@@ -328,17 +330,17 @@
     void stepClaiming(Instant now, Op& op);
     std::shared_ptr<const Value> bodyOf(Instant now, Op& op, const Mark& mark);
     void sure(const std::shared_ptr<const Value>& v);
-    bool onRoll() const { return inRoll(o_.self); }
-    bool inRoll(const NodeId& n) const;
-    bool isMember() const;  // counts as a disk of the roll now
+    bool selfIsVoter() const { return isVoter(o_.self); }
+    bool isVoter(const NodeId& n) const;
+    bool isMember() const;  // counts as a disk of the voters now
     void checkAge(Instant now, const NodeId& from, const Message& m);
     void treatAsLost(Instant now);
     bool isElector() const;
     bool inElectors(const NodeId& n) const;
-    // Who agrees on the next roll: the electors on the first, then the members of each on the one after it.
-    const std::vector<NodeId>& acceptors() const { return mem_.epoch == 0 ? mem_.electors : mem_.roll; }
+    // Who agrees on the next voters: the electors on the first, then the members of each on the one after it.
+    const std::vector<NodeId>& acceptors() const { return mem_.epoch == 0 ? mem_.electors : mem_.voters; }
     bool isAcceptor() const { return mem_.epoch == 0 ? isElector() : isMember(); }
-    size_t majority() const { return mem_.roll.size() / 2 + 1; }
+    size_t majority() const { return mem_.voters.size() / 2 + 1; }
     void newOp(Instant now, uint64_t ticket, bool wanted, bool reading, std::shared_ptr<const Value> own);
     bool step(Instant now, uint64_t number, Op& op);  // true: finished
     void stepAll(Instant now);
@@ -361,7 +363,7 @@
     void prepareBallot(Instant now);
     void hearRecover(Instant now, const NodeId& from, const Message& m);
     void propose(Instant now);
-    void hearRoll(Instant now, const NodeId& from, const Message& m);
+    void hearBallot(Instant now, const NodeId& from, const Message& m);
     void startBallot(Instant now);
     void stand(Instant now);
     void hearDuty(Instant now, const NodeId& from, const Message& m);
@@ -374,7 +376,7 @@
     bool wouldVote(Instant now, const NodeId& candidate) const;
     void setDuty(bool held, uint64_t term, const NodeId& holder, Instant until);
     Span random(Span below);
-    Span promised() const { return o_.lapse + o_.lapse * 0.0625; }
+    Span promised() const { return o_.leaseTime + o_.leaseTime * 0.0625; }
 
     Options o_;
     std::set<NodeId> vouchers_;  // members that have not seen our disk further than it is
@@ -422,7 +424,7 @@
 
     uint64_t recoverNumber_ = 0;
     Instant recoverAt_ = Instant::never();
-    bool recoverByRoll_ = false;
+    bool recoverByVoters_ = false;
     Instant bareAt_ = Instant::never();  // when to begin anew, all seeds being empty
     std::map<NodeId, Message> told_;
 
--- a/system/consensus/core_parts.hpp
+++ b/system/consensus/core_parts.hpp
@@ -34,22 +34,23 @@
     return std::binary_search(sorted.begin(), sorted.end(), n);
 }
 
-// A machine together with the disk that is meant, as it is written in offers of a roll.
+// A machine together with the disk that is meant, as it is written in offers of a set of voters.
 inline std::string born(const NodeId& n, uint64_t birth) { return n + "#" + std::to_string(birth); }
 
-// How long a ballot for the duty may gather votes, at most. Shorter than `lapse`, so that what it wins still
-// has some validity, and over before a voter that lost its disk votes again.
-inline Span ballotTime(const Options& o) { return o.lapse * 0.5; }
+// How long a ballot for the duty may gather votes, at most. Shorter than `leaseTime`, so that what it wins
+// still has some validity, and over before a voter that lost its disk votes again.
+inline Span ballotTime(const Options& o) { return o.leaseTime * 0.5; }
 
 // What a core that lost its disk waits for before it asks the others, and why it may then take part again.
 //
 // Claim: what a majority has promised is still promised by a majority, however many disks are lost.
-//  - All that counts somebody's answers (a write, a read, a vote, a beat, a ballot on the roll) ends at the
-//    latest `patience` or `lapse` after it began, by the clock of who counts. An answer that this core gave
-//    in its earlier life belongs to something begun before the loss; after the wait below (a quarter more
-//    than either, for clocks of different rates) it counts nowhere any more: either it is done, or it never
-//    will be done with that answer.
-//  - Only then do we ask. A majority Q of the roll, not counting us and nobody who still recovers, answers.
+//  - All that counts somebody's answers (a write, a read, a vote, a beat, a ballot on the voters) ends at
+//  the
+//    latest `operationTimeout` or `leaseTime` after it began, by the clock of who counts. An answer that this
+//    core gave in its earlier life belongs to something begun before the loss; after the wait below (a
+//    quarter more than either, for clocks of different rates) it counts nowhere any more: either it is done,
+//    or it never will be done with that answer.
+//  - Only then do we ask. A majority Q of the voters, not counting us and nobody who still recovers, answers.
 //    Whatever was done with a majority M shares a member with Q. That member either kept its disk since, and
 //    holds it; or it lost it and recovered before it answered Q, thus by this same argument (on the order of
 //    recoveries) it holds it or something newer. So we end up with all that was done; and what was promised
@@ -58,10 +59,10 @@
 //    by now.
 //  - Q exists as long as N - losses >= majority: 3 - 1 >= 2, 5 - 1 >= 3, 5 - 2 >= 3, 9 - 2 >= 5. With more
 //    losses nobody recovers, but nothing is forgotten silently.
-// The same holds for the agreement on the roll, with the electors in place of the roll, as long as the roll
-// is not known: but that alone makes us an elector (`elects`), no member. A value is only ever saved
-// together with the roll, so those who hold a value know the roll. Once it is known the agreement is never
-// run again. It harms by its length: 1.5 s in which a returned machine counts nowhere.
-inline Span recoverWait(const Options& o) { return std::max(o.patience, o.lapse) * 1.25; }
+// The same holds for the agreement on the voters, with the electors in place of the voters, as long as the
+// voters are not known: but that alone makes us an elector (`elects`), no member. A value is only ever saved
+// together with the voters, so those who hold a value know the voters. Once it is known the agreement is
+// never run again. It harms by its length: 1.5 s in which a returned machine counts nowhere.
+inline Span recoverWait(const Options& o) { return std::max(o.operationTimeout, o.leaseTime) * 1.25; }
 
 }  // namespace petrelpond::consensus
--- a/system/consensus/core_search_test.cpp
+++ b/system/consensus/core_search_test.cpp
@@ -1,5 +1,6 @@
 // Searches seeded schedules of the simulated world for a broken invariant: an acknowledged version is lost, a
-// read goes back, two rolls, two holders at one instant, a term won twice, or no work once all has healed.
+// read goes back, two voterSets, two holders at one instant, a term won twice, or no work once all has
+// healed.
 #include <gtest/gtest.h>
 
 #include <cstdio>
@@ -11,10 +12,10 @@
 namespace petrelpond::consensus {
 namespace {
 
-sim::Plan planOf(uint32_t seed, Twin twin) {
+sim::Plan planOf(uint32_t seed, Defect defect) {
     static const std::pair<int, int> shapes[] = {{3, 1}, {5, 1}, {5, 2}, {9, 2}, {3, 1}};
     const auto [cores, losses] = shapes[seed % 5];
-    return {seed, cores, losses, twin, true, 25};
+    return {seed, cores, losses, defect, true, 25};
 }
 
 // CONSENSUS_SCHEDULES=10000 for a long search, CONSENSUS_FIRST to begin elsewhere.
@@ -27,7 +28,7 @@
     const uint32_t begin = asked("CONSENSUS_FIRST", 1), count = asked("CONSENSUS_SCHEDULES", 300);
     int writes = 0, reads = 0, terms = 0, wipes = 0, conflicts = 0;
     for (uint32_t seed = begin; seed < begin + count; ++seed) {
-        sim::World world(planOf(seed, Twin::none));
+        sim::World world(planOf(seed, Defect::none));
         EXPECT_EQ(world.run(), "") << "seed " << seed;
         writes += world.doneWrites();
         reads += world.doneReads();
@@ -49,35 +50,35 @@
 TEST(CoreSearch, NoScheduleWithACorneredHolderBreaksAnInvariant) {
     const uint32_t begin = asked("CONSENSUS_FIRST", 1), count = asked("CONSENSUS_SCHEDULES", 100);
     for (uint32_t seed = begin; seed < begin + count; ++seed) {
-        sim::Plan plan = planOf(seed, Twin::none);
+        sim::Plan plan = planOf(seed, Defect::none);
         plan.cornered = true;
         EXPECT_EQ(sim::World(plan).run(), "") << "seed " << seed;
     }
 }
 
-int schedulesUntilCaught(Twin twin, int most, bool cornered = false) {
+int schedulesUntilCaught(Defect defect, int most, bool cornered = false) {
     for (int seed = 1; seed <= most; ++seed) {
-        sim::Plan plan = planOf(static_cast<uint32_t>(seed), twin);
+        sim::Plan plan = planOf(static_cast<uint32_t>(seed), defect);
         plan.cornered = cornered;
         if (!sim::World(plan).run().empty()) return seed;
     }
     return -1;
 }
 
-sim::Plan changing(uint32_t seed, Twin twin) {
+sim::Plan changing(uint32_t seed, Defect defect) {
     static const std::pair<int, int> shapes[] = {{3, 1}, {5, 1}, {5, 2}, {3, 1}};
     const auto [cores, losses] = shapes[seed % 4];
-    return {seed, cores, losses, twin, true, 40, true, 2};
+    return {seed, cores, losses, defect, true, 40, true, 2};
 }
 
-TEST(CoreSearch, NoScheduleBreaksAnInvariantWhileTheRollChanges) {
+TEST(CoreSearch, NoScheduleBreaksAnInvariantWhileTheVotersChanges) {
     const char* wanted = std::getenv("CONSENSUS_SCHEDULES");
     const char* first = std::getenv("CONSENSUS_FIRST");
     const uint32_t begin = first ? static_cast<uint32_t>(std::atoi(first)) : 1;
     const uint32_t count = wanted ? static_cast<uint32_t>(std::atoi(wanted)) : 200;
     int writes = 0, changes = 0, wipes = 0;
     for (uint32_t seed = begin; seed < begin + count; ++seed) {
-        sim::World world(changing(seed, Twin::none));
+        sim::World world(changing(seed, Defect::none));
         EXPECT_EQ(world.run(), "") << "seed " << seed;
         writes += world.doneWrites();
         changes += world.changes();
@@ -90,68 +91,70 @@
               << " lost disks\n";
 }
 
-int changesUntilCaught(Twin twin, int most) {
+int changesUntilCaught(Defect defect, int most) {
     for (int seed = 1; seed <= most; ++seed) {
-        if (sim::World(changing(static_cast<uint32_t>(seed), twin)).run().empty()) continue;
+        if (sim::World(changing(static_cast<uint32_t>(seed), defect)).run().empty()) continue;
         std::cout << "caught at schedule " << seed << "\n";
         return seed;
     }
     return -1;
 }
-TEST(CoreSearch, ARollThatTakesNothingOverIsCaught) {
-    EXPECT_GT(changesUntilCaught(Twin::hastyEntry, 400), 0);
+TEST(CoreSearch, TheVotersThatTakesNothingOverIsCaught) {
+    EXPECT_GT(changesUntilCaught(Defect::hastyEntry, 400), 0);
 }
-TEST(CoreSearch, AnEmptyDiskThatTakesOverFromTheFormerRollIsCaught) {
-    EXPECT_GT(changesUntilCaught(Twin::emptyEnters, 600), 0);
+TEST(CoreSearch, AnEmptyDiskThatTakesOverFromTheFormerVotersIsCaught) {
+    EXPECT_GT(changesUntilCaught(Defect::emptyEnters, 600), 0);
 }
 TEST(CoreSearch, AnAmnesiacThatTakesPartAtOnceIsCaught) {
-    EXPECT_GT(schedulesUntilCaught(Twin::hastyAmnesiac, 100), 0);
+    EXPECT_GT(schedulesUntilCaught(Defect::hastyAmnesiac, 100), 0);
 }
 TEST(CoreSearch, AnAnswerBeforeTheSyncIsCaught) {
-    EXPECT_GT(schedulesUntilCaught(Twin::ackBeforeSync, 300), 0);
+    EXPECT_GT(schedulesUntilCaught(Defect::ackBeforeSync, 300), 0);
 }
 TEST(CoreSearch, AReadWithoutWriteBackIsCaught) {
-    EXPECT_GT(schedulesUntilCaught(Twin::noWriteBack, 300), 0);
+    EXPECT_GT(schedulesUntilCaught(Defect::noWriteBack, 300), 0);
 }
 TEST(CoreSearch, AnAcceptorThatIgnoresItsClaimsIsCaught) {
-    EXPECT_GT(schedulesUntilCaught(Twin::ignoresClaims, 100), 0);
+    EXPECT_GT(schedulesUntilCaught(Defect::ignoresClaims, 100), 0);
 }
 TEST(CoreSearch, AWriterThatPutsItsOwnTextIsCaught) {
-    EXPECT_GT(schedulesUntilCaught(Twin::putsItsOwn, 100), 0);
+    EXPECT_GT(schedulesUntilCaught(Defect::putsItsOwn, 100), 0);
 }
 TEST(CoreSearch, APromiseForgottenByARestartIsCaught) {
-    EXPECT_GT(schedulesUntilCaught(Twin::forgetsPromise, 100), 0);
+    EXPECT_GT(schedulesUntilCaught(Defect::forgetsPromise, 100), 0);
 }
 TEST(CoreSearch, AVoteRightAfterARestartIsCaught) {
-    EXPECT_GT(schedulesUntilCaught(Twin::votesAfterStart, 300), 0);
+    EXPECT_GT(schedulesUntilCaught(Defect::votesAfterStart, 300), 0);
 }
 TEST(CoreSearch, AHolderThatOutlastsItsLeaseIsCaught) {
-    EXPECT_GT(schedulesUntilCaught(Twin::outlastsLease, 100), 0);
+    EXPECT_GT(schedulesUntilCaught(Defect::outlastsLease, 100), 0);
+}
+TEST(CoreSearch, AFenceThatDoesNotGrowIsCaught) {
+    EXPECT_GT(schedulesUntilCaught(Defect::fenceStays, 100), 0);
 }
-TEST(CoreSearch, AFenceThatDoesNotGrowIsCaught) { EXPECT_GT(schedulesUntilCaught(Twin::fenceStays, 100), 0); }
 
-// How many schedules of `first`.. a twin breaks: CONSENSUS_TWIN=4 CONSENSUS_SCHEDULES=300.
-TEST(CoreSearch, CountOfOneTwin) {
-    const char* wanted = std::getenv("CONSENSUS_TWIN");
-    if (!wanted) GTEST_SKIP() << "for measuring: CONSENSUS_TWIN, CONSENSUS_SCHEDULES";
+// How many schedules of `first`.. a defect breaks: CONSENSUS_DEFECT=4 CONSENSUS_SCHEDULES=300.
+TEST(CoreSearch, CountOfOneDefect) {
+    const char* wanted = std::getenv("CONSENSUS_DEFECT");
+    if (!wanted) GTEST_SKIP() << "for measuring: CONSENSUS_DEFECT, CONSENSUS_SCHEDULES";
     const char* count = std::getenv("CONSENSUS_SCHEDULES");
     int broken = 0, first = 0;
     const int all = count ? std::atoi(count) : 300;
     for (int seed = 1; seed <= all; ++seed) {
-        const auto twin = static_cast<Twin>(std::atoi(wanted));
-        const std::string why = sim::World(planOf(static_cast<uint32_t>(seed), twin)).run();
+        const auto defect = static_cast<Defect>(std::atoi(wanted));
+        const std::string why = sim::World(planOf(static_cast<uint32_t>(seed), defect)).run();
         if (why.empty()) continue;
         if (++broken == 1) first = seed, std::printf("%s\n", why.c_str());
     }
-    std::printf("twin %s: first at %d, %d of %d\n", wanted, first, broken, all);
+    std::printf("defect %s: first at %d, %d of %d\n", wanted, first, broken, all);
 }
 
-// Two of three seeds lose their disks before the roll is decided: nobody begins anew by themselves, and
+// Two of three seeds lose their disks before the voters are decided: nobody begins anew by themselves, and
 // whatever was promised stays. Where that did not come to pass all must work as ever.
-TEST(CoreSearch, SeedsLostBeforeTheRollForgetNothing) {
+TEST(CoreSearch, SeedsLostBeforeTheVotersForgetNothing) {
     int barred = 0;
     for (uint32_t seed = 1; seed <= 120; ++seed) {
-        sim::Plan plan{seed, seed % 2 ? 5 : 9, 2, Twin::none, true, 12};
+        sim::Plan plan{seed, seed % 2 ? 5 : 9, 2, Defect::none, true, 12};
         plan.bareSeeds = true;
         sim::World world(plan);
         EXPECT_EQ(world.run(), "") << "seed " << seed;
@@ -161,7 +164,7 @@
 }
 
 TEST(CoreSearch, APromiseOfWhichTheDiskKeepsAnEarlierOneIsCaught) {
-    EXPECT_GT(schedulesUntilCaught(Twin::stalePromise, 100, true), 0);
+    EXPECT_GT(schedulesUntilCaught(Defect::stalePromise, 100, true), 0);
 }
 
 }  // namespace
--- a/system/consensus/core_test.cpp
+++ b/system/consensus/core_test.cpp
@@ -21,7 +21,7 @@
 
 Durable durable(int64_t version = 0) {
     Durable d;
-    d.roll = d.electors = {a, b, c};
+    d.voters = d.electors = {a, b, c};
     d.epoch = 1;
     d.term = 3;
     if (version > 0) d.value = {version, 1, "body"};
@@ -46,7 +46,7 @@
     Message m;
     m.kind = Kind::put;
     m.number = 5;
-    m.roll = {a, b, c};
+    m.voters = {a, b, c};
     m.epoch = 1;
     m.value = std::make_shared<const Value>(Value{version, 1, "body"});
     return m;
@@ -146,7 +146,7 @@
         core.saved(ms(1), s.token);
     }
     Message hello = plain(Kind::helloBack);
-    hello.roll = hello.electors = {a, b, c};
+    hello.voters = hello.electors = {a, b, c};
     core.heard(ms(2), b, hello);
     core.heard(ms(3), b, put(7));
     core.heard(ms(4), b, plain(Kind::get));
@@ -168,7 +168,7 @@
         if (s.message.kind == Kind::recoverAsk) tell.number = s.message.number;
     }
     tell.yes = true;
-    tell.roll = {a, b, c};
+    tell.voters = {a, b, c};
     tell.value = std::make_shared<const Value>(Value{8, 1, "newer"});
     core.heard(ms(1601), b, tell);
     core.heard(ms(1602), b, tell);  // the same again is not a second one
@@ -186,11 +186,11 @@
     EXPECT_FALSE(saves[0].state.recovering);
 }
 
-// A member that is on another roll already may have told the new one all that it knew before it was asked.
-TEST(Core, AnswersOfMembersThatAreOnAnotherRollDoNotCount) {
-    for (const Twin twin : {Twin::none, Twin::mixedEpochs}) {
+// A member that is on other voters already may have told the new one all that it knew before it was asked.
+TEST(Core, AnswersOfMembersThatAreOnAnotherVotersDoNotCount) {
+    for (const Defect defect : {Defect::none, Defect::mixedEpochs}) {
         Options o = options(a);
-        o.twin = twin;
+        o.defect = defect;
         Core core(ms(0), o, durable(8));
         vouch(core);
         core.read(ms(1), 4);
@@ -205,19 +205,20 @@
         held.number = number, held.disk = {8, 0, 1}, held.epoch = 2;
         core.heard(ms(3), b, held);
         const bool done = !pull<Answer>(core).empty();
-        EXPECT_EQ(done, twin == Twin::mixedEpochs);  // the twin shows that this test can fail
+        EXPECT_EQ(done, defect == Defect::mixedEpochs);  // the defect shows that this test can fail
     }
 }
 
-// Once it knows of another roll a member answers nothing under the former one, and nothing under the new one
+// Once it knows of other voters a member answers nothing under the former one, and nothing under the new one
 // until a majority of the former has told it what it knows.
-TEST(Core, AMemberOfAChangedRollTakesItOverBeforeItAnswers) {
+TEST(Core, AMemberOfAChangedVotersTakesItOverBeforeItAnswers) {
     Core core(ms(0), options(a), durable(7));
     pull<Send>(core);
     Message hello = plain(Kind::helloBack);
-    hello.epoch = 2, hello.roll = {a, b, "10.0.0.4"}, hello.former = {a, b, c}, hello.joined = {"10.0.0.4#9"};
+    hello.epoch = 2, hello.voters = {a, b, "10.0.0.4"}, hello.former = {a, b, c},
+    hello.joined = {"10.0.0.4#9"};
     core.heard(ms(10), b, hello);
-    core.heard(ms(11), c, put(9));  // of the former roll
+    core.heard(ms(11), c, put(9));  // of the former voters
     Message get = plain(Kind::get);
     get.epoch = 2;
     core.heard(ms(12), b, get);
@@ -231,7 +232,7 @@
         if (s.message.kind == Kind::recoverAsk) tell.number = s.message.number;
     tell.epoch = 2, tell.recovering = true, tell.yes = true, tell.entering = 2, tell.term = 5;
     tell.value = std::make_shared<const Value>(Value{8, 1, "body"}), tell.disk = {8, 0, 1};
-    core.heard(ms(20), c, tell);  // c left the roll, and is needed all the same
+    core.heard(ms(20), c, tell);  // c left the voters, and is needed all the same
     for (Save& s : pull<Save>(core)) core.saved(ms(21), s.token);
     core.heard(ms(22), b, get);
     sends = pull<Send>(core);
@@ -241,7 +242,7 @@
             EXPECT_EQ(s.message.disk, (Mark{8, 0, 1}));
         }
     }
-    Message ask = plain(Kind::voteAsk, 9);  // the former roll's holder may still hold for a lapse
+    Message ask = plain(Kind::voteAsk, 9);  // the former voters's holder may still hold for a leaseTime
     ask.epoch = 2;
     core.heard(ms(30), b, ask);
     for (Save& s : pull<Save>(core)) core.saved(ms(31), s.token);
@@ -261,15 +262,15 @@
         return answers.size() == 1 && answers[0].how == Answer::refused ? answers[0].why : std::string();
     };
     EXPECT_EQ(why({c}, {"10.0.0.9"}), "10.0.0.9 is not heard of as a core whose disk may count");
-    EXPECT_EQ(why({"10.0.0.8"}, {"10.0.0.9"}), "10.0.0.8 is not on the roll");
-    EXPECT_EQ(why({c}, {}), "a roll of 2 does not bear the loss of 1");
-    EXPECT_EQ(core.roll(), (std::vector<NodeId>{a, b, c}));
+    EXPECT_EQ(why({"10.0.0.8"}, {"10.0.0.9"}), "10.0.0.8 is not among the voters");
+    EXPECT_EQ(why({c}, {}), "2 voters do not bear the loss of 1");
+    EXPECT_EQ(core.voters(), (std::vector<NodeId>{a, b, c}));
 }
 
-// From the command to the new roll at work, with the machine that leaves dead, and a write on the new roll
-// after it.
+// From the command to the new voters at work, with the machine that leaves dead, and a write on the new
+// voters after it.
 TEST(Core, ADeadMemberIsReplaced) {
-    sim::World w({5, 3, 1, Twin::none, false, 20, true, 1});
+    sim::World w({5, 3, 1, Defect::none, false, 20, true, 1});
     w.at(sim::World::millis(5900), [&] { w.kill(2); });
     bool done = false;
     w.at(sim::World::millis(12000), [&] {
@@ -279,7 +280,7 @@
     });
     w.at(sim::World::millis(14000), [&] {
         done = w.changing_.count(900) == 0;
-        EXPECT_EQ(w.nodes_[0].core->roll(),
+        EXPECT_EQ(w.nodes_[0].core->voters(),
                   (std::vector<NodeId>{w.nodes_[0].id, w.nodes_[1].id, w.nodes_[3].id}));
         EXPECT_FALSE(w.nodes_[3].core->recovering());
         w.kill(1);  // the one that came counts: with it there is a majority
@@ -328,7 +329,7 @@
 
 TEST(Core, AllThatLosePowerBeforeTheirFirstSyncBeginAnew) {
     for (const int cores : {3, 5}) {
-        sim::World w({1, cores, 1, Twin::none, false, 15});
+        sim::World w({1, cores, 1, Defect::none, false, 15});
         w.at(301, [&] {
             for (size_t i = 0; i < w.nodes_.size(); ++i) {
                 ASSERT_FALSE(w.nodes_[i].disk);
@@ -337,30 +338,30 @@
             }
         });
         EXPECT_EQ(w.run(), "") << cores;
-        EXPECT_EQ(w.firstRoll().size(), static_cast<size_t>(cores));
+        EXPECT_EQ(w.firstVoters().size(), static_cast<size_t>(cores));
     }
 }
 
-TEST(Core, OneOfThreeWithoutItsDiskBeforeTheRollIsAgreedComesBack) {
-    sim::World w({2, 3, 1, Twin::none, false, 15});
+TEST(Core, OneOfThreeWithoutItsDiskBeforeTheVotersIsAgreedComesBack) {
+    sim::World w({2, 3, 1, Defect::none, false, 15});
     w.at(sim::World::millis(700), [&] {
         w.kill(1);
         w.nodes_[1].disk.reset();
         w.start(1, false);
     });
     EXPECT_EQ(w.run(), "");
-    EXPECT_EQ(w.firstRoll().size(), 3u);
+    EXPECT_EQ(w.firstVoters().size(), 3u);
 }
 
 TEST(Core, ReleaseHandsTheDutyOverAtOnce) {
-    sim::World w({3, 5, 1, Twin::none, false, 15});
+    sim::World w({3, 5, 1, Defect::none, false, 15});
     w.at(sim::World::millis(10000), [&] {
         const int h = w.holder();
         ASSERT_GE(h, 0);
         w.nodes_[static_cast<size_t>(h)].core->release(w.clock(static_cast<size_t>(h)));
         w.drain(static_cast<size_t>(h));
         EXPECT_EQ(w.holder(), -1);
-        w.at(sim::World::millis(400), [&w, h] {  // far less than the lapse of 1200 ms
+        w.at(sim::World::millis(400), [&w, h] {  // far less than the leaseTime of 1200 ms
             EXPECT_GE(w.holder(), 0);
             EXPECT_NE(w.holder(), h);
         });
@@ -371,7 +372,7 @@
 // Where all start anew the last holder is voted for before the promises to it are over, and it alone.
 TEST(Core, AfterAStartOfAllTheLastHolderHasTheDutyBackSooner) {
     for (const bool without : {false, true}) {
-        sim::World w({7, 5, 1, Twin::none, false, 15});
+        sim::World w({7, 5, 1, Defect::none, false, 15});
         w.loss_ = 0;
         w.at(sim::World::millis(10000), [&] {
             const int h = w.holder();
@@ -390,7 +391,7 @@
 }
 
 TEST(Core, AHolderThatWakesFromAFreezeFirstSaysThatItHoldsNoMore) {
-    sim::World w({4, 5, 1, Twin::none, false, 20});
+    sim::World w({4, 5, 1, Defect::none, false, 20});
     w.at(sim::World::millis(10000), [&] {
         const int h = w.holder();
         ASSERT_GE(h, 0);
@@ -421,7 +422,7 @@
 
 // A core that nobody heard for long must not put down the living holder when it is heard again.
 TEST(Core, ACutOffCoreComesBackWithoutDisturbingTheHolder) {
-    sim::World w({5, 5, 1, Twin::none, false, 25});
+    sim::World w({5, 5, 1, Defect::none, false, 25});
     int before = -1;
     uint64_t term = 0;
     w.at(sim::World::millis(10000), [&] {
@@ -440,27 +441,28 @@
     EXPECT_EQ(w.lastTerm_, term);
 }
 
-// Fewer cores than three: the seeds are all there are, and the roll does not wait for more.
+// Fewer cores than three: the seeds are all there are, and nobody waits for more.
 TEST(Core, OneOrTwoCoresWorkToo) {
     for (const int cores : {1, 2}) {
-        sim::World w({7, cores, 1, Twin::none, false, 8});
-        w.at(sim::World::millis(6000), [&] { EXPECT_EQ(w.firstRoll().size(), static_cast<size_t>(cores)); });
+        sim::World w({7, cores, 1, Defect::none, false, 8});
+        w.at(sim::World::millis(6000),
+             [&] { EXPECT_EQ(w.firstVoters().size(), static_cast<size_t>(cores)); });
         EXPECT_EQ(w.run(), "") << cores;
     }
 }
 
-// A roll on which nobody could recover is not agreed because one core comes a little late.
-TEST(Core, TheRollWaitsForACoreThatIsDownAtTheStart) {
-    sim::World w({8, 5, 2, Twin::none, false, 15});
+// A set of voters on which nobody could recover is not agreed because one core comes a little late.
+TEST(Core, TheVotersWaitsForACoreThatIsDownAtTheStart) {
+    sim::World w({8, 5, 2, Defect::none, false, 15});
     w.at(500, [&] { w.kill(4); });
     w.at(sim::World::millis(4000), [&] { w.start(4, false); });
     EXPECT_EQ(w.run(), "");
-    EXPECT_EQ(w.firstRoll().size(), 5u);
+    EXPECT_EQ(w.firstVoters().size(), 5u);
 }
 
 // CPU is paid for: at rest only the holder talks to all, and the others answer.
 TEST(Core, FewMessagesAtRest) {
-    sim::World w({6, 9, 2, Twin::none, false, 20, false});
+    sim::World w({6, 9, 2, Defect::none, false, 20, false});
     long before = 0;
     w.at(sim::World::millis(15000), [&] { before = w.sends_; });
     w.at(sim::World::millis(25000), [&] { EXPECT_LT(w.sends_ - before, 10 * (8 * 8 + 8 * 2) + 50); });
@@ -471,7 +473,7 @@
 // the other is told so, and both stand by that whoever is asked later.
 TEST(Core, OfTwoTextsUnderOneVersionOneIsChosenAndTheOtherIsToldSo) {
     for (uint32_t seed = 1; seed <= 20; ++seed) {
-        sim::World w({seed, 3, 1, Twin::none, false, 20, false});
+        sim::World w({seed, 3, 1, Defect::none, false, 20, false});
         const auto ask = [&w](size_t i, const Value& v) { w.writeAt(i, v); };
         const Value one{5, 11, "5:11"}, other{5, 22, "5:22"};
         w.at(sim::World::millis(8000), [&] {
@@ -496,7 +498,7 @@
 
 // The same order at two cores at once, as after an answer that was lost: both say that it is done.
 TEST(Core, TheSameOrderAtTwoCoresIsConfirmedByBoth) {
-    sim::World w({3, 5, 2, Twin::none, false, 15, false});
+    sim::World w({3, 5, 2, Defect::none, false, 15, false});
     w.at(sim::World::millis(8000), [&w] {
         for (size_t i = 0; i < 4; ++i) w.writeAt(i, Value{7, 1, "7:1"});
     });
@@ -507,7 +509,7 @@
 
 // A lower number than the one in force is confirmed and alters nothing.
 TEST(Core, AnOlderOrderIsConfirmedAndAltersNothing) {
-    sim::World w({4, 3, 1, Twin::none, false, 15, false});
+    sim::World w({4, 3, 1, Defect::none, false, 15, false});
     w.at(sim::World::millis(8000), [&w] { w.writeAt(0, Value{9, 1, "9:1"}); });
     w.at(sim::World::millis(9000), [&w] { w.writeAt(1, Value{7, 1, "7:1"}); });
     w.at(sim::World::millis(10000), [&w] { EXPECT_EQ(w.nodes_[2].core->held()->version, 9); });
@@ -517,7 +519,7 @@
 
 // A writer dies after one disk has its text: a read settles it, and what it then gives stays.
 TEST(Core, ATextWhoseWriterDiedIsSettledByAReader) {
-    sim::World w({6, 3, 1, Twin::none, false, 15, false});
+    sim::World w({6, 3, 1, Defect::none, false, 15, false});
     w.loss_ = 0;
     w.at(sim::World::millis(8000), [&w] {
         w.writeAt(0, Value{4, 1, "4:1"});
@@ -531,8 +533,8 @@
 
 // A member that is cut off for twenty seconds: within two it says so, it confirms and reads nothing, and it
 // is back soon after. Cut one way alone, so that it hears the heartbeats and is not heard, all the same.
-std::string cutOffForTwentySeconds(Twin twin, bool oneWay) {
-    sim::Plan plan{9, 3, 1, twin, false, 35, false};
+std::string cutOffForTwentySeconds(Defect defect, bool oneWay) {
+    sim::Plan plan{9, 3, 1, defect, false, 35, false};
     plan.spans = true;
     sim::World w(plan);
     w.loss_ = 0;
@@ -571,16 +573,16 @@
     return wrong.empty() ? broken : wrong;
 }
 TEST(Core, AMemberThatIsCutOffKnowsItAndConfirmsNothing) {
-    EXPECT_EQ(cutOffForTwentySeconds(Twin::none, false), "");
-    EXPECT_EQ(cutOffForTwentySeconds(Twin::none, true), "");
+    EXPECT_EQ(cutOffForTwentySeconds(Defect::none, false), "");
+    EXPECT_EQ(cutOffForTwentySeconds(Defect::none, true), "");
 }
 TEST(Core, AMemberThatTakesEveryHeartbeatForContactIsCaught) {
-    EXPECT_EQ(cutOffForTwentySeconds(Twin::staysInContact, true), "in contact while cut off");
+    EXPECT_EQ(cutOffForTwentySeconds(Defect::staysInContact, true), "in contact while cut off");
 }
 
 // A core that wakes from a freeze is out of contact until a holder has heard it again.
 TEST(Core, AMemberThatWakesIsOutOfContactUntilItIsHeard) {
-    sim::Plan plan{9, 3, 1, Twin::none, false, 20, false};
+    sim::Plan plan{9, 3, 1, Defect::none, false, 20, false};
     plan.spans = true;
     sim::World w(plan);
     w.at(sim::World::millis(8000), [&w] {
@@ -596,8 +598,8 @@
 
 // A disk is put back to what it held before a hundred changes, as from a copy of its folder: nothing that was
 // acknowledged goes back, and the machine rebuilds as from a lost disk. Also where all lose power at once.
-std::string putADiskBack(Twin twin, bool power) {
-    sim::Plan plan{11, 3, 1, twin, false, 30, true};
+std::string putADiskBack(Defect defect, bool power) {
+    sim::Plan plan{11, 3, 1, defect, false, 30, true};
     plan.spans = true;
     sim::World w(plan);
     w.loss_ = 0;
@@ -629,10 +631,10 @@
     return broken.empty() ? wrong : broken;
 }
 TEST(Core, ADiskThatIsPutBackCountsAsLost) {
-    EXPECT_EQ(putADiskBack(Twin::none, false), "");
-    EXPECT_EQ(putADiskBack(Twin::none, true), "");
+    EXPECT_EQ(putADiskBack(Defect::none, false), "");
+    EXPECT_EQ(putADiskBack(Defect::none, true), "");
 }
-TEST(Core, AMemberThatTrustsAnOldDiskIsCaught) { EXPECT_NE(putADiskBack(Twin::trustsOldDisk, false), ""); }
+TEST(Core, AMemberThatTrustsAnOldDiskIsCaught) { EXPECT_NE(putADiskBack(Defect::trustsOldDisk, false), ""); }
 
 }  // namespace
 }  // namespace petrelpond::consensus
--- a/system/consensus/disk_age.cpp
+++ b/system/consensus/disk_age.cpp
@@ -15,10 +15,10 @@
 namespace petrelpond::consensus {
 
 void Core::checkAge(Instant now, const NodeId& from, const Message& m) {
-    if (o_.twin == Twin::trustsOldDisk) ageChecked_ = true;
-    if (ageChecked_ || mem_.recovering || mem_.roll.empty()) return;
+    if (o_.defect == Defect::trustsOldDisk) ageChecked_ = true;
+    if (ageChecked_ || mem_.recovering || mem_.voters.empty()) return;
     if (m.knownSaves > mem_.saves) return treatAsLost(now);
-    if (inRoll(from)) vouchers_.insert(from);
+    if (isVoter(from)) vouchers_.insert(from);
     ageChecked_ = vouchers_.size() + 1 >= majority();
 }
 
--- a/system/consensus/history_test.cpp
+++ b/system/consensus/history_test.cpp
@@ -20,7 +20,7 @@
     static const std::pair<int, int> shapes[] = {{3, 1}, {5, 2}, {9, 2}};
     uint32_t seed = 40;
     for (const auto& [cores, losses] : shapes) {
-        sim::Plan plan{++seed, cores, losses, Twin::none, true, secondsAsked()};
+        sim::Plan plan{++seed, cores, losses, Defect::none, true, secondsAsked()};
         plan.spans = true;
         sim::World world(plan);
         EXPECT_EQ(world.run(), "") << cores << " cores";
--- a/system/consensus/keeper_test.cpp
+++ b/system/consensus/keeper_test.cpp
@@ -39,11 +39,11 @@
     static Durable sample(size_t size = 300000) {
         Durable d;
         d.value = {17, 99, std::string(size, 'x')};
-        d.roll = {"10.0.0.1", "10.0.0.2", "10.0.0.3"};
-        d.electors = d.roll;
-        d.rollBallot = 513;
-        d.rollAccepted = 512;
-        d.rollOffer = d.roll;
+        d.voters = {"10.0.0.1", "10.0.0.2", "10.0.0.3"};
+        d.electors = d.voters;
+        d.votersBallot = 513;
+        d.votersAccepted = 512;
+        d.votersOffer = d.voters;
         d.term = 7;
         d.votedFor = "10.0.0.2";
         d.promisedTo = "10.0.0.3";
@@ -79,11 +79,11 @@
     EXPECT_EQ(f->value.version, d.value.version);
     EXPECT_EQ(f->value.digest, d.value.digest);
     EXPECT_EQ(f->value.body, d.value.body);
-    EXPECT_EQ(f->roll, d.roll);
+    EXPECT_EQ(f->voters, d.voters);
     EXPECT_EQ(f->electors, d.electors);
-    EXPECT_EQ(f->rollBallot, d.rollBallot);
-    EXPECT_EQ(f->rollAccepted, d.rollAccepted);
-    EXPECT_EQ(f->rollOffer, d.rollOffer);
+    EXPECT_EQ(f->votersBallot, d.votersBallot);
+    EXPECT_EQ(f->votersAccepted, d.votersAccepted);
+    EXPECT_EQ(f->votersOffer, d.votersOffer);
     EXPECT_EQ(f->term, d.term);
     EXPECT_EQ(f->votedFor, d.votedFor);
     EXPECT_EQ(f->promisedTo, d.promisedTo);
--- a/system/consensus/lease.cpp
+++ b/system/consensus/lease.cpp
@@ -5,12 +5,12 @@
 
 //
 // At most one core holds at any instant: to hold needs a majority that answered something sent less than
-// `lapse` ago, and whoever answered votes for nobody else within a sixteenth more than `lapse` of answering.
-// So whoever is voted in by a majority knows one voter whose promise to each earlier holder had run out. A
-// voter follows a beat of a higher term at once: its sender was voted in by such a majority, and the earlier
-// holder, refused by it since, holds no more. After a restart it is known to whom the promise was given last,
-// not until when: so no vote for another within that time. That one gets it at once, as each may always vote
-// for whom it has promised to: a core's lease of an earlier life or ballot harms none of its own.
+// `leaseTime` ago, and whoever answered votes for nobody else within a sixteenth more than `leaseTime` of
+// answering. So whoever is voted in by a majority knows one voter whose promise to each earlier holder had
+// run out. A voter follows a beat of a higher term at once: its sender was voted in by such a majority, and
+// the earlier holder, refused by it since, holds no more. After a restart it is known to whom the promise was
+// given last, not until when: so no vote for another within that time. That one gets it at once, as each may
+// always vote for whom it has promised to: a core's lease of an earlier life or ballot harms none of its own.
 // One promise is enough to know: the ones before were over as the last was given, or their holder had been
 // refused by a majority that voted in the last one.
 
@@ -34,17 +34,17 @@
     standAt_ = Instant::never();
     if (standing_ != Stand::no) {  // no majority in time
         standing_ = Stand::no;
-        standAt_ = now + Span::millis(150) + random(o_.lapse * 0.5);
+        standAt_ = now + Span::millis(150) + random(o_.leaseTime * 0.5);
         return;
     }
     if (released_ || duty_.held) return;
     if (!isMember()) {
-        standAt_ = now + o_.lapse;
+        standAt_ = now + o_.leaseTime;
         return;
     }
     if (!duty_.holder.empty()) return;  // when it lapses, enter() sets the next
     if (!wouldVote(now, o_.self)) {
-        standAt_ = promisedUntil_ + random(o_.lapse * 0.25);
+        standAt_ = promisedUntil_ + random(o_.leaseTime * 0.25);
         return;
     }
     // First only asked whether they would: against a core that nobody hears, or only few, and that would
@@ -57,7 +57,7 @@
     standNumber_ = ++number_;
     standSince_ = now;
     standTerm_ = std::max(mem_.term, highestTerm_) + 1;
-    if (o_.twin == Twin::fenceStays) standTerm_ = std::max<uint64_t>(standTerm_ - 1, 1);
+    if (o_.defect == Defect::fenceStays) standTerm_ = std::max<uint64_t>(standTerm_ - 1, 1);
     standAt_ = now + ballotTime(o_);
     votes_.clear();
     if (how == Stand::asking) {
@@ -68,7 +68,7 @@
         termToken_ = nextToken();
     }
     const Message m = ballot();
-    for (const NodeId& n : mem_.roll) sendAfter(termToken_, n, m);
+    for (const NodeId& n : mem_.voters) sendAfter(termToken_, n, m);
 }
 
 Message Core::ballot() const {
@@ -79,7 +79,7 @@
 
 // What is told of it waits for termToken_: then it is on disk to whom.
 void Core::promise(Instant now, const NodeId& to, uint64_t term) {
-    const bool stale = o_.twin == Twin::stalePromise && !mem_.promisedTo.empty();
+    const bool stale = o_.defect == Defect::stalePromise && !mem_.promisedTo.empty();
     if (mem_.promisedTo != to && !stale) {
         mem_.promisedTo = to;
         touch();
@@ -93,7 +93,7 @@
 void Core::sendBeats(Instant now) {
     beatAt_ = now + o_.beat;
     const uint64_t number = ++number_;
-    while (!beatsSent_.empty() && now - beatsSent_.begin()->second > o_.lapse) {
+    while (!beatsSent_.empty() && now - beatsSent_.begin()->second > o_.leaseTime) {
         beatsSent_.erase(beatsSent_.begin());
     }
     beatsSent_[number] = now;
@@ -114,8 +114,8 @@
 }
 
 bool Core::cutOff(Instant now) const {
-    if (mem_.roll.empty() || now - startedAt_ <= o_.absence) return false;
-    const auto heard = std::count_if(mem_.roll.begin(), mem_.roll.end(),
+    if (mem_.voters.empty() || now - startedAt_ <= o_.absence) return false;
+    const auto heard = std::count_if(mem_.voters.begin(), mem_.voters.end(),
                                      [&](const NodeId& n) { return n == o_.self || isHere(now, n); });
     return static_cast<size_t>(heard) < majority();
 }
@@ -124,7 +124,7 @@
 // sends none once its lease is over, so at the instant of our answer that it has it stood in contact with a
 // majority.
 void Core::noteEcho(Instant now, uint64_t echo) {
-    if (o_.twin == Twin::staysInContact) contactAt_ = now;
+    if (o_.defect == Defect::staysInContact) contactAt_ = now;
     const auto answered = beatsAnswered_.find(echo);
     if (answered == beatsAnswered_.end()) return;
     contactAt_ = std::max(contactAt_, answered->second);
@@ -133,13 +133,13 @@
 
 void Core::renewLease(Instant now) {
     std::vector<Instant> sent;
-    for (const NodeId& n : mem_.roll) {
+    for (const NodeId& n : mem_.voters) {
         const auto it = ackedAt_.find(n);
         if (it != ackedAt_.end()) sent.push_back(it->second);
     }
     if (sent.size() < majority()) return;
     std::sort(sent.rbegin(), sent.rend());
-    const Instant until = sent[majority() - 1] + o_.lapse;
+    const Instant until = sent[majority() - 1] + o_.leaseTime;
     if (until > now) duty_.validUntil = std::max(duty_.validUntil, until);
 }
 
@@ -155,7 +155,7 @@
             }
             if (!own && m.term >= duty_.term) {
                 if (duty_.held) standing_ = Stand::no;
-                setDuty(false, m.term, from, now + o_.lapse);
+                setDuty(false, m.term, from, now + o_.leaseTime);
             }
             if (!isMember()) return;
             if (m.term > mem_.term) {
@@ -173,7 +173,7 @@
             return sendAfter(termToken_, from, std::move(back));
         }
         case Kind::beatBack: {
-            if (!duty_.held || !inRoll(from)) return;
+            if (!duty_.held || !isVoter(from)) return;
             if (!m.yes) {
                 // Held on until it lapses, but under a higher number as soon as a majority agrees.
                 if (m.term > duty_.term && standing_ == Stand::no && isMember() && !released_)
@@ -203,7 +203,7 @@
             if (!isMember()) return;
             Message back = make(probe ? Kind::voteProbeBack : Kind::vote, m.number);
             const bool free = m.term > mem_.term || (m.term == mem_.term && mem_.votedFor == from) ||
-                              (m.term == mem_.term && o_.twin == Twin::fenceStays);
+                              (m.term == mem_.term && o_.defect == Defect::fenceStays);
             back.yes = free && wouldVote(now, from);
             if (back.yes && !probe) {
                 mem_.term = m.term;
@@ -218,7 +218,7 @@
         case Kind::voteProbeBack:
         case Kind::vote: {
             const Stand how = m.kind == Kind::vote ? Stand::asking : Stand::probing;
-            if (standing_ != how || m.number != standNumber_ || !m.yes || !inRoll(from)) return;
+            if (standing_ != how || m.number != standNumber_ || !m.yes || !isVoter(from)) return;
             if (now - standSince_ > ballotTime(o_) || released_) return;
             votes_.insert(from);
             if (votes_.size() < majority()) return;
@@ -228,7 +228,7 @@
             ackedAt_.clear();
             beatsSent_.clear();
             for (const NodeId& n : votes_) ackedAt_[n] = standSince_;
-            setDuty(true, standTerm_, o_.self, standSince_ + o_.lapse);
+            setDuty(true, standTerm_, o_.self, standSince_ + o_.leaseTime);
             return sendBeats(now);
         }
         default:
@@ -250,7 +250,7 @@
     standing_ = Stand::no;
     standAt_ = Instant::never();
     // The holder gives its own place away before it gives up the lease: another would first have to win it.
-    // It then gives it up as it learns of the new roll.
+    // It then gives it up as it learns of the new voters.
     if (duty_.held) replaceAbsent(now);
     if (duty_.held && !change_) giveUpLease();
     for (const auto& [node, peer] : peers_) sayHello(node, Kind::hello);  // that our place is free
--- a/system/consensus/losses_for_test.hpp
+++ b/system/consensus/losses_for_test.hpp
@@ -43,7 +43,7 @@
             std::count_if(until_.begin(), until_.end(), [this](int64_t end) { return end > world_.now_; }));
     }
     bool mayLose() const {
-        return !world_.rolls_.empty() && world_.now_ > allBackAt_ && lost() < world_.plan_.losses;
+        return !world_.voterSets_.empty() && world_.now_ > allBackAt_ && lost() < world_.plan_.losses;
     }
     // Of all machines; each counts as lost until it has caught up.
     void losePower() {
@@ -53,7 +53,7 @@
     void count(int64_t backAfter) {
         until_.push_back(world_.now_ + backAfter + World::millis(kCatchUpMillis));
     }
-    // A machine that is on the newest roll, or any that is there.
+    // A machine that is on the newest voters, or any that is there.
     size_t victim() {
         std::vector<size_t> there;
         for (size_t i = 0; i < world_.nodes_.size(); ++i) {
--- a/system/consensus/membership.cpp
+++ b/system/consensus/membership.cpp
@@ -1,39 +1,41 @@
-// Who counts towards a majority: the agreement on the first roll, and on each that follows it.
+// Who counts towards a majority: the agreement on the first voters, and on each that follows it.
 #include "system/consensus/core_parts.hpp"
 
 namespace petrelpond::consensus {
 
-// A roll is taken over from the one before it, as a lost disk is rebuilt: whoever learns of a new one takes
-// no part any more until a majority of the former roll, all of whom have heard of the new one too, has told
-// it all that it knows (toldEnough). Why nothing is lost: what was done under the former roll was done by a
-// majority M of it; the tellers Q are another, so some q is in both, and it answered M before it heard of the
-// new roll, thus before it told us. From then on no majority of the former roll answers under it, so nothing
-// more is done there. Epochs decide who is counted with whom; each is decided by ballots among the members of
-// the one before, hence there is one roll an epoch. Whose disk was lost can't know whether it took part
-// already, and takes over from the members of its own roll alone. Who comes may have an empty disk too; that
-// it is the very disk that was meant (its birth) shows that it never took part. It harms by a pause of some
-// round trips and one sync in which there is no majority, and by one lapse without a new duty.
-void Core::learnRoll(Instant now, uint64_t epoch, std::vector<NodeId> roll, std::vector<NodeId> former,
-                     std::vector<std::string> joined) {
-    if (roll.empty() || epoch <= mem_.epoch) return;
-    const bool tookPart = mem_.epoch + 1 == epoch && onRoll() && !mem_.recovering;
+// A set of voters is taken over from the one before it, as a lost disk is rebuilt: whoever learns of a new
+// one takes no part any more until a majority of the former voters, all of whom have heard of the new one
+// too, has told it all that it knows (toldEnough). Why nothing is lost: what was done under the former voters
+// was done by a majority M of it; the tellers Q are another, so some q is in both, and it answered M before
+// it heard of the new voters, thus before it told us. From then on no majority of the former voters answers
+// under it, so nothing more is done there. Epochs decide who is counted with whom; each is decided by ballots
+// among the members of the one before, hence there is one set of voters an epoch. Whose disk was lost can't
+// know whether it took part already, and takes over from the members of its own voters alone. Who comes may
+// have an empty disk too; that it is the very disk that was meant (its birth) shows that it never took part.
+// It harms by a pause of some round trips and one sync in which there is no majority, and by one leaseTime
+// without a new duty.
+void Core::learnVoters(Instant now, uint64_t epoch, std::vector<NodeId> voters, std::vector<NodeId> former,
+                       std::vector<std::string> joined) {
+    if (voters.empty() || epoch <= mem_.epoch) return;
+    const bool tookPart = mem_.epoch + 1 == epoch && selfIsVoter() && !mem_.recovering;
     sortUnique(joined);
     const bool meant = contains(joined, born(o_.self, mem_.birth));
     const bool whole = !mem_.recovering || mem_.entering > 0 || meant;
-    sortUnique(roll);
+    sortUnique(voters);
     sortUnique(former);
-    mem_.roll = std::move(roll);
+    mem_.voters = std::move(voters);
     mem_.former = std::move(former);
     mem_.joined = std::move(joined);
     mem_.epoch = epoch;
-    mem_.rollBallot = mem_.rollAccepted = 0;  // of the ballots on this roll; those on the next begin anew
-    mem_.rollOffer.clear();
-    // Of the first roll nobody has had a promise before, so a disk that was meant has none to rebuild.
+    mem_.votersBallot = mem_.votersAccepted =
+        0;  // of the ballots on these voters; those on the next begin anew
+    mem_.votersOffer.clear();
+    // Of the first voters nobody has had a promise before, so a disk that was meant has none to rebuild.
     if (epoch == 1 && meant) mem_.recovering = false, mem_.elects = true;
     if (epoch > 1) {
         mem_.entering = tookPart ? 2 : whole ? 1 : 0;
-        mem_.recovering = o_.twin != Twin::hastyEntry || !whole;
-        if (o_.twin == Twin::emptyEnters) mem_.entering = std::max<uint8_t>(mem_.entering, 1);
+        mem_.recovering = o_.defect != Defect::hastyEntry || !whole;
+        if (o_.defect == Defect::emptyEnters) mem_.entering = std::max<uint8_t>(mem_.entering, 1);
         if (meant) mem_.elects = true;
         recoverNumber_ = 0;
         if (mem_.entering > 0) recoverAt_ = now;  // a lost disk still has its wait
@@ -41,14 +43,14 @@
         ackedAt_.clear();
         beatsSent_.clear();
         // It could not be renewed: given up at once, so that others may stand.
-        if (duty_.held && (!onRoll() || released_)) giveUpLease();
+        if (duty_.held && (!selfIsVoter() || released_)) giveUpLease();
         if (standAt_ == Instant::never() && !duty_.held && duty_.holder.empty() && !released_)
-            standAt_ = now + o_.lapse;
-        for (auto& [number, op] : ops_) {  // what members of the former roll said counts no more
+            standAt_ = now + o_.leaseTime;
+        for (auto& [number, op] : ops_) {  // what members of the former voters said counts no more
             beginStep(op, Op::Step::asking, now);
         }
     }
-    for (const auto* all : {&mem_.roll, &mem_.former}) {
+    for (const auto* all : {&mem_.voters, &mem_.former}) {
         for (const NodeId& n : *all) {
             if (n != o_.self) peers_[n];
         }
@@ -60,17 +62,18 @@
     for (const auto& [node, peer] : peers_) sayHello(node, Kind::helloBack);
 }
 
-void Core::withRoll(Message& m) const {
-    m.roll = mem_.roll;
+void Core::withVoters(Message& m) const {
+    m.voters = mem_.voters;
     m.former = mem_.former;
     m.joined = mem_.joined;
 }
 
-// Whether what binds a member of a roll may be answered and counted: only between cores that are on the same
-// one. Whoever is behind is told of the newer roll, or asks for it. One that knows none yet is heard as
-// before.
+// Whether what binds a member of a set of voters may be answered and counted: only between cores that are on
+// the same one. Whoever is behind is told of the newer voters, or asks for it. One that knows none yet is
+// heard as before.
 bool Core::ofOurEpoch(const NodeId& from, const Message& m) {
-    if (m.epoch == mem_.epoch || m.epoch == 0 || mem_.epoch == 0 || o_.twin == Twin::mixedEpochs) return true;
+    if (m.epoch == mem_.epoch || m.epoch == 0 || mem_.epoch == 0 || o_.defect == Defect::mixedEpochs)
+        return true;
     switch (m.kind) {
         case Kind::hello:
         case Kind::helloBack:
@@ -87,9 +90,9 @@
 }
 
 void Core::propose(Instant now) {
-    if (!mem_.roll.empty()) return proposeChange(now);
+    if (!mem_.voters.empty()) return proposeChange(now);
     proposeAt_ = now + o_.beat * 0.5;
-    if (round_ != 0 && now - ballotSince_ <= o_.patience) return;
+    if (round_ != 0 && now - ballotSince_ <= o_.operationTimeout) return;
     round_ = 0;
     if (!isElector()) return;
     size_t heard = 1;
@@ -112,9 +115,10 @@
         if (p.said && p.counted) (p.recovering ? all : fit).push_back(born(node, p.birth));
     }
     all.insert(all.end(), fit.begin(), fit.end());
-    // Those who lost their disk belong on the roll too, unless they are so many that they could not recover.
-    // Nor can anybody recover on a roll of less than 2 losses + 1. Both may pass, and a roll is for ever: the
-    // few are proposed only after a long while. It harms where fewer cores were set up than that.
+    // Those who lost their disk belong among the voters too, unless they are so many that they could not
+    // recover. Nor can anybody recover on a set of voters of less than 2 losses + 1. Both may pass, and a set
+    // of voters is for ever: the few are proposed only after a long while. It harms where fewer cores were
+    // set up than that.
     const bool able = fit.size() >= all.size() / 2 + 1;
     // With fewer than three seeds there are no more cores than those.
     size_t needed = 2 * static_cast<size_t>(std::max(0, o_.machineLosses)) + 1;
@@ -137,7 +141,7 @@
     promises_.clear();
     acceptances_.clear();
     // Saved before it is told: against a restart that would use the same number for another offer.
-    mem_.rollBallot = round_;
+    mem_.votersBallot = round_;
     touch();
     Message m = make(Kind::prepare);
     m.ballot = round_;
@@ -155,7 +159,7 @@
         answerChange(ticket, Answer::noMajority);
     } else if (!why.empty()) {
         answerChange(ticket, Answer::refused, why);
-    } else if (wanted.roll == mem_.roll) {
+    } else if (wanted.voters == mem_.voters) {
         newOp(now, ticket, true, true, nullptr);  // it is in force; done once it answers
     } else {
         change_ = std::move(wanted);
@@ -167,19 +171,19 @@
 Core::Change Core::changeOf(Instant now, const std::vector<NodeId>& gone,
                             const std::vector<NodeId>& come) const {
     Change change{0, mem_.epoch, {}, {}, now};
-    for (const NodeId& n : mem_.roll) {
+    for (const NodeId& n : mem_.voters) {
         if (contains(gone, n)) continue;
-        change.roll.push_back(n);
+        change.voters.push_back(n);
         change.offer.push_back(n);
     }
     for (const NodeId& n : come) {
-        if (contains(change.roll, n)) continue;
+        if (contains(change.voters, n)) continue;
         const auto it = peers_.find(n);
         const uint64_t birth = n == o_.self ? mem_.birth : it == peers_.end() ? 0 : it->second.birth;
-        change.roll.push_back(n);
+        change.voters.push_back(n);
         change.offer.push_back(born(n, birth));
     }
-    sortUnique(change.roll);
+    sortUnique(change.voters);
     sortUnique(change.offer);
     return change;
 }
@@ -189,18 +193,18 @@
                           const std::vector<NodeId>& come) const {
     if (change_) return "another change is under way";
     const size_t least = 2 * static_cast<size_t>(std::max(0, o_.machineLosses)) + 1;
-    if (change.roll.size() < std::min(least, mem_.roll.size())) {
-        return "a roll of " + std::to_string(change.roll.size()) + " does not bear the loss of " +
+    if (change.voters.size() < std::min(least, mem_.voters.size())) {
+        return std::to_string(change.voters.size()) + " voters do not bear the loss of " +
                std::to_string(o_.machineLosses);
     }
     // Said again after an answer that was lost, it finds all done; else a wrong address would only add to the
-    // roll.
-    const bool there = std::all_of(come.begin(), come.end(), [&](const NodeId& n) { return inRoll(n); });
+    // voters.
+    const bool there = std::all_of(come.begin(), come.end(), [&](const NodeId& n) { return isVoter(n); });
     for (const NodeId& n : gone) {
-        if (!there && !inRoll(n)) return n + " is not on the roll";
+        if (!there && !isVoter(n)) return n + " is not among the voters";
     }
     for (const NodeId& n : come) {
-        if (inRoll(n) && !contains(gone, n)) continue;
+        if (isVoter(n) && !contains(gone, n)) continue;
         const auto it = peers_.find(n);
         const bool here = it != peers_.end() && it->second.said && it->second.counted &&
                           change.since - it->second.heardAt <= o_.beat * 120;
@@ -221,20 +225,20 @@
     proposeAt_ = now + o_.beat * 0.5;
     if (mem_.epoch > change_->epoch) {
         const uint64_t ticket = change_->ticket;
-        const bool ours = mem_.epoch == change_->epoch + 1 && mem_.roll == change_->roll;
+        const bool ours = mem_.epoch == change_->epoch + 1 && mem_.voters == change_->voters;
         change_.reset();
         proposeAt_ = Instant::never();
         if (!ours) return answerChange(ticket, Answer::refused, "another change was decided first");
-        // Decided; done once the new roll answers: till then the machine that leaves is still needed.
+        // Decided; done once the new voters answer: till then the machine that leaves is still needed.
         return newOp(now, ticket, ticket != 0, true, nullptr);
     }
-    if (now - change_->since > o_.patience * 4) {
+    if (now - change_->since > o_.operationTimeout * 4) {
         answerChange(change_->ticket, Answer::noMajority);
         change_.reset();
         if (duty_.held && released_) giveUpLease();
         return;
     }
-    if (!isAcceptor() || (round_ != 0 && now - ballotSince_ <= o_.patience)) return;
+    if (!isAcceptor() || (round_ != 0 && now - ballotSince_ <= o_.operationTimeout)) return;
     if (round_ != 0 && random(Span::millis(1000)) < Span::millis(500)) {
         return;  // against two that outbid each other
     }
@@ -242,31 +246,31 @@
     prepareBallot(now);
 }
 
-void Core::hearRoll(Instant now, const NodeId& from, const Message& m) {
+void Core::hearBallot(Instant now, const NodeId& from, const Message& m) {
     highestBallot_ = std::max(highestBallot_, m.ballot);
     if (m.kind == Kind::prepare || m.kind == Kind::accept) {
         Message back = make(m.kind == Kind::prepare ? Kind::promise : Kind::accepted, m.ballot);
-        withRoll(back);
+        withVoters(back);
         if (m.epoch < mem_.epoch) return send(from, std::move(back));  // decided
         if (!isAcceptor()) return;
-        const bool own = from == o_.self && m.ballot == mem_.rollBallot;
-        if (m.kind == Kind::prepare && (m.ballot > mem_.rollBallot || own)) {
-            mem_.rollBallot = m.ballot;
+        const bool own = from == o_.self && m.ballot == mem_.votersBallot;
+        if (m.kind == Kind::prepare && (m.ballot > mem_.votersBallot || own)) {
+            mem_.votersBallot = m.ballot;
             back.yes = true;
             touch();
-        } else if (m.kind == Kind::accept && m.ballot >= mem_.rollBallot && !m.nodes.empty()) {
-            mem_.rollBallot = mem_.rollAccepted = m.ballot;
-            mem_.rollOffer = m.nodes;
+        } else if (m.kind == Kind::accept && m.ballot >= mem_.votersBallot && !m.nodes.empty()) {
+            mem_.votersBallot = mem_.votersAccepted = m.ballot;
+            mem_.votersOffer = m.nodes;
             back.yes = true;
             touch();
         }
-        back.ballot = mem_.rollBallot;
-        back.accepted = mem_.rollAccepted;
-        back.nodes = mem_.rollOffer;
+        back.ballot = mem_.votersBallot;
+        back.accepted = mem_.votersAccepted;
+        back.nodes = mem_.votersOffer;
         return sendSynced(from, std::move(back));
     }
     // The ballot's time is bounded for the same reason as that of a write.
-    if (round_ == 0 || m.number != round_ || !m.yes || now - ballotSince_ > o_.patience) return;
+    if (round_ == 0 || m.number != round_ || !m.yes || now - ballotSince_ > o_.operationTimeout) return;
     if (!isAcceptor() || !contains(acceptors(), from)) return;
     const size_t needed = acceptors().size() / 2 + 1;
     if (m.kind == Kind::promise && !accepting_) {
@@ -287,12 +291,12 @@
     } else if (m.kind == Kind::accepted && accepting_) {
         acceptances_.insert(from);
         if (acceptances_.size() < needed) return;
-        std::vector<NodeId> roll, joined;
+        std::vector<NodeId> voters, joined;
         for (const NodeId& n : offer_) {
-            roll.push_back(n.substr(0, n.find('#')));
-            if (roll.back() != n) joined.push_back(n);
+            voters.push_back(n.substr(0, n.find('#')));
+            if (voters.back() != n) joined.push_back(n);
         }
-        learnRoll(now, mem_.epoch + 1, std::move(roll), mem_.roll, std::move(joined));
+        learnVoters(now, mem_.epoch + 1, std::move(voters), mem_.voters, std::move(joined));
     }
 }
 
--- a/system/consensus/message.cpp
+++ b/system/consensus/message.cpp
@@ -36,7 +36,7 @@
     p.pack(m.term);
     p.pack(m.ballot);
     p.pack(m.accepted);
-    p.pack(m.roll);
+    p.pack(m.voters);
     p.pack(m.nodes);
     p.pack(m.electors);
     p.pack(m.epoch);
@@ -84,7 +84,7 @@
         next(m.sure.version), next(m.sure.digest), next(m.version);
         if (m.sure.version > 0) m.sure.ballot = kChosen;
         next(m.term), next(m.ballot), next(m.accepted);
-        next(m.roll), next(m.nodes), next(m.electors);
+        next(m.voters), next(m.nodes), next(m.electors);
         next(m.epoch), next(m.entering), next(m.former), next(m.joined), next(m.birth), next(m.claims),
             next(m.saves), next(m.knownSaves);
         bool withValue = false;
--- a/system/consensus/recovery.cpp
+++ b/system/consensus/recovery.cpp
@@ -1,4 +1,4 @@
-// How a member whose disk was lost, or that is new on a roll, learns all that it may have promised.
+// How a member whose disk was lost, or that is new on a set of voters, learns all that it may have promised.
 #include "system/consensus/core_parts.hpp"
 
 namespace petrelpond::consensus {
@@ -9,30 +9,30 @@
         return;
     }
     recoverAt_ = now + o_.beat * 2;
-    if (recoverNumber_ == 0 || recoverByRoll_ != !mem_.roll.empty()) {
-        recoverByRoll_ = !mem_.roll.empty();
+    if (recoverNumber_ == 0 || recoverByVoters_ != !mem_.voters.empty()) {
+        recoverByVoters_ = !mem_.voters.empty();
         recoverNumber_ = ++number_;
         told_.clear();
     }
-    if (recoverByRoll_ || inElectors(o_.self)) {
-        std::vector<NodeId> asked = recoverByRoll_ ? mem_.roll : mem_.electors;
+    if (recoverByVoters_ || inElectors(o_.self)) {
+        std::vector<NodeId> asked = recoverByVoters_ ? mem_.voters : mem_.electors;
         if (mem_.entering > 0) asked.insert(asked.end(), mem_.former.begin(), mem_.former.end());
         sortUnique(asked);
         Message ask = make(Kind::recoverAsk, recoverNumber_);
-        withRoll(ask);
+        withVoters(ask);
         for (const NodeId& n : asked) {
             if (n != o_.self) sendSynced(n, ask);
         }
     }
 }
 
-// No roll anywhere, and not even anybody who knows the electors: all lost power in the first instant, before
-// their first sync. As no more than machineLosses disks are lost, the other seeds never promised a thing. If
-// those are a majority of the seeds, no roll was ever decided, and we begin anew. We wait for 3 s after it
-// was seen, so that all seeds see it before the first of them begins. It harms only if more disks are lost
-// than may be; with two losses and three seeds it can't be known, and nobody begins anew.
+// No voters anywhere, and not even anybody who knows the electors: all lost power in the first instant,
+// before their first sync. As no more than machineLosses disks are lost, the other seeds never promised a
+// thing. If those are a majority of the seeds, no voters were ever decided, and we begin anew. We wait for 3
+// s after it was seen, so that all seeds see it before the first of them begins. It harms only if more disks
+// are lost than may be; with two losses and three seeds it can't be known, and nobody begins anew.
 void Core::beginAnew(Instant now) {
-    if (!mem_.recovering || mem_.elects || !mem_.roll.empty() || !contains(o_.seeds, o_.self)) return;
+    if (!mem_.recovering || mem_.elects || !mem_.voters.empty() || !contains(o_.seeds, o_.self)) return;
     const auto losses = static_cast<size_t>(std::max(0, o_.machineLosses));
     if (o_.seeds.size() < losses + o_.seeds.size() / 2 + 1) return;
     if (mem_.electors.empty() && bareAt_ == Instant::never()) {
@@ -53,13 +53,13 @@
     touch();
 }
 
-// A majority of our roll that takes part, ourselves left out. With a whole disk after a change also: anyone
-// who takes part already, as it has taken over all of the former roll; or a majority of the former roll,
+// A majority of our voters that takes part, ourselves left out. With a whole disk after a change also: anyone
+// who takes part already, as it has taken over all of the former voters; or a majority of the former voters,
 // ourselves included, each of which took part in it.
 bool Core::toldEnough() const {
     size_t ours = 0, formers = mem_.entering == 2, entered = 0;
     for (const auto& [node, t] : told_) {
-        ours += !t.recovering && inRoll(node);
+        ours += !t.recovering && isVoter(node);
         entered += !t.recovering;
         formers += t.entering == 2 && contains(mem_.former, node);
     }
@@ -71,10 +71,10 @@
     if (m.kind == Kind::recoverAsk) {
         Message tell = make(Kind::recoverTell, m.number);
         tell.yes = mem_.elects;
-        tell.ballot = mem_.rollBallot;
-        tell.accepted = mem_.rollAccepted;
-        tell.nodes = mem_.rollOffer;
-        withRoll(tell);
+        tell.ballot = mem_.votersBallot;
+        tell.accepted = mem_.votersAccepted;
+        tell.nodes = mem_.votersOffer;
+        withVoters(tell);
         tell.electors = mem_.electors;
         tell.value = value_;
         tell.claims = mem_.claims;
@@ -85,8 +85,8 @@
     }
     if (m.number != recoverNumber_ || (!mem_.recovering && mem_.elects)) return;
     adopt(m.value);
-    const bool before = recoverByRoll_;
-    if (before != !mem_.roll.empty()) {  // the roll has just been learned: ask its members instead
+    const bool before = recoverByVoters_;
+    if (before != !mem_.voters.empty()) {  // the voters have just been learned: ask its members instead
         recoverAt_ = std::min(recoverAt_, now);
         return;
     }
@@ -95,19 +95,19 @@
     told_[from].value = nullptr;
     if (before ? !toldEnough() : told_.size() < mem_.electors.size() / 2 + 1) return;
     for (const auto& [node, t] : told_) {
-        mem_.rollBallot = std::max(mem_.rollBallot, t.ballot);
-        if (t.accepted > mem_.rollAccepted) {
-            mem_.rollAccepted = t.accepted;
-            mem_.rollOffer = t.nodes;
+        mem_.votersBallot = std::max(mem_.votersBallot, t.ballot);
+        if (t.accepted > mem_.votersAccepted) {
+            mem_.votersAccepted = t.accepted;
+            mem_.votersOffer = t.nodes;
         }
         highestTerm_ = std::max(highestTerm_, t.term);
         for (const auto& [version, ballot] : t.claims)
             mem_.claims[version] = std::max(claimOf(version), ballot);
     }
-    highestBallot_ = std::max(highestBallot_, mem_.rollBallot);
+    highestBallot_ = std::max(highestBallot_, mem_.votersBallot);
     mem_.elects = true;
     if (before) {
-        // What is not known here any more, or was promised on the former roll, may be another's by now.
+        // What is not known here any more, or was promised on the former voters, may be another's by now.
         promisedTo_.clear();
         mem_.promisedTo.clear();
         mem_.term = std::max(mem_.term, highestTerm_);
@@ -115,9 +115,9 @@
         mem_.recovering = false;
         mem_.entering = 0;
         ageChecked_ = true;
-        // Against a lease that the former roll gave: a teller may have answered its holder just before.
+        // Against a lease that the former voters gave: a teller may have answered its holder just before.
         if (mem_.epoch > 1) promisedUntil_ = std::max(promisedUntil_, now + promised());
-        if (!duty_.held) standAt_ = std::max(now, promisedUntil_) + random(o_.lapse * 0.5);
+        if (!duty_.held) standAt_ = std::max(now, promisedUntil_) + random(o_.leaseTime * 0.5);
         for (auto& [number, op] : ops_) op.resendAt = Instant::longAgo();
     }
     touch();
--- a/system/consensus/register.cpp
+++ b/system/consensus/register.cpp
@@ -124,7 +124,7 @@
     Message back = make(Kind::held, m.number);
     const Value& put = *m.value;
     const bool overtaken = value_ && value_->version > put.version;
-    const bool promisedElse = claimOf(put.version) > put.ballot && o_.twin != Twin::ignoresClaims;
+    const bool promisedElse = claimOf(put.version) > put.ballot && o_.defect != Defect::ignoresClaims;
     if (!overtaken && !promisedElse && !decided(put.version)) {
         mem_.claims[put.version] = put.ballot;
         value_ = m.value;
@@ -147,7 +147,7 @@
 // What is chosen, and what is accepted here where that is another: either may be what is asked for.
 void Core::hearFetch(const NodeId& to, const Message& m) {
     Message back = make(Kind::value);
-    withRoll(back);
+    withVoters(back);
     if (sure_ && m.sure.version < sureMark_.version) {
         back.value = sure_;
         send(to, back);
@@ -229,11 +229,11 @@
 bool Core::step(Instant now, uint64_t number, Op& op) {
     // Checked before anything is counted: an answer of a disk that was lost meanwhile must not count, see
     // recoverWait. It catches our own freezes too.
-    if (now - op.since > o_.patience) {
+    if (now - op.since > o_.operationTimeout) {
         if (op.wanted) out_.push_back(Answer{op.ticket, Answer::noMajority, nullptr, {}});
         return true;
     }
-    if (mem_.roll.empty() || now < op.pausedUntil) return false;
+    if (mem_.voters.empty() || now < op.pausedUntil) return false;
     // Chosen meanwhile, by whomever: what remains is to hear so from a majority.
     if (op.step != Op::Step::asking && decided(op.text->version)) beginStep(op, Op::Step::asking, now);
     if (op.step == Op::Step::asking && stepAsking(now, op)) return true;
@@ -291,7 +291,7 @@
                         static_cast<size_t>(agreeing) >= majority();
     const std::shared_ptr<const Value> text = bodyOf(now, op, highest);
     if (!text) return false;
-    if (chosen || o_.twin == Twin::noWriteBack) {
+    if (chosen || o_.defect == Defect::noWriteBack) {
         const bool news = highest.version > sureMark_.version;
         if (chosen) sure(text);
         if (chosen && news) toPeers(make(Kind::committed));
@@ -326,7 +326,7 @@
     }
     if (op.yes.size() < majority()) return;
     std::shared_ptr<const Value> text = op.text;
-    if (op.accepted.version > 0 && o_.twin != Twin::putsItsOwn) {
+    if (op.accepted.version > 0 && o_.defect != Defect::putsItsOwn) {
         text = bodyOf(now, op, op.accepted);
         if (!text) return;
     }
@@ -342,7 +342,7 @@
 // counts in no majority.
 void Core::hearRegister(Instant now, const NodeId& from, const Message& m) {
     const auto it = ops_.find(m.number);
-    if (it == ops_.end() || !inRoll(from)) return;
+    if (it == ops_.end() || !isVoter(from)) return;
     Op& op = it->second;
     highestClaim_ = std::max(highestClaim_, m.ballot >> 32);
     if (op.step == Op::Step::asking) {
@@ -381,13 +381,13 @@
                       : op.step == Op::Step::claiming ? Kind::claim
                                                       : Kind::put;
     Message m = make(kind, number);
-    withRoll(m);
+    withVoters(m);
     if (kind != Kind::get) {
         m.version = op.text->version;
         m.ballot = op.ballot;
     }
     if (kind == Kind::put) m.value = op.text;
-    for (const NodeId& n : mem_.roll) {
+    for (const NodeId& n : mem_.voters) {
         const bool answered = kind == Kind::get ? op.marks.count(n) > 0 : op.yes.count(n) > 0;
         if (!answered) send(n, m);
     }
--- a/system/consensus/replacement.cpp
+++ b/system/consensus/replacement.cpp
@@ -1,22 +1,22 @@
 // Replacement of members that are gone, without an operator.
 //
-// The roll keeps its size. A core whose disk may count and that is not on the roll is a standby: it learns
-// the roll and the value like everybody, holds both on its disk, and is counted nowhere. The holder of the
-// lease gives it the place of a member that has not been heard for Options::absence, or that says that it
-// leaves. A member that was only cut off or paused comes back as a standby that holds its data; the next
+// The number of voters stays as it is. A core whose disk may count and that is no voter is a standby: it
+// learns the voters and the value like everybody, holds both on its disk, and is counted nowhere. The holder
+// of the lease gives it the place of a voter that has not been heard for Options::absence, or that says that
+// it leaves. A voter that was only cut off or paused comes back as a standby that holds its data; the next
 // place that falls free may be its own. So a wrong suspicion costs one change and no copy. Why not grow first
-// and shrink later: a roll of four bears one loss like one of three, but needs three to rebuild a lost disk;
-// between the two changes a second loss would find too few. Without a standby nothing changes, however long a
-// member is silent: a smaller roll bears fewer losses.
+// and shrink later: four voters bear one loss as three do, but three of them are needed to rebuild a lost
+// disk; between the two changes a second loss would find too few. Without a standby nothing changes, however
+// long a voter is silent: fewer voters bear fewer losses.
 //
-// Only the holder begins: it alone has heard a majority within the last lapse, and one proposer needs no
-// second ballot. The decision itself is made by a majority of the present members, whoever began it.
+// Only the holder begins: it alone has heard a majority within the last lease time, and one proposer needs no
+// second ballot. The decision itself is made by a majority of the present voters, whoever began it.
 #include "system/consensus/core_parts.hpp"
 
 namespace petrelpond::consensus {
 namespace {
 
-// A core that is on no roll is forgotten after so long a silence; each replaced machine would be tried for
+// A core that is no voter is forgotten after so long a silence; each replaced machine would be tried for
 // ever.
 const Span kForgetAfter = Span::seconds(120);
 
@@ -63,7 +63,7 @@
 std::vector<NodeId> Core::standbys(Instant now) const {
     std::vector<NodeId> fit;
     for (const auto& [node, peer] : peers_) {
-        if (inRoll(node) || !peer.said || !peer.counted || peer.leaving || peer.diskBroken) continue;
+        if (isVoter(node) || !peer.said || !peer.counted || peer.leaving || peer.diskBroken) continue;
         // With a value on its disk it lacks little of what the others hold, and has that in one message. Not
         // the newest is asked for: while changes follow one another what it said last is always older.
         const bool holds = peer.disk.version > 0 || sureMark_.version == 0;
@@ -73,9 +73,9 @@
 }
 
 void Core::replaceAbsent(Instant now) {
-    if (change_ || !isMember() || o_.twin == Twin::neverReplaces) return;
+    if (change_ || !isMember() || o_.defect == Defect::neverReplaces) return;
     const NodeId* gone = nullptr;
-    for (const NodeId& voter : mem_.roll) {
+    for (const NodeId& voter : mem_.voters) {
         const bool absent = isAbsent(now, voter);
         // Against a second change before the first is taken over: until then a member that is here may still
         // be needed to tell the others. Harm: waits for a member that does not get on.
@@ -92,20 +92,20 @@
 void Core::forgetSilentPeers(Instant now) {
     std::erase_if(peers_, [&](const auto& entry) {
         const auto& [node, peer] = entry;
-        if (inRoll(node) || contains(o_.seeds, node)) return false;
+        if (isVoter(node) || contains(o_.seeds, node)) return false;
         return now - std::max(peer.heardAt, peer.knownSince) > kForgetAfter;
     });
 }
 
 bool Core::mayLeave(Instant now) const {
-    if (mem_.roll.empty() || diskBroken_ || o_.twin == Twin::leavesAtOnce) return true;
-    if (!onRoll()) {  // replaced: we may be needed to tell what we know until a majority has taken over
-        const auto done = std::count_if(mem_.roll.begin(), mem_.roll.end(),
+    if (mem_.voters.empty() || diskBroken_ || o_.defect == Defect::leavesAtOnce) return true;
+    if (!selfIsVoter()) {  // replaced: we may be needed to tell what we know until a majority has taken over
+        const auto done = std::count_if(mem_.voters.begin(), mem_.voters.end(),
                                         [this](const NodeId& n) { return hasTakenOver(n); });
         return static_cast<size_t>(done) >= majority();
     }
     if (!standbys(now).empty()) return false;
-    return std::all_of(mem_.roll.begin(), mem_.roll.end(), [&](const NodeId& n) {
+    return std::all_of(mem_.voters.begin(), mem_.voters.end(), [&](const NodeId& n) {
         return n == o_.self || !isHere(now, n) || reaches(peers_.at(n).disk, sureAtRelease_);
     });
 }
--- a/system/consensus/replacement_test.cpp
+++ b/system/consensus/replacement_test.cpp
@@ -17,10 +17,10 @@
     return said ? static_cast<uint32_t>(std::atoi(said)) : otherwise;
 }
 
-sim::Plan planOf(uint32_t seed, Twin twin) {
+sim::Plan planOf(uint32_t seed, Defect defect) {
     static const std::pair<int, int> shapes[] = {{3, 1}, {5, 1}, {5, 2}, {9, 2}, {3, 1}};
     const auto [cores, losses] = shapes[seed % 5];
-    sim::Plan plan{seed, cores, losses, twin, false, 60, true, 8};
+    sim::Plan plan{seed, cores, losses, defect, false, 60, true, 8};
     plan.spans = plan.clocks = true;
     return plan;
 }
@@ -30,8 +30,8 @@
     int replaced = 0, disksLost = 0, changes = 0;
 };
 
-Outcome play(uint32_t seed, Twin twin) {
-    World world(planOf(seed, twin));
+Outcome play(uint32_t seed, Defect defect) {
+    World world(planOf(seed, defect));
     sim::Losses losses(world);
     Outcome outcome;
     outcome.broken = world.run();
@@ -45,28 +45,28 @@
     const uint32_t begin = asked("CONSENSUS_FIRST", 1), count = asked("CONSENSUS_SCHEDULES", 100);
     Outcome all;
     for (uint32_t seed = begin; seed < begin + count; ++seed) {
-        const Outcome one = play(seed, Twin::none);
+        const Outcome one = play(seed, Defect::none);
         EXPECT_EQ(one.broken, "") << "seed " << seed;
         all.replaced += one.replaced, all.disksLost += one.disksLost, all.changes += one.changes;
     }
     std::cout << count << " schedules: " << all.replaced << " replaced, " << all.disksLost << " disks lost, "
-              << all.changes << " changes of the roll\n";
+              << all.changes << " changes of the voters\n";
     EXPECT_GT(all.replaced, static_cast<int>(count));
     EXPECT_GT(all.disksLost, static_cast<int>(count));
     EXPECT_GT(all.changes, static_cast<int>(count));
 }
 
-int schedulesUntilCaught(Twin twin, uint32_t most) {
+int schedulesUntilCaught(Defect defect, uint32_t most) {
     for (uint32_t seed = 1; seed <= most; ++seed) {
-        if (!play(seed, twin).broken.empty()) return static_cast<int>(seed);
+        if (!play(seed, defect).broken.empty()) return static_cast<int>(seed);
     }
     return -1;
 }
 TEST(Replacement, AHolderThatNeverReplacesIsCaught) {
-    EXPECT_GT(schedulesUntilCaught(Twin::neverReplaces, 100), 0);
+    EXPECT_GT(schedulesUntilCaught(Defect::neverReplaces, 100), 0);
 }
 sim::Plan calm(int cores, int losses, int spares) {
-    sim::Plan plan{7, cores, losses, Twin::none, false, 30, true, spares};
+    sim::Plan plan{7, cores, losses, Defect::none, false, 30, true, spares};
     plan.spans = true;
     return plan;
 }
@@ -88,9 +88,9 @@
             });
             w.at(World::millis(500 + 4000), [&w, old] {
                 ASSERT_TRUE(w.nodes_[3].core);
-                const auto& roll = w.nodes_[3].core->roll();
-                EXPECT_TRUE(World::contains(roll, w.nodes_[3].id));
-                EXPECT_FALSE(World::contains(roll, w.nodes_[old].id));
+                const auto& voters = w.nodes_[3].core->voters();
+                EXPECT_TRUE(World::contains(voters, w.nodes_[3].id));
+                EXPECT_FALSE(World::contains(voters, w.nodes_[old].id));
                 EXPECT_FALSE(w.nodes_[3].core->recovering());
             });
         });
@@ -114,8 +114,8 @@
         }
     });
     w.at(World::millis(30000), [&] {
-        EXPECT_TRUE(World::contains(w.rolls_.rbegin()->second, w.nodes_[3].id));
-        EXPECT_FALSE(World::contains(w.rolls_.rbegin()->second, w.nodes_[cutOff].id));
+        EXPECT_TRUE(World::contains(w.voterSets_.rbegin()->second, w.nodes_[3].id));
+        EXPECT_FALSE(World::contains(w.voterSets_.rbegin()->second, w.nodes_[cutOff].id));
         w.cut_.clear();
     });
     w.at(World::millis(33000), [&] {
@@ -123,23 +123,23 @@
         w.kill(3);
     });
     w.at(World::millis(36000),
-         [&] { EXPECT_TRUE(World::contains(w.rolls_.rbegin()->second, w.nodes_[cutOff].id)); });
+         [&] { EXPECT_TRUE(World::contains(w.voterSets_.rbegin()->second, w.nodes_[cutOff].id)); });
     EXPECT_EQ(w.run(), "");
 }
 
-// Without anybody to take the place the roll stays as it is, however long a member is silent.
+// Without anybody to take the place the voters stay as they are, however long a member is silent.
 TEST(Replacement, NoMemberIsDroppedWithoutASuccessor) {
     World w(calm(5, 1, 0));
     w.at(World::millis(10000), [&] { w.kill(4); });
-    w.at(World::millis(29000), [&] { EXPECT_EQ(w.rolls_.size(), 1u); });
+    w.at(World::millis(29000), [&] { EXPECT_EQ(w.voterSets_.size(), 1u); });
     EXPECT_EQ(w.run(), "");
 }
 
 // A member that leaves in order with a standby there goes on counting until its place is taken over; the next
 // loss may come in the instant after. One that ends at once leaves too few for it.
-std::string leaveThenLose(Twin twin) {
+std::string leaveThenLose(Defect defect) {
     sim::Plan plan = calm(3, 1, 1);
-    plan.twin = twin;
+    plan.defect = defect;
     World w(plan);
     w.losses_ = [&w] {
         w.loss_ = 0;
@@ -165,8 +165,8 @@
     });
     return w.run();
 }
-TEST(Replacement, AMemberThatLeavesHandsItsPlaceOverFirst) { EXPECT_EQ(leaveThenLose(Twin::none), ""); }
-TEST(Replacement, AMemberThatLeavesAtOnceIsCaught) { EXPECT_NE(leaveThenLose(Twin::leavesAtOnce), ""); }
+TEST(Replacement, AMemberThatLeavesHandsItsPlaceOverFirst) { EXPECT_EQ(leaveThenLose(Defect::none), ""); }
+TEST(Replacement, AMemberThatLeavesAtOnceIsCaught) { EXPECT_NE(leaveThenLose(Defect::leavesAtOnce), ""); }
 
 }  // namespace
 }  // namespace petrelpond::consensus
--- a/system/consensus/sim_for_test.hpp
+++ b/system/consensus/sim_for_test.hpp
@@ -21,15 +21,16 @@
     uint32_t seed = 1;
     int cores = 3;
     int losses = 1;
-    Twin twin = Twin::none;
+    Defect defect = Defect::none;
     bool faults = true;
     double seconds = 25;  // of faults; then all heals and must work
     bool clients = true;
-    int spares = 0;          // cores that start later, and may come onto the roll
-    bool bareSeeds = false;  // two seeds may lose their disks before there is a roll: no work asked for then
-    bool cornered = false;   // all but the holder start anew, while nobody hears it
-    bool spans = false;      // the spans of the program in service, instead of the longer default ones
-    bool clocks = false;     // differing clocks, without faults of World's own
+    int spares = 0;  // cores that start later, and may come onto the voters
+    bool bareSeeds =
+        false;  // two seeds may lose their disks before there is a set of voters: no work asked for then
+    bool cornered = false;  // all but the holder start anew, while nobody hears it
+    bool spans = false;     // the spans of the program in service, instead of the longer default ones
+    bool clocks = false;    // differing clocks, without faults of World's own
 };
 
 class World {
@@ -51,7 +52,7 @@
         for (size_t i = first; i < nodes_.size() && !losses_; ++i)
             at(millis(6000 + below(3000)), [this, i] { start(i, false); });
         if (losses_) losses_();
-        if (plan_.spares > 0 && plan_.faults) at(millis(7000 + below(3000)), [this] { reroll(); });
+        if (plan_.spares > 0 && plan_.faults) at(millis(7000 + below(3000)), [this] { changeVoters(); });
         if (plan_.clients) at(1, [this] { client(); });
         if (plan_.faults) at(millis(500 + below(4000)), [this] { trouble(); });
         if (plan_.bareSeeds) {
@@ -87,7 +88,7 @@
         uint64_t epoch = 0;
         for (const Node& n : nodes_) epoch = std::max(epoch, n.core ? n.core->epoch() : 0);
         for (const Node& n : nodes_) {
-            if (n.core && n.core->epoch() != epoch) return "cores on two rolls after all has healed";
+            if (n.core && n.core->epoch() != epoch) return "cores on two voterSets after all has healed";
         }
         for (const Node& n : nodes_) {
             if (n.core && acked_.version > 0 && (!n.core->held() || n.core->held()->version < acked_.version))
@@ -119,8 +120,8 @@
         return -1;
     }
 
-    std::vector<NodeId> firstRoll() const {
-        return rolls_.empty() ? std::vector<NodeId>{} : rolls_.begin()->second;
+    std::vector<NodeId> firstVoters() const {
+        return voterSets_.empty() ? std::vector<NodeId>{} : voterSets_.begin()->second;
     }
 
     // The parts, for tests with a script of their own.
@@ -192,8 +193,8 @@
         o.bootstrap = first;
         o.machineLosses = plan_.losses;
         o.chance = random_();
-        o.twin = plan_.twin;
-        if (plan_.spans) o.beat = Span::millis(150), o.lapse = Span::millis(700);
+        o.defect = plan_.defect;
+        if (plan_.spans) o.beat = Span::millis(150), o.leaseTime = Span::millis(700);
         ++n.life;
         n.frozenUntil = 0;
         n.wakeSet = -1;
@@ -228,7 +229,7 @@
             if (auto* d = std::get_if<Duty>(&*o)) judgeDuty(i, *d);
         }
         judgeHolders();
-        judgeRoll(i);
+        judgeVoters(i);
         if (n.wiped && !n.core->recovering() && n.disk && !n.disk->recovering) n.wiped = false;
         const Instant wanted = n.core->wakeAt();
         const bool near = wanted - clock(i) < Span::seconds(3600);
@@ -386,29 +387,29 @@
         }
         if (valid > 1) fail("two hold the duty at once");
     }
-    void judgeRoll(size_t i) {
-        const auto& roll = nodes_[i].core->roll();
-        if (roll.empty()) return;
+    void judgeVoters(size_t i) {
+        const auto& voters = nodes_[i].core->voters();
+        if (voters.empty()) return;
         const uint64_t epoch = nodes_[i].core->epoch();
-        const auto& one = rolls_.emplace(epoch, roll).first->second;
-        if (roll != one) fail("two rolls in one epoch");
+        const auto& one = voterSets_.emplace(epoch, voters).first->second;
+        if (voters != one) fail("two voterSets in one epoch");
         if (epoch > lastEpoch_ && std::getenv("CONSENSUS_TRACE")) {
             std::printf("%8.3f epoch %lu:", static_cast<double>(now_) / 1e6, epoch);
-            for (const NodeId& n : roll) std::printf(" %s", n.c_str());
+            for (const NodeId& n : voters) std::printf(" %s", n.c_str());
             std::printf("\n");
         }
         lastEpoch_ = std::max(lastEpoch_, epoch);
     }
-    // One core leaves the roll, more often one that is away, and another comes; now and then two or none.
-    void reroll() {
+    // One core leaves the voters, more often one that is away, and another comes; now and then two or none.
+    void changeVoters() {
         if (healed_) return;
         const size_t i = static_cast<size_t>(below(static_cast<int64_t>(nodes_.size())));
         Node& n = nodes_[i];
-        if (n.core && now_ >= n.frozenUntil && !n.core->roll().empty()) {
+        if (n.core && now_ >= n.frozenUntil && !n.core->voters().empty()) {
             std::vector<NodeId> in, out, away;
             for (const Node& each : nodes_) {
-                const auto& roll = n.core->roll();
-                const bool on = contains(roll, each.id);
+                const auto& voters = n.core->voters();
+                const bool on = contains(voters, each.id);
                 (on ? in : out).push_back(each.id);
                 if (on && !each.core) away.push_back(each.id);
             }
@@ -423,7 +424,7 @@
             n.core->change(clock(i), ticket_, gone, come);
             drain(i);
         }
-        at(millis(200 + below(2500)), [this] { reroll(); });
+        at(millis(200 + below(2500)), [this] { changeVoters(); });
     }
 
     static bool contains(const std::vector<NodeId>& all, const NodeId& n) {
@@ -493,19 +494,22 @@
         int away = 0;
         for (const Node& n : nodes_) away += n.wiped;
         if (away >= plan_.losses || nodes_[i].wiped) return;
-        // A member that has not taken the newest roll over yet is away like one that is down: it would be one
-        // more.
+        // A member that has not taken the newest voters over yet is away like one that is down: it would be
+        // one more.
         for (const Node& n : nodes_) {
-            const bool on = plan_.spares > 0 && !rolls_.empty() && contains(rolls_.rbegin()->second, n.id);
+            const bool on =
+                plan_.spares > 0 && !voterSets_.empty() && contains(voterSets_.rbegin()->second, n.id);
             if (on && (!n.core || n.core->recovering() || n.core->epoch() != lastEpoch_)) ++away;
         }
         if (away >= plan_.losses) return;
-        // A roll that was agreed on late, with too few on it, bears fewer.
-        if (!rolls_.empty() && rolls_.rbegin()->second.size() < 2 * static_cast<size_t>(plan_.losses) + 1)
+        // A set of voters that was agreed on late, with too few on it, bears fewer.
+        if (!voterSets_.empty() &&
+            voterSets_.rbegin()->second.size() < 2 * static_cast<size_t>(plan_.losses) + 1)
             return;
-        // Two of three electors lost before there is a roll: that is not survived, see Core::beginAnew.
-        if (rolls_.empty() && plan_.losses > 1 && !plan_.bareSeeds) return;
-        if (rolls_.empty() && i < 3) seedsLost_.insert(i);
+        // Two of three electors lost before there is a set of voters: that is not survived, see
+        // Core::beginAnew.
+        if (voterSets_.empty() && plan_.losses > 1 && !plan_.bareSeeds) return;
+        if (voterSets_.empty() && i < 3) seedsLost_.insert(i);
         if (chance(0.3)) powerLoss();
         kill(i);
         nodes_[i].disk.reset();
@@ -548,10 +552,10 @@
     uint64_t lastTerm_ = 0;
     std::function<void()> losses_;        // begins a schedule of losses from outside; see losses_for_test.hpp
     std::function<void()> acknowledged_;  // a write or a read has just been done
-    std::map<uint64_t, std::vector<NodeId>> rolls_;
+    std::map<uint64_t, std::vector<NodeId>> voterSets_;
     uint64_t lastEpoch_ = 1;
     std::set<uint64_t> changing_;
-    std::set<size_t> seedsLost_;  // before there was a roll
+    std::set<size_t> seedsLost_;  // before there was a set of voters
     long sends_ = 0;
     int doneWrites_ = 0, doneReads_ = 0, calmWrites_ = 0, calmReads_ = 0, wipes_ = 0;
 };
--- a/system/control_plane/control.cpp
+++ b/system/control_plane/control.cpp
@@ -42,11 +42,11 @@
 constexpr const char* kJson = "Content-Type: application/json\r\n";
 
 // {"gone":["10.0.0.4"],"come":["10.0.0.9"]}: ips, either may be left out.
-std::optional<ChangeRoll> readRollChange(uint64_t visit, const std::string& body) {
+std::optional<ChangeVoters> readVotersChange(uint64_t visit, const std::string& body) {
     rapidjson::Document d;
     d.Parse<rapidjson::kParseIterativeFlag>(body.c_str(), body.size());
     if (d.HasParseError() || !d.IsObject() || d.MemberCount() == 0) return {};
-    ChangeRoll out{visit, {}, {}};
+    ChangeVoters out{visit, {}, {}};
     for (const auto& m : d.GetObject()) {
         const std::string name(m.name.GetString(), m.name.GetStringLength());
         auto* ips = name == "gone" ? &out.gone : name == "come" ? &out.come : nullptr;
@@ -64,19 +64,19 @@
 Command decode(uint64_t visit, HttpRequest&& request) {
     std::string_view path = request.target().substr(0, request.target().find('?'));
     if (path == "/status" && request.method() == "GET") return GetStatus{visit};
-    if (path == "/roll" && request.method() == "POST") {
-        if (auto change = readRollChange(visit, request.body)) return *change;
+    if (path == "/voters" && request.method() == "POST") {
+        if (auto change = readVotersChange(visit, request.body)) return *change;
         return Unknown{visit, 400};
     }
-    if (path != "/configuration") return Unknown{visit, path == "/status" || path == "/roll" ? 405 : 404};
+    if (path != "/configuration") return Unknown{visit, path == "/status" || path == "/voters" ? 405 : 404};
     if (request.method() == "PUT") return PutConfiguration{visit, std::move(request.body)};
     if (request.method() == "GET") return GetConfiguration{visit};
     return Unknown{visit, 405};
 }
 
 Control::Control(network::Loop& loop, const configuration::Settings& settings, uint32_t chance,
-                 consensus::Twin twin)
-    : loop_(loop), settings_(settings), beatAt_(loop.now()), chance_(chance), twin_(twin) {
+                 consensus::Defect defect)
+    : loop_(loop), settings_(settings), beatAt_(loop.now()), chance_(chance), defect_(defect) {
     limits_.bodyBytes = network::kMostConfiguration;
     limits_.headerTimeout = Span::seconds(5), limits_.idleTimeout = Span::seconds(30);
 }
@@ -105,8 +105,8 @@
     for (const auto& seed : settings_.seeds) o.seeds.push_back(seed.ip);
     o.bootstrap = settings_.bootstrap, o.counted = settings_.quorumMember;
     o.machineLosses = settings_.tolerance.machineLosses;
-    o.chance = chance_, o.twin = twin_;
-    o.beat = kDutyBeat, o.lapse = kDutyLapse;
+    o.chance = chance_, o.defect = defect_;
+    o.beat = kDutyBeat, o.leaseTime = kDutyLapse;
     spdlog::info("state: {} bootstrap={} counted={}", found ? "found on disk" : "disk is empty", o.bootstrap,
                  o.counted);
     core_ = std::make_unique<consensus::Core>(loop_.now(), o, std::move(found));
@@ -136,7 +136,8 @@
 }
 
 void Control::newSettings(const configuration::Settings& settings) {
-    // Other seeds are other names for what is known already; the roll and the fellows stand in the state.
+    // Other seeds are other names for what is known already; the voters and the other cores stand in the
+    // state.
     settings_.seeds = settings.seeds;
 }
 
@@ -178,7 +179,7 @@
     value->digest = configuration::digest(c.text);
     value->body = c.text;
     // Refused at once where no majority can be reached, so that the operator goes on to another core. What
-    // the state would say only after its patience is over.
+    // the state would say only after its operationTimeout is over.
     if (core_->cutOff(loop_.now())) return noMajority(*visit->second, "configuration write");
     uint64_t ticket = nextTicket_++;
     const int64_t version = value->version;
@@ -196,7 +197,7 @@
     core_->read(loop_.now(), ticket);
 }
 
-void Control::run(const ChangeRoll& c) {
+void Control::run(const ChangeVoters& c) {
     if (!visits_.count(c.visit)) return;
     uint64_t ticket = nextTicket_++;
     tickets_[ticket] = {c.visit, false, 0, true};
@@ -218,15 +219,15 @@
     auto visit = visits_.find(t.visit);
     if (visit == visits_.end()) return;
     if (a.how == consensus::Answer::refused) {
-        spdlog::info("roll: change refused: {}", a.why);
+        spdlog::info("voters: change refused: {}", a.why);
         return visit->second->answer(409, kJson, json(a.why));
     }
-    if (t.roll && a.how == consensus::Answer::done) {
+    if (t.voters && a.how == consensus::Answer::done) {
         std::string all;
-        for (const auto& ip : core_->roll()) all += (all.empty() ? "\"" : ",\"") + ip + "\"";
-        spdlog::info("roll: epoch {} is at work: {}", core_->epoch(), all);
+        for (const auto& ip : core_->voters()) all += (all.empty() ? "\"" : ",\"") + ip + "\"";
+        spdlog::info("voters: epoch {} is at work: {}", core_->epoch(), all);
         return visit->second->answer(
-            200, kJson, "{\"epoch\":" + std::to_string(core_->epoch()) + ",\"roll\":[" + all + "]}");
+            200, kJson, "{\"epoch\":" + std::to_string(core_->epoch()) + ",\"voters\":[" + all + "]}");
     }
     if (a.how == consensus::Answer::conflict) {
         ++conflicts_;
@@ -236,7 +237,7 @@
             json("version " + std::to_string(t.version) + " has another text; take a higher one"));
     }
     if (a.how != consensus::Answer::done) {
-        const char* what = t.roll ? "roll change" : t.put ? "configuration write" : "configuration read";
+        const char* what = t.voters ? "voters change" : t.put ? "configuration write" : "configuration read";
         return noMajority(*visit->second, what);
     }
     if (t.put) {
@@ -338,7 +339,7 @@
     configuration_ = configuration::trusted(value->body);
     deflated_.reset();
     spdlog::info("configuration {} lies on a majority", value->version);
-    if (warden_ && configuration_) warden_->configured(*configuration_);
+    if (scalerHost_ && configuration_) scalerHost_->configured(*configuration_);
     beatSoon();
 }
 
@@ -348,25 +349,26 @@
     duty_ = d;
     if (was && d.held && d.term > term) {  // voted for again: nobody else has held it in between
         spdlog::info("startup duty won again, term {}", d.term);
-        warden_->renewed(d.term);
+        scalerHost_->renewed(d.term);
     } else if (was && !d.held) {
-        warden_->logCounters();
-        warden_.reset();
+        scalerHost_->logCounters();
+        scalerHost_.reset();
         reports_.clear();  // they were for this term
         spdlog::info("startup duty of term {} given up", term);
     }
-    if (d.held && !warden_) {
+    if (d.held && !scalerHost_) {
         spdlog::info("startup duty won, term {}", d.term);
-        warden_ = std::make_unique<Warden>(loop_, settings_, d.term, chance_ + static_cast<uint32_t>(d.term),
-                                           [this](const std::string& sender, const scaler::Grants& grants) {
-                                               auto tag = agentByName_.find(sender);
-                                               if (tag == agentByName_.end()) return;
-                                               auto guest = guests_.find(tag->second);
-                                               if (guest != guests_.end())
-                                                   guest->second.link->say(Kind::grants, grants);
-                                           });
-        if (configuration_) warden_->configured(*configuration_);
-        for (auto& [name, tag] : agentByName_) warden_->linked(name, guests_[tag].hello.zone);
+        scalerHost_ =
+            std::make_unique<ScalerHost>(loop_, settings_, d.term, chance_ + static_cast<uint32_t>(d.term),
+                                         [this](const std::string& sender, const scaler::Grants& grants) {
+                                             auto tag = agentByName_.find(sender);
+                                             if (tag == agentByName_.end()) return;
+                                             auto guest = guests_.find(tag->second);
+                                             if (guest != guests_.end())
+                                                 guest->second.link->say(Kind::grants, grants);
+                                         });
+        if (configuration_) scalerHost_->configured(*configuration_);
+        for (auto& [name, tag] : agentByName_) scalerHost_->linked(name, guests_[tag].hello.zone);
     }
     beatSoon();
 }
@@ -457,7 +459,7 @@
             if (earlier != agentByName_.end() && earlier->second != link.tag) {
                 auto old = guests_.find(earlier->second);  // its former link, not yet known to be dead
                 if (old != guests_.end()) {
-                    if (warden_) warden_->unlinked(h->name, old->second.hello.life != h->life);
+                    if (scalerHost_) scalerHost_->unlinked(h->name, old->second.hello.life != h->life);
                     old->second.agent = false;
                     old->second.link->close();
                     loop_.bury(std::move(old->second.link));
@@ -467,7 +469,7 @@
             guest.agent = true, guest.hello = *h, guest.version = h->version;
             agentByName_[h->name] = link.tag;
             welcome(guest);
-            if (warden_) warden_->linked(h->name, h->zone);
+            if (scalerHost_) scalerHost_->linked(h->name, h->zone);
             break;
         }
         case Kind::beat:
@@ -479,7 +481,7 @@
                 sendConfig(link);
             break;
         case Kind::report:
-            if (!warden_ || !guest.agent) break;
+            if (!scalerHost_ || !guest.agent) break;
             reports_.push(loop_.now(), link.tag, payload);
             reportsSoon(loop_.now());
             break;
@@ -499,12 +501,12 @@
     reports_.turn([this](uint64_t tag, const std::string& payload) {
         // Of a link that ended: the sender's next link begins with a whole report of its own.
         auto guest = guests_.find(tag);
-        if (!warden_ || guest == guests_.end() || !guest->second.agent) return;
+        if (!scalerHost_ || guest == guests_.end() || !guest->second.agent) return;
         auto r = network::unpacked<scaler::Report>(payload);
-        if (r) warden_->reported(guest->second.hello.name, *r);
+        if (r) scalerHost_->reported(guest->second.hello.name, *r);
     });
     // Who seems to say nothing may have said it here, where it waits.
-    if (warden_ && reports_.age(loop_.now()) > kBehind) warden_->behind();
+    if (scalerHost_ && reports_.age(loop_.now()) > kBehind) scalerHost_->behind();
     // In the next round, after what has come for the duty meanwhile.
     if (!reports_.empty()) reportsSoon(std::max(network::Loop::clock(), loop_.now() + Span::micros(1)));
 }
@@ -528,7 +530,7 @@
         ++agentBreaks_;
         auto named = agentByName_.find(guest.hello.name);
         if (named != agentByName_.end() && named->second == link.tag) agentByName_.erase(named);
-        if (warden_) warden_->unlinked(guest.hello.name, closed);
+        if (scalerHost_) scalerHost_->unlinked(guest.hello.name, closed);
     }
     if (!guest.coreIp.empty()) core_->lost(loop_.now(), guest.coreIp), pumpSoon();
 }
@@ -574,11 +576,11 @@
         "counters puts={} acknowledged={} invalid={} conflicts={} no_majority={} gets={} agents={} "
         "agent_breaks={} "
         "peers={} saves={} "
-        "save_failures={} roll={} recovering={} version={} term={} holder={}",
+        "save_failures={} voters={} recovering={} version={} term={} holder={}",
         puts_, acked_, invalid_, conflicts_, noMajority_, gets_, agentByName_.size(), agentBreaks_,
-        core_->peers().size(), saves_, saveFailures_, core_->roll().size(), core_->recovering(),
+        core_->peers().size(), saves_, saveFailures_, core_->voters().size(), core_->recovering(),
         value_ ? value_->version : 0, duty_.term, duty_.holder);
-    if (warden_) warden_->logCounters();
+    if (scalerHost_) scalerHost_->logCounters();
 }
 
 }  // namespace petrelpond::control_plane
--- a/system/control_plane/control.hpp
+++ b/system/control_plane/control.hpp
@@ -14,7 +14,7 @@
 #include "system/consensus/core.hpp"
 #include "system/consensus/keeper.hpp"
 #include "system/control_plane/backlog.hpp"
-#include "system/control_plane/warden.hpp"
+#include "system/control_plane/scaler_host.hpp"
 #include "system/network/http_server.hpp"
 #include "system/network/link.hpp"
 #include "system/network/loop.hpp"
@@ -32,7 +32,7 @@
 struct GetStatus {
     uint64_t visit;
 };
-struct ChangeRoll {  // who counts towards a majority
+struct ChangeVoters {  // who counts towards a majority
     uint64_t visit;
     std::vector<std::string> gone, come;  // ips
 };
@@ -40,14 +40,14 @@
     uint64_t visit;
     int status;
 };
-using Command = std::variant<PutConfiguration, GetConfiguration, GetStatus, ChangeRoll, Unknown>;
+using Command = std::variant<PutConfiguration, GetConfiguration, GetStatus, ChangeVoters, Unknown>;
 Command decode(uint64_t visit, network::HttpRequest&&);
 
 class Control final : public network::HttpHost, public network::LinkOwner, public network::Watcher {
   public:
-    // twin: broken on purpose, for the range alone.
+    // defect: broken on purpose, for the range alone.
     Control(network::Loop&, const configuration::Settings&, uint32_t chance,
-            consensus::Twin twin = consensus::Twin::none);
+            consensus::Defect defect = consensus::Defect::none);
     ~Control() override;
     bool open(std::string& error);
     void newSettings(const configuration::Settings&);
@@ -79,7 +79,7 @@
     void run(const PutConfiguration&);
     void run(const GetConfiguration&);
     void run(const GetStatus&);
-    void run(const ChangeRoll&);
+    void run(const ChangeVoters&);
     void run(const Unknown&);
     std::string status() const;  // JSON
     void runCommands();
@@ -108,7 +108,7 @@
     int keeperFd_ = -1;
     std::unique_ptr<consensus::Keeper> keeper_;
     std::unique_ptr<consensus::Core> core_;
-    std::unique_ptr<Warden> warden_;
+    std::unique_ptr<ScalerHost> scalerHost_;
     std::unique_ptr<network::Listener> control_, inner_;
     std::unordered_map<uint64_t, std::unique_ptr<network::HttpVisit>> visits_;
     std::map<uint64_t, Guest> guests_;
@@ -121,7 +121,7 @@
         uint64_t visit;
         bool put;
         int64_t version;
-        bool roll = false;
+        bool voters = false;
     };
     std::map<uint64_t, Ticket> tickets_;
     std::shared_ptr<const consensus::Value> value_;  // the newest that is known to lie on a majority
@@ -136,7 +136,7 @@
     uint64_t puts_ = 0, acked_ = 0, invalid_ = 0, conflicts_ = 0, noMajority_ = 0, gets_ = 0,
              agentBreaks_ = 0, saves_ = 0, saveFailures_ = 0;
     uint32_t chance_;
-    consensus::Twin twin_;
+    consensus::Defect defect_;
 };
 
 }  // namespace petrelpond::control_plane
--- a/system/control_plane/control_test.cpp
+++ b/system/control_plane/control_test.cpp
@@ -1,4 +1,4 @@
-// The control program whole, alone on its roll, with a disk in a folder of its own; asked over loopback.
+// The control program whole, alone on its voters, with a disk in a folder of its own; asked over loopback.
 #include "system/control_plane/control.hpp"
 
 #include <gtest/gtest.h>
@@ -48,8 +48,8 @@
 // Sends these bytes and ends its sending; reads till the end.
 Got rawAt(const std::string& ip, uint16_t port, const std::string& bytes) {
     int fd = socket(AF_INET, SOCK_STREAM, 0);
-    timeval patience{5, 0};  // only a failing test waits for so long
-    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    timeval operationTimeout{5, 0};  // only a failing test waits for so long
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &operationTimeout, sizeof operationTimeout);
     sockaddr_in at{};
     at.sin_family = AF_INET, at.sin_port = htons(port);
     at.sin_addr.s_addr = htonl(network::Address::parse(ip, 1)->ip);
@@ -121,7 +121,7 @@
     }
 
     Got raw(const std::string& bytes) { return rawAt(ip_, settings_.control->port, bytes); }
-    // Again after a 503, as operators do: the roll has to be agreed on first.
+    // Again after a 503, as operators do: the voters have to be agreed on first.
     Got call(const std::string& method, const std::string& target, const std::string& body = "") {
         Got got;
         for (int i = 0; i < 20; ++i) {
@@ -228,8 +228,8 @@
     EXPECT_TRUE(d["disk"]["counts"].GetBool());
     EXPECT_FALSE(d["disk"]["recovering"].GetBool());
     EXPECT_FALSE(d["disk"]["last_save_failed"].GetBool());
-    ASSERT_EQ(d["roll"].Size(), 1u);
-    EXPECT_EQ(d["roll"][0].GetString(), ip_);
+    ASSERT_EQ(d["voters"].Size(), 1u);
+    EXPECT_EQ(d["voters"][0].GetString(), ip_);
     EXPECT_EQ(d["agents_linked"].GetUint64(), 0u);
     // Alone, it comes to hold the duty; then it tells of the planner.
     const Instant until = network::Loop::clock() + Span::seconds(10);
@@ -298,22 +298,22 @@
     close(fd);
 }
 
-TEST_F(ControlTest, ARollThatCannotBeIsRefusedWithWhy) {
+TEST_F(ControlTest, TheVotersThatCannotBeIsRefusedWithWhy) {
     EXPECT_EQ(put(configuration(7)).status, 200);
-    Got got = call("POST", "/roll", R"({"gone":[")" + ip_ + R"("],"come":["127.9.9.9"]})");
+    Got got = call("POST", "/voters", R"({"gone":[")" + ip_ + R"("],"come":["127.9.9.9"]})");
     EXPECT_EQ(got.status, 409);
     EXPECT_EQ(got.body, R"({"cause":"127.9.9.9 is not heard of as a core whose disk may count"})");
     // What is in force already is told again, as after an answer that was lost.
-    got = call("POST", "/roll", R"({"gone":["127.9.9.9"],"come":[")" + ip_ + R"("]})");
+    got = call("POST", "/voters", R"({"gone":["127.9.9.9"],"come":[")" + ip_ + R"("]})");
     EXPECT_EQ(got.status, 200);
-    EXPECT_EQ(got.body, R"({"epoch":1,"roll":[")" + ip_ + R"("]})");
+    EXPECT_EQ(got.body, R"({"epoch":1,"voters":[")" + ip_ + R"("]})");
     for (const char* odd : {"", "{}", "[]", R"({"gone":"x"})", R"({"come":["core-1"]})", R"({"other":[]})"})
-        EXPECT_EQ(call("POST", "/roll", odd).status, 400) << odd;
-    EXPECT_EQ(status()["roll_epoch"].GetUint64(), 1u);
+        EXPECT_EQ(call("POST", "/voters", odd).status, 400) << odd;
+    EXPECT_EQ(status()["voters_epoch"].GetUint64(), 1u);
 }
 
-// Four programs with disks and sockets: three agree on a roll, one of them goes for good, the fourth takes
-// its place, and with one more away what was acknowledged before is read and a new one taken.
+// Four programs with disks and sockets: three agree on a set of voters, one of them goes for good, the fourth
+// takes its place, and with one more away what was acknowledged before is read and a new one taken.
 TEST(Controls, ACoreThatIsGoneIsReplaced) {
     const std::string net = "127." + std::to_string(1 + getpid() / 254 % 250) + ".8.";
     const auto folder =
@@ -359,8 +359,8 @@
     begin(3);
     end(2);
     const std::string change = R"({"gone":[")" + net + R"(3"],"come":[")" + net + R"(4"]})";
-    const std::string roll = R"("roll":[")" + net + R"(1",")" + net + R"(2",")" + net + R"(4"]})";
-    EXPECT_EQ(call(0, "POST /roll", change, 200), R"({"epoch":2,)" + roll);
+    const std::string voters = R"("voters":[")" + net + R"(1",")" + net + R"(2",")" + net + R"(4"]})";
+    EXPECT_EQ(call(0, "POST /voters", change, 200), R"({"epoch":2,)" + voters);
     end(0);  // the one that came counts: it and the second are a majority
     EXPECT_EQ(call(3, "GET /configuration", "", 200), configuration(7));
     call(1, "PUT /configuration", configuration(9), 200);
@@ -368,13 +368,13 @@
     const std::string large = configuration(11, std::string(6400000, ' '));
     call(1, "PUT /configuration", large, 200);
     EXPECT_EQ(call(3, "GET /configuration", "", 200), large);
-    EXPECT_EQ(call(1, "POST /roll", change, 200), R"({"epoch":2,)" + roll);  // said again: as it is
+    EXPECT_EQ(call(1, "POST /voters", change, 200), R"({"epoch":2,)" + voters);  // said again: as it is
     for (size_t i = 0; i < 4; ++i) end(i);
     std::filesystem::remove_all(folder);
 }
 
 TEST_F(ControlTest, OtherCallsAreToldApart) {
-    EXPECT_EQ(call("GET", "/roll").status, 405);
+    EXPECT_EQ(call("GET", "/voters").status, 405);
     EXPECT_EQ(call("POST", "/configuration").status, 405);
     EXPECT_EQ(call("PUT", "/status", "{}").status, 405);
     EXPECT_EQ(call("GET", "/other").status, 404);
--- a/system/control_plane/main.cpp
+++ b/system/control_plane/main.cpp
@@ -15,15 +15,15 @@
                                 argv, code);
     if (!start) return code;
     network::Loop loop;
-    consensus::Twin twin = consensus::Twin::none;
+    consensus::Defect defect = consensus::Defect::none;
 #ifdef PETRELPOND_RANGE_FAULTS  // the range's own set of the programs: it must find these
     const std::string_view said = std::getenv("PETRELPOND_TWIN") ? std::getenv("PETRELPOND_TWIN") : "";
-    if (said == "hasty-amnesiac") twin = consensus::Twin::hastyAmnesiac;
-    if (said == "ack-before-sync") twin = consensus::Twin::ackBeforeSync;
-    if (said == "no-write-back") twin = consensus::Twin::noWriteBack;
-    if (said == "forgets-promise") twin = consensus::Twin::forgetsPromise;
+    if (said == "hasty-amnesiac") defect = consensus::Defect::hastyAmnesiac;
+    if (said == "ack-before-sync") defect = consensus::Defect::ackBeforeSync;
+    if (said == "no-write-back") defect = consensus::Defect::noWriteBack;
+    if (said == "forgets-promise") defect = consensus::Defect::forgetsPromise;
 #endif
-    control_plane::Control control(loop, start->settings, start->chance, twin);
+    control_plane::Control control(loop, start->settings, start->chance, defect);
     std::string error;
     if (!control.open(error)) {
         std::fprintf(stderr, "petrel-control-plane: open: %s\n", error.c_str());
--- a/system/control_plane/warden.cpp
+++ b/system/control_plane/scaler_host.cpp
@@ -1,4 +1,4 @@
-#include "system/control_plane/warden.hpp"
+#include "system/control_plane/scaler_host.hpp"
 
 #include <rapidjson/document.h>
 #include <spdlog/spdlog.h>
@@ -53,8 +53,8 @@
 
 }  // namespace
 
-Warden::Warden(network::Loop& loop, const configuration::Settings& settings, uint64_t term, uint32_t chance,
-               TellSender tell)
+ScalerHost::ScalerHost(network::Loop& loop, const configuration::Settings& settings, uint64_t term,
+                       uint32_t chance, TellSender tell)
     : loop_(loop), settings_(settings), term_(term), tell_(std::move(tell)),
       planner_(loop.now(), term, chance, settings.platform ? settings.platform->dutyPerS : 10.0,
                Span::millis(settings.platform ? settings.platform->maxLagMs : 1000)),
@@ -70,9 +70,9 @@
     tick();
 }
 
-Warden::~Warden() { loop_.cancel(timer_); }
+ScalerHost::~ScalerHost() { loop_.cancel(timer_); }
 
-void Warden::configured(const configuration::Configuration& c) {
+void ScalerHost::configured(const configuration::Configuration& c) {
     std::map<std::string, Span> targets;
     for (const auto& route : c.routes)
         for (const auto& [service, weight] : route.to) {
@@ -89,28 +89,28 @@
     pumpSoon();
 }
 
-void Warden::renewed(uint64_t term) {
+void ScalerHost::renewed(uint64_t term) {
     term_ = term;
     planner_.renewed(loop_.now(), term);
     pumpSoon();
 }
 
-void Warden::linked(const std::string& sender, const std::string& zone) {
+void ScalerHost::linked(const std::string& sender, const std::string& zone) {
     planner_.linked(loop_.now(), sender, zone);
     pumpSoon();
 }
 
-void Warden::reported(const std::string& sender, const scaler::Report& report) {
+void ScalerHost::reported(const std::string& sender, const scaler::Report& report) {
     planner_.reported(loop_.now(), sender, report);
     pumpSoon();
 }
 
-void Warden::unlinked(const std::string& sender, bool closed) {
+void ScalerHost::unlinked(const std::string& sender, bool closed) {
     planner_.unlinked(loop_.now(), sender, closed);
     pumpSoon();
 }
 
-void Warden::pumpSoon() {
+void ScalerHost::pumpSoon() {
     if (pumping_) return;
     pumping_ = true;
     loop_.soon([this, alive = std::weak_ptr<bool>(alive_)] {
@@ -118,7 +118,7 @@
     });
 }
 
-void Warden::pump() {
+void ScalerHost::pump() {
     pumping_ = false;
     while (auto output = planner_.next()) {
         if (auto* t = std::get_if<scaler::Tell>(&*output))
@@ -141,14 +141,14 @@
     timer_ = loop_.at(wake, [this] { timer_ = 0, tick(); });
 }
 
-void Warden::tick() {
+void ScalerHost::tick() {
     Instant now = loop_.now();
     if (now >= planner_.wakeAt()) planner_.tick(now);
     askLists();
     pump();
 }
 
-void Warden::askLists() {
+void ScalerHost::askLists() {
     Instant now = loop_.now();
     if (!lists_) {
         listAt_ = workersAt_ = now + Span::seconds(3600);
@@ -164,7 +164,7 @@
     }
 }
 
-void Warden::askEndpoints(const std::string& page, std::vector<scaler::Listed> sofar) {
+void ScalerHost::askEndpoints(const std::string& page, std::vector<scaler::Listed> sofar) {
     ++listCalls_;
     std::string target = page.empty() ? "/endpoints" : "/endpoints?page_token=" + queryEscaped(page);
     lists_->call(
@@ -194,7 +194,7 @@
         });
 }
 
-void Warden::askWorkers() {
+void ScalerHost::askWorkers() {
     ++listCalls_;
     lists_->call(
         "GET", "/workers", "", "",
@@ -220,11 +220,11 @@
         });
 }
 
-std::string Warden::dutyFields() const {
+std::string ScalerHost::dutyFields() const {
     return "X-Duty-Holder: " + settings_.nodeName + "\r\nX-Fence-Number: " + std::to_string(term_) + "\r\n";
 }
 
-void Warden::start(const scaler::StartCall& s) {
+void ScalerHost::start(const scaler::StartCall& s) {
     if (!duties_) return planner_.startFailed(loop_.now(), s.nonce, 0);
     ++startCalls_;
     std::string body = "{\"service\":\"" + escaped(s.service) + "\",\"worker_id\":\"" + escaped(s.worker) +
@@ -245,7 +245,7 @@
         });
 }
 
-void Warden::stop(const scaler::StopCall& s) {
+void ScalerHost::stop(const scaler::StopCall& s) {
     if (!duties_) return planner_.stopped(loop_.now(), s.instance, 0);
     ++stopCalls_;
     duties_->call(
@@ -257,7 +257,7 @@
         });
 }
 
-void Warden::logCounters() const {
+void ScalerHost::logCounters() const {
     const scaler::Counts& c = planner_.counts();
     spdlog::info(
         "counters duty term={} starts={} starts_failed={} stops={} tells={} recalls={} adopted={} lost={} "
--- a/system/control_plane/warden.hpp
+++ b/system/control_plane/scaler_host.hpp
@@ -13,11 +13,11 @@
 
 namespace petrelpond::control_plane {
 
-class Warden {
+class ScalerHost {
   public:
     using TellSender = std::function<void(const std::string& sender, const scaler::Grants&)>;
-    Warden(network::Loop&, const configuration::Settings&, uint64_t term, uint32_t chance, TellSender);
-    ~Warden();
+    ScalerHost(network::Loop&, const configuration::Settings&, uint64_t term, uint32_t chance, TellSender);
+    ~ScalerHost();
     void configured(const configuration::Configuration&);
     void renewed(uint64_t term);
     void linked(const std::string& sender, const std::string& zone);
--- a/system/control_plane/status.cpp
+++ b/system/control_plane/status.cpp
@@ -57,8 +57,8 @@
 
 std::string Control::status() const {
     const Instant now = loop_.now();
-    const auto& roll = core_->roll();
-    const bool onRoll = std::find(roll.begin(), roll.end(), settings_.ip) != roll.end();
+    const auto& voters = core_->voters();
+    const bool selfIsVoter = std::find(voters.begin(), voters.end(), settings_.ip) != voters.end();
     rapidjson::StringBuffer out;
     Writer w(out);
     w.StartObject();
@@ -73,14 +73,14 @@
     w.EndObject();
 
     w.Key("disk"), w.StartObject();
-    yes(w, "counts", onRoll && !core_->recovering() && !saveFailedLast_);
-    yes(w, "on_roll", onRoll), yes(w, "recovering", core_->recovering());
+    yes(w, "counts", selfIsVoter && !core_->recovering() && !saveFailedLast_);
+    yes(w, "is_voter", selfIsVoter), yes(w, "recovering", core_->recovering());
     yes(w, "last_save_failed", saveFailedLast_);
     w.EndObject();
 
-    number(w, "roll_epoch", core_->epoch());  // 0: not agreed on
-    w.Key("roll"), w.StartArray();
-    for (size_t i = 0; i < std::min(roll.size(), kMostCores); ++i) word(w, roll[i]);
+    number(w, "voters_epoch", core_->epoch());  // 0: not agreed on
+    w.Key("voters"), w.StartArray();
+    for (size_t i = 0; i < std::min(voters.size(), kMostCores); ++i) word(w, voters[i]);
     w.EndArray();
     w.Key("seeds"), w.StartArray();
     for (size_t i = 0; i < std::min(settings_.seeds.size(), kMostCores); ++i)
@@ -123,16 +123,16 @@
     }
     w.EndArray();
 
-    if (warden_) {
-        const scaler::Counts& counts = warden_->planner().counts();
+    if (scalerHost_) {
+        const scaler::Counts& counts = scalerHost_->planner().counts();
         w.Key("planner"), w.StartObject();
-        number(w, "term", warden_->term());
+        number(w, "term", scalerHost_->term());
         number(w, "starts", counts.starts), number(w, "starts_failed", counts.startsFailed);
         number(w, "stops", counts.stops), number(w, "adopted", counts.adopted),
             number(w, "lost", counts.lost);
         number(w, "drained", counts.drained), number(w, "overheld", counts.overheld);
         number(w, "wrong_term", counts.wrongTerm), number(w, "recalls", counts.recalls);
-        auto services = warden_->planner().services();
+        auto services = scalerHost_->planner().services();
         // Where there are too many, those in want come first, then those with instances.
         std::sort(services.begin(), services.end(),
                   [](const scaler::ServiceState& a, const scaler::ServiceState& b) {
--- a/system/proxy/answer_model_test.cpp
+++ b/system/proxy/answer_model_test.cpp
@@ -1,6 +1,7 @@
-// Every interleaving, up to a bound, of two requests on connections to an instance that behaves well or badly: pieces
-// of answers arrive or are lost, the connection closes or is reset, the sender gives up. Counted and exhausted, not
-// sampled. No answer goes to another request, and nothing that has run is told or taken not to have run.
+// Every interleaving, up to a bound, of two requests on connections to an instance that behaves well or
+// badly: pieces of answers arrive or are lost, the connection closes or is reset, the sender gives up.
+// Counted and exhausted, not sampled. No answer goes to another request, and nothing that has run is told or
+// taken not to have run.
 #include <gtest/gtest.h>
 
 #include <array>
@@ -49,20 +50,27 @@
         {"answers", true, [](Id id, Id) { return success(id); }},
         {"answers and closes", true, [](Id id, Id) { return success(id); }, Behaviour::End::closes},
         {"answers twice", true, [](Id id, Id) { return joined(success(id), success(id)); }},
-        {"answers another after it", true, [](Id id, Id other) { return joined(success(id), success(other)); }},
-        {"answers another before it", true, [](Id id, Id other) { return joined(success(other), success(id)); }},
+        {"answers another after it", true,
+         [](Id id, Id other) { return joined(success(id), success(other)); }},
+        {"answers another before it", true,
+         [](Id id, Id other) { return joined(success(other), success(id)); }},
         {"answers another alone", true, [](Id, Id other) { return success(other); }, Behaviour::End::closes},
         {"sends more than it told", true, [](Id id, Id) { return joined(success(id), {"more"}); }},
         {"refuses", false, [](Id id, Id) { return answer(503, id, "X-Not-Executed: 1\r\n", ""); }},
         {"refuses another, runs ours", true,
-         [](Id id, Id other) { return joined(answer(503, other, "X-Not-Executed: 1\r\n", ""), success(id)); }},
+         [](Id id, Id other) {
+             return joined(answer(503, other, "X-Not-Executed: 1\r\n", ""), success(id));
+         }},
         {"refuses nobody by name", true, [](Id, Id) { return answer(503, "", "X-Not-Executed: 1\r\n", ""); }},
         {"says 503 without a promise", true, [](Id id, Id) { return answer(503, id, "", "busy"); }},
         {"says 429 without a promise", true, [](Id id, Id) { return answer(429, id, "", ""); }},
         {"is another instance", false, [](Id id, Id) { return answer(421, id, "", ""); }},
         {"fails", true, [](Id id, Id) { return answer(500, id, "", "oh"); }},
         {"has no seal", true, [](Id id, Id) { return answer(200, id, "", bodyFor(id)); }},
-        {"cuts the body", true, [](Id id, Id) { return std::vector{headOf(200, id, 50, "X-Endpoint-Seal: s\r\n"), bodyFor(id)}; },
+        {"cuts the body", true,
+         [](Id id, Id) {
+             return std::vector{headOf(200, id, 50, "X-Endpoint-Seal: s\r\n"), bodyFor(id)};
+         },
          Behaviour::End::closes},
         {"speaks no HTTP", true, [](Id, Id) { return std::vector<std::string>{"no answer\r\n\r\n"}; }},
         {"has an interim answer", true,
@@ -80,7 +88,8 @@
     std::string broken;
 };
 
-// One connection and the two requests that are to go over it, the second on a new one where the first is not kept.
+// One connection and the two requests that are to go over it, the second on a new one where the first is not
+// kept.
 struct Play {
     std::array<const Behaviour*, 2> script;
     bool repeatable = false;
@@ -219,8 +228,8 @@
         const Counts counts = exhaust(repeatable, ReadingDefect::none);
         EXPECT_EQ(counts.broken, "");
         EXPECT_GT(counts.states, 10000u);
-        std::cout << (repeatable ? "repeatable: " : "once only: ") << counts.states << " states, " << counts.ends
-                  << " ends\n";
+        std::cout << (repeatable ? "repeatable: " : "once only: ") << counts.states << " states, "
+                  << counts.ends << " ends\n";
     }
 }
 TEST(AnswerModel, AnIdThatIsNotCheckedIsCaught) {
@@ -232,8 +241,8 @@
 TEST(AnswerModel, ARefusalThatIsNoPromiseAndBelievedIsCaught) {
     EXPECT_NE(exhaust(false, ReadingDefect::believesEveryRefusal).broken, "");
 }
-// Where a request's own answer came twice the id of the next one tells them apart, and bytes that are no answer spoil
-// it; what this defect breaks is told by the conclusion itself.
+// Where a request's own answer came twice the id of the next one tells them apart, and bytes that are no
+// answer spoil it; what this defect breaks is told by the conclusion itself.
 TEST(AnswerModel, AConnectionWithMoreThanOneAnswerIsNotKept) {
     for (const ReadingDefect defect : {ReadingDefect::none, ReadingDefect::keepsAfterExcess}) {
         AnswerReading reading(1000, defect);
@@ -246,8 +255,8 @@
     }
 }
 
-// Answers with bytes changed, left out and put in by chance: never a crash, and what is passed on is whole and ours.
-// ANSWER_INPUTS=1000000 for a long run, ANSWER_FIRST to begin elsewhere.
+// Answers with bytes changed, left out and put in by chance: never a crash, and what is passed on is whole
+// and ours. ANSWER_INPUTS=1000000 for a long run, ANSWER_FIRST to begin elsewhere.
 TEST(AnswerModel, SpoiltBytesAreNeverPassedOnAsAnothers) {
     const auto asked = [](const char* name, uint32_t otherwise) {
         const char* said = std::getenv(name);
@@ -291,7 +300,8 @@
         EXPECT_EQ(conclusion->answer->head.field("X-Attempt-Id").value_or(""), "first") << "seed " << seed;
         const auto length = conclusion->answer->head.field("Content-Length");
         if (length && !conclusion->answer->bodiless) {
-            EXPECT_EQ(conclusion->answer->body.size(), http::wholeNumber(*length).value_or(0)) << "seed " << seed;
+            EXPECT_EQ(conclusion->answer->body.size(), http::wholeNumber(*length).value_or(0))
+                << "seed " << seed;
         }
     }
     EXPECT_GT(passed, count / 20);
--- a/system/proxy/answer_reading.cpp
+++ b/system/proxy/answer_reading.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// An instance closes a connection that rests for so long as it told; what is sent in the last part of that may cross
-// the close.
+// An instance closes a connection that rests for so long as it told; what is sent in the last part of that
+// may cross the close.
 const Span kKeepAliveMargin = Span::millis(300);
 
 std::optional<Span> keepAliveOf(const http::Head& head) {
@@ -37,8 +37,8 @@
         const bool whole = answer.head.field("X-Endpoint-Seal") && !answer.head.field("Content-Encoding");
         return whole ? Ending::passed : Ending::broken;  // else not the endpoint's body
     }
-    // Without the word that it has not run these may have: passed on to who may send it but once they would promise
-    // what nobody knows.
+    // Without the word that it has not run these may have: passed on to who may send it but once they would
+    // promise what nobody knows.
     if (refuses && !expected.repeatable) return Ending::broken;
     if (status >= 500 || refuses) return Ending::failed;
     return Ending::passed;
@@ -66,8 +66,8 @@
         }
         const auto id = answer->head.field("X-Attempt-Id");
         if (id && *id != expected.attemptId && defect_ != ReadingDefect::trustsEveryId) {
-            // An answer in excess, to an earlier request, in the place of this one's: it belongs to nobody. Ours is
-            // still to come; the connection ends behind it.
+            // An answer in excess, to an earlier request, in the place of this one's: it belongs to nobody.
+            // Ours is still to come; the connection ends behind it.
             ++excess_;
             spoilt_ = true;
             if (!in.empty()) continue;
--- a/system/proxy/answer_reading.hpp
+++ b/system/proxy/answer_reading.hpp
@@ -1,5 +1,5 @@
-// What came back on a connection to an instance: whose answer it is, what it says of the request, and whether the
-// connection may carry another one. Bytes in, a conclusion out; no sockets, no clock.
+// What came back on a connection to an instance: whose answer it is, what it says of the request, and whether
+// the connection may carry another one. Bytes in, a conclusion out; no sockets, no clock.
 //
 // The table that this follows stands in docs/control-safety.md. A connection carries one request at a time.
 #pragma once
@@ -32,9 +32,9 @@
 // Defects for the tests alone: the model has to find each of them.
 enum class ReadingDefect {
     none,
-    trustsEveryId,     // takes any answer for the one that is due
-    keepsAfterExcess,  // uses a connection on which more came than one answer
-    takesCutAnswers,   // takes a close for the end of a body
+    trustsEveryId,         // takes any answer for the one that is due
+    keepsAfterExcess,      // uses a connection on which more came than one answer
+    takesCutAnswers,       // takes a close for the end of a body
     believesEveryRefusal,  // 503 without the instance's word that it has not run passes for a promise
 };
 
@@ -46,7 +46,8 @@
 
     // Takes answers off the front of `in`. Nothing: more has to come. `ended`: no more will.
     std::optional<Conclusion> read(std::string& in, bool ended, const Expected& expected);
-    // Bytes came while no request was under way, or an answer in excess was met: it must carry no other request.
+    // Bytes came while no request was under way, or an answer in excess was met: it must carry no other
+    // request.
     bool spoilt() const { return spoilt_; }
     uint64_t excess() const { return excess_; }  // answers, or ends of bytes, that belonged to nobody
 
--- a/system/proxy/slots_search_test.cpp
+++ b/system/proxy/slots_search_test.cpp
@@ -32,24 +32,24 @@
     EXPECT_GT(strays, count);
 }
 
-int schedulesUntilCaught(slots::Twin twin, int most) {
+int schedulesUntilCaught(slots::Defect defect, int most) {
     for (int seed = 1; seed <= most; ++seed) {
-        if (!slots::World({static_cast<uint32_t>(seed), twin}).run().empty()) return seed;
+        if (!slots::World({static_cast<uint32_t>(seed), defect}).run().empty()) return seed;
     }
     return -1;
 }
 
 TEST(SlotsSearch, ASlotThatIsGivenBackEarlyIsCaught) {
-    EXPECT_GT(schedulesUntilCaught(slots::Twin::givesBackEarly, 5), 0);
+    EXPECT_GT(schedulesUntilCaught(slots::Defect::givesBackEarly, 5), 0);
 }
 TEST(SlotsSearch, AHolderThatDoesNotListenFirstIsCaught) {
-    EXPECT_GT(schedulesUntilCaught(slots::Twin::hastyHolder, 50), 0);
+    EXPECT_GT(schedulesUntilCaught(slots::Defect::hastyHolder, 50), 0);
 }
 TEST(SlotsSearch, GrantsOfALowerTermAreCaught) {
-    EXPECT_GT(schedulesUntilCaught(slots::Twin::noFence, 100), 0);
+    EXPECT_GT(schedulesUntilCaught(slots::Defect::noFence, 100), 0);
 }
 TEST(SlotsSearch, ASilentSenderThatCountsAsEndedIsCaught) {
-    EXPECT_GT(schedulesUntilCaught(slots::Twin::silentIsEnded, 50), 0);
+    EXPECT_GT(schedulesUntilCaught(slots::Defect::silentIsEnded, 50), 0);
 }
 
 // SLOTS_SEED=69 SLOTS_FOLLOW=i2: what happened to that instance.
@@ -61,17 +61,17 @@
     EXPECT_EQ(slots::World(plan).run(), "");
 }
 
-TEST(SlotsSearch, CountOfOneTwin) {
-    const int twin = fromEnvironment("SLOTS_TWIN", 0), all = fromEnvironment("SLOTS_SCHEDULES", 100);
-    if (twin == 0) GTEST_SKIP() << "for measuring: SLOTS_TWIN, SLOTS_SCHEDULES";
+TEST(SlotsSearch, CountOfOneDefect) {
+    const int defect = fromEnvironment("SLOTS_TWIN", 0), all = fromEnvironment("SLOTS_SCHEDULES", 100);
+    if (defect == 0) GTEST_SKIP() << "for measuring: SLOTS_TWIN, SLOTS_SCHEDULES";
     int broken = 0, first = 0;
     for (int seed = 1; seed <= all; ++seed) {
         const std::string why =
-            slots::World({static_cast<uint32_t>(seed), static_cast<slots::Twin>(twin)}).run();
+            slots::World({static_cast<uint32_t>(seed), static_cast<slots::Defect>(defect)}).run();
         if (why.empty()) continue;
         if (++broken == 1) first = seed, std::printf("%s\n", why.c_str());
     }
-    std::printf("twin %d: first at %d, %d of %d\n", twin, first, broken, all);
+    std::printf("defect %d: first at %d, %d of %d\n", defect, first, broken, all);
 }
 
 }  // namespace
--- a/system/proxy/slots_sim_for_test.hpp
+++ b/system/proxy/slots_sim_for_test.hpp
@@ -29,7 +29,7 @@
 namespace petrelpond::proxy::slots {
 
 // Broken on purpose; each has to be found.
-enum class Twin : uint8_t {
+enum class Defect : uint8_t {
     none,
     givesBackEarly,  // a slot counts as given back while its call still runs
     hastyHolder,     // a new holder does not wait for what the senders hold
@@ -39,7 +39,7 @@
 
 struct Plan {
     uint32_t seed = 1;
-    Twin twin = Twin::none;
+    Defect defect = Defect::none;
     double seconds = 30;           // of faults; then all heals
     const char* follow = nullptr;  // an instance of which all is printed
 };
@@ -344,7 +344,7 @@
             accounts_[s].linked = true, accounts_[s].synced = false;
             if (accounts_[s].freeAt >= 0 && !accounts_[s].ended) accounts_[s].freeAt = -1;
         }
-        if (plan_.twin == Twin::hastyHolder) {
+        if (plan_.defect == Defect::hastyHolder) {
             scaler::Report r;
             r.term = core.term, r.whole = true;
             if (holds(c)) accounts_[s].synced = true;
@@ -358,7 +358,7 @@
         core.guests.erase(s);
         note("", "core %zu: sender %zu gone%s", c, s, closed ? ", closed" : "");
         if (!core.planner) return;
-        const bool told = closed || plan_.twin == Twin::silentIsEnded;
+        const bool told = closed || plan_.defect == Defect::silentIsEnded;
         core.planner->unlinked(now(), std::to_string(s), told);
         if (holds(c) && (accounts_[s].linked || closed)) {
             accounts_[s].linked = accounts_[s].synced = false;
@@ -391,7 +391,7 @@
     }
     void sendDown(size_t c, size_t s, int epoch, Word word) {
         Wire& w = senders_[s].wires[c];
-        if (plan_.twin == Twin::noFence && word.isGrants) word.grants.term = 1u << 30;
+        if (plan_.defect == Defect::noFence && word.isGrants) word.grants.term = 1u << 30;
         const int life = senders_[s].life;
         at(arrival(w.lastDown, w.cutDown), [this, c, s, epoch, life, word = std::move(word)] {
             inSender(s, life, [this, c, s, epoch, word](Sender& x) {
@@ -399,7 +399,7 @@
                 if (!wire.up || wire.epoch != epoch) return;
                 wire.heardAt = now_;
                 if (!word.isGrants) return heardDuty(s, word.term, word.holder);
-                if (static_cast<int>(c) == x.holder || plan_.twin == Twin::noFence) take(s, word.grants);
+                if (static_cast<int>(c) == x.holder || plan_.defect == Defect::noFence) take(s, word.grants);
             });
         });
     }
@@ -590,7 +590,7 @@
             for (const auto& g : grants.grants)
                 note(g.instance, "sender %zu may use %u (out %u), term %lu", s, g.slots, x.busy[g.instance],
                      grants.term);
-            x.grantTerm = std::max(x.grantTerm, plan_.twin == Twin::noFence ? 0 : grants.term);
+            x.grantTerm = std::max(x.grantTerm, plan_.defect == Defect::noFence ? 0 : grants.term);
             for (const auto& g : grants.grants) x.may[g.instance] = g.slots, settle(g.instance);
         }
         x.dispatch->granted(now(), grants);
@@ -624,7 +624,7 @@
         if (x.holder < 0 || !x.agentUp) return;
         const auto c = static_cast<size_t>(x.holder);
         if (!x.wires[c].up) return;
-        if (plan_.twin == Twin::givesBackEarly)
+        if (plan_.defect == Defect::givesBackEarly)
             for (auto& h : r.held) h.slots = x.may[h.instance], h.busy = std::min(h.busy, h.slots);
         for (const auto& h : r.held)
             note(h.instance, "sender %zu reports%s %u held %u busy, term %lu", s, r.whole ? " whole" : "",
