--- a/system/consensus/core_search_test.cpp
+++ b/system/consensus/core_search_test.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 
 #include "system/consensus/sim_for_test.hpp"
+#include "system/network/environment_for_test.hpp"
 
 namespace petrelpond::consensus {
 namespace {
@@ -19,13 +20,9 @@
 }
 
 // CONSENSUS_SCHEDULES=10000 for a long search, CONSENSUS_FIRST to begin elsewhere.
-uint32_t asked(const char* name, uint32_t otherwise) {
-    const char* said = std::getenv(name);
-    return said ? static_cast<uint32_t>(std::atoi(said)) : otherwise;
-}
-
 TEST(CoreSearch, NoScheduleBreaksAnInvariant) {
-    const uint32_t begin = asked("CONSENSUS_FIRST", 1), count = asked("CONSENSUS_SCHEDULES", 300);
+    const uint32_t begin = numberFromEnvironment("CONSENSUS_FIRST", 1),
+                   count = numberFromEnvironment("CONSENSUS_SCHEDULES", 300);
     int writes = 0, reads = 0, terms = 0, wipes = 0, conflicts = 0;
     for (uint32_t seed = begin; seed < begin + count; ++seed) {
         sim::World world(planOf(seed, Defect::none));
@@ -48,7 +45,8 @@
 
 // Whom a promise binds to after a restart only shows where the holder lives on unheard.
 TEST(CoreSearch, NoScheduleWithACorneredHolderBreaksAnInvariant) {
-    const uint32_t begin = asked("CONSENSUS_FIRST", 1), count = asked("CONSENSUS_SCHEDULES", 100);
+    const uint32_t begin = numberFromEnvironment("CONSENSUS_FIRST", 1),
+                   count = numberFromEnvironment("CONSENSUS_SCHEDULES", 100);
     for (uint32_t seed = begin; seed < begin + count; ++seed) {
         sim::Plan plan = planOf(seed, Defect::none);
         plan.cornered = true;
@@ -72,10 +70,8 @@
 }
 
 TEST(CoreSearch, NoScheduleBreaksAnInvariantWhileTheVotersChanges) {
-    const char* wanted = std::getenv("CONSENSUS_SCHEDULES");
-    const char* first = std::getenv("CONSENSUS_FIRST");
-    const uint32_t begin = first ? static_cast<uint32_t>(std::atoi(first)) : 1;
-    const uint32_t count = wanted ? static_cast<uint32_t>(std::atoi(wanted)) : 200;
+    const uint32_t begin = numberFromEnvironment("CONSENSUS_FIRST", 1);
+    const uint32_t count = numberFromEnvironment("CONSENSUS_SCHEDULES", 200);
     int writes = 0, changes = 0, wipes = 0;
     for (uint32_t seed = begin; seed < begin + count; ++seed) {
         sim::World world(changing(seed, Defect::none));
--- a/system/consensus/history_test.cpp
+++ b/system/consensus/history_test.cpp
@@ -6,21 +6,19 @@
 #include <iostream>
 
 #include "system/consensus/sim_for_test.hpp"
+#include "system/network/environment_for_test.hpp"
 
 namespace petrelpond::consensus {
 namespace {
 
 // Simulated seconds of troubles; CONSENSUS_SECONDS=6000 plays over ten thousand changes.
-double secondsAsked() {
-    const char* said = std::getenv("CONSENSUS_SECONDS");
-    return said ? std::atof(said) : 300;
-}
+uint32_t secondsAsked() { return numberFromEnvironment("CONSENSUS_SECONDS", 300); }
 
 TEST(History, AfterThousandsOfChangesAllAreLevelAndNoDiskHasGrown) {
     static const std::pair<int, int> shapes[] = {{3, 1}, {5, 2}, {9, 2}};
     uint32_t seed = 40;
     for (const auto& [cores, losses] : shapes) {
-        sim::Plan plan{++seed, cores, losses, Defect::none, true, secondsAsked()};
+        sim::Plan plan{++seed, cores, losses, Defect::none, true, static_cast<double>(secondsAsked())};
         plan.spans = true;
         sim::World world(plan);
         EXPECT_EQ(world.run(), "") << cores << " cores";
--- a/system/consensus/keeper_test.cpp
+++ b/system/consensus/keeper_test.cpp
@@ -9,6 +9,8 @@
 #include <cstdlib>
 #include <fstream>
 
+#include "system/network/environment_for_test.hpp"
+
 namespace petrelpond::consensus {
 namespace {
 
@@ -256,11 +258,8 @@
 // The folder holds the present state and what is not compacted yet, not the history. KEEPER_SAVES and
 // KEEPER_BYTES play larger ones.
 TEST_F(KeeperTest, TheFolderIsBoundedByTheStateNotByItsHistory) {
-    const auto asked = [](const char* name, size_t otherwise) {
-        const char* said = std::getenv(name);
-        return said ? static_cast<size_t>(std::atoll(said)) : otherwise;
-    };
-    const size_t saves = asked("KEEPER_SAVES", 200), bytes = asked("KEEPER_BYTES", 300000);
+    const size_t saves = numberFromEnvironment("KEEPER_SAVES", 200),
+                 bytes = numberFromEnvironment("KEEPER_BYTES", 300000);
     uintmax_t most = 0;
     {
         Keeper keeper(dir_, wake_);
--- a/system/consensus/replacement_test.cpp
+++ b/system/consensus/replacement_test.cpp
@@ -6,17 +6,13 @@
 #include <iostream>
 
 #include "system/consensus/losses_for_test.hpp"
+#include "system/network/environment_for_test.hpp"
 
 namespace petrelpond::consensus {
 namespace {
 
 using sim::World;
 
-uint32_t asked(const char* name, uint32_t otherwise) {
-    const char* said = std::getenv(name);
-    return said ? static_cast<uint32_t>(std::atoi(said)) : otherwise;
-}
-
 sim::Plan planOf(uint32_t seed, Defect defect) {
     static const std::pair<int, int> shapes[] = {{3, 1}, {5, 1}, {5, 2}, {9, 2}, {3, 1}};
     const auto [cores, losses] = shapes[seed % 5];
@@ -42,7 +38,8 @@
 
 // CONSENSUS_SCHEDULES=2000 for a long search, CONSENSUS_FIRST to begin elsewhere.
 TEST(Replacement, NoScheduleOfLossesBreaksAnInvariant) {
-    const uint32_t begin = asked("CONSENSUS_FIRST", 1), count = asked("CONSENSUS_SCHEDULES", 100);
+    const uint32_t begin = numberFromEnvironment("CONSENSUS_FIRST", 1),
+                   count = numberFromEnvironment("CONSENSUS_SCHEDULES", 100);
     Outcome all;
     for (uint32_t seed = begin; seed < begin + count; ++seed) {
         const Outcome one = play(seed, Defect::none);
--- a/system/gossip/model_test.cpp
+++ b/system/gossip/model_test.cpp
@@ -1,4 +1,4 @@
-// The model at size, for measuring: WONDERLAND_MODEL=1 system_gossip_tests --gtest_filter='Model.*'.
+// The model at size, for measuring: GOSSIP_MODEL=1 system_gossip_tests --gtest_filter='Model.*'.
 #include <zlib.h>
 
 #include <cmath>
@@ -39,10 +39,11 @@
 }
 
 TEST(Model, MembersAndNews) {
-    if (!std::getenv("WONDERLAND_MODEL")) GTEST_SKIP() << "for measuring: WONDERLAND_MODEL=1";
+    if (!std::getenv("GOSSIP_MODEL")) GTEST_SKIP() << "for measuring: GOSSIP_MODEL=1";
     const size_t size = deflated(1030);
-    std::printf("a configuration of 1,030 routes: %zu bytes deflated\n", size);
-    for (const size_t n : {9, 74, 1000}) {
+    std::printf("a configuration of 1,030 routes: %zu bytes deflated, of 17,000: %zu\n", size,
+                deflated(17000));
+    for (const size_t n : {9, 74, 460, 1000}) {
         for (const double loss : {0.0, 0.05, 0.2}) {
             Fleet f(n, loss, 1);
             f.run(n > 500 ? 30 : 20);
--- a/system/proxy/answer_model_test.cpp
+++ b/system/proxy/answer_model_test.cpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "system/network/environment_for_test.hpp"
 #include "system/proxy/answer_reading.hpp"
 
 namespace petrelpond::proxy {
@@ -258,11 +259,8 @@
 // Answers with bytes changed, left out and put in by chance: never a crash, and what is passed on is whole
 // and ours. ANSWER_INPUTS=1000000 for a long run, ANSWER_FIRST to begin elsewhere.
 TEST(AnswerModel, SpoiltBytesAreNeverPassedOnAsAnothers) {
-    const auto asked = [](const char* name, uint32_t otherwise) {
-        const char* said = std::getenv(name);
-        return said ? static_cast<uint32_t>(std::atoi(said)) : otherwise;
-    };
-    const uint32_t first = asked("ANSWER_FIRST", 1), count = asked("ANSWER_INPUTS", 50000);
+    const uint32_t first = numberFromEnvironment("ANSWER_FIRST", 1),
+                   count = numberFromEnvironment("ANSWER_INPUTS", 50000);
     uint64_t passed = 0;
     for (uint32_t seed = first; seed < first + count; ++seed) {
         std::mt19937 random(seed);
--- a/system/scaler/model_test.cpp
+++ b/system/scaler/model_test.cpp
@@ -1,4 +1,4 @@
-// The planner at size, for measuring: CREST_MODEL=1 system_scaler_tests --gtest_filter='Model.*'.
+// The planner at size, for measuring: SCALER_MODEL=1 system_scaler_tests --gtest_filter='Model.*'.
 #include <gtest/gtest.h>
 #include <time.h>
 
@@ -97,9 +97,10 @@
 }
 
 TEST(Model, PlannerAtSize) {
-    if (!std::getenv("CREST_MODEL")) GTEST_SKIP() << "for measuring: CREST_MODEL=1";
+    if (!std::getenv("SCALER_MODEL")) GTEST_SKIP() << "for measuring: SCALER_MODEL=1";
     for (const size_t functions : {158, 1030})
-        for (const size_t senders : {6, 74, 1000}) measure(senders, functions, 10);
+        for (const size_t senders : {6, 74, 460, 1000}) measure(senders, functions, 10);
+    measure(460, 17000, 10);
 }
 
 }  // namespace
