A late word of a machine's earlier disk no longer makes its new one count as lost

Change: the word names the birth of the disk that it is about. Test: AWordOfAnEarlierDiskDoesNotMakeThisOneOld, which fails without it.

--- a/system/consensus/core.cpp
+++ b/system/consensus/core.cpp
@@ -229,7 +229,10 @@
 
 void Core::sayHello(const NodeId& to, Kind k) {
     Message m = make(k);
-    if (const auto it = peers_.find(to); it != peers_.end()) m.knownSaves = it->second.saves;
+    if (const auto it = peers_.find(to); it != peers_.end()) {
+        m.knownBirth = it->second.birth;
+        m.knownSaves = it->second.saves;
+    }
     m.yes = mem_.electors.empty() && mem_.voters.empty();
     withVoters(m);
     m.electors = mem_.electors;
--- a/system/consensus/core.hpp
+++ b/system/consensus/core.hpp
@@ -125,6 +125,7 @@
     uint8_t entering = 0;     // of the sender, see Durable
     uint64_t birth = 0;       // of the sender's disk
     uint64_t saves = 0;       // of the sender's disk, synced
+    uint64_t knownBirth = 0;  // in helloBack: the birth of the receiver's disk that the sender heard of last
     uint64_t knownSaves = 0;  // in helloBack: of the receiver's disk, the most that the sender has heard of
     std::vector<NodeId> voters;       // empty: not known to the sender, or known to the receiver
     std::vector<NodeId> former;       // goes with voters
--- a/system/consensus/core_test.cpp
+++ b/system/consensus/core_test.cpp
@@ -634,6 +634,20 @@
     EXPECT_EQ(putADiskBack(Defect::none, false), "");
     EXPECT_EQ(putADiskBack(Defect::none, true), "");
 }
+// What was heard of an earlier disk of the same machine, before it was lost, is no sign that this one is old.
+TEST(Core, AWordOfAnEarlierDiskDoesNotMakeThisOneOld) {
+    for (const bool same : {false, true}) {
+        Durable disk = durable();
+        disk.birth = 7;
+        disk.saves = 3;
+        Core core(ms(0), options(a), disk);
+        Message hello = plain(Kind::helloBack);
+        hello.knownBirth = same ? 7 : 6;
+        hello.knownSaves = 100;
+        core.heard(ms(1), b, hello);
+        EXPECT_EQ(core.recovering(), same);
+    }
+}
 TEST(Core, AMemberThatTrustsAnOldDiskIsCaught) { EXPECT_NE(putADiskBack(Defect::trustsOldDisk, false), ""); }
 
 }  // namespace
--- a/system/consensus/disk_age.cpp
+++ b/system/consensus/disk_age.cpp
@@ -17,7 +17,8 @@
 void Core::checkAge(Instant now, const NodeId& from, const Message& m) {
     if (o_.defect == Defect::trustsOldDisk) ageChecked_ = true;
     if (ageChecked_ || mem_.recovering || mem_.voters.empty()) return;
-    if (m.knownSaves > mem_.saves) return treatAsLost(now);
+    // A late word of an earlier disk of this machine says nothing of this one.
+    if (m.knownBirth == mem_.birth && m.knownSaves > mem_.saves) return treatAsLost(now);
     if (isVoter(from)) vouchers_.insert(from);
     ageChecked_ = vouchers_.size() + 1 >= majority();
 }
--- a/system/consensus/message.cpp
+++ b/system/consensus/message.cpp
@@ -7,7 +7,7 @@
 namespace petrelpond::consensus {
 namespace {
 
-constexpr uint32_t fields = 29;
+constexpr uint32_t fields = 30;
 
 // What a core may send at most: against a length that makes us reserve memory for garbage. It harms where a
 // configuration outgrows 64 MB or a system 4096 cores.
@@ -46,6 +46,7 @@
     p.pack(m.birth);
     p.pack(m.claims);
     p.pack(m.saves);
+    p.pack(m.knownBirth);
     p.pack(m.knownSaves);
     p.pack(m.value != nullptr);
     p.pack(m.value ? m.value->version : int64_t{0});
@@ -86,7 +87,7 @@
         next(m.term), next(m.ballot), next(m.accepted);
         next(m.voters), next(m.nodes), next(m.electors);
         next(m.epoch), next(m.entering), next(m.former), next(m.joined), next(m.birth), next(m.claims),
-            next(m.saves), next(m.knownSaves);
+            next(m.saves), next(m.knownBirth), next(m.knownSaves);
         bool withValue = false;
         next(withValue);
         if (withValue) {
--- a/system/control_plane/control_test.cpp
+++ b/system/control_plane/control_test.cpp
@@ -312,54 +312,69 @@
     EXPECT_EQ(status()["voters_epoch"].GetUint64(), 1u);
 }
 
-// Four programs with disks and sockets: three agree on a set of voters, one of them goes for good, the fourth
-// takes its place, and with one more away what was acknowledged before is read and a new one taken.
-TEST(Controls, ACoreThatIsGoneIsReplaced) {
-    const std::string net = "127." + std::to_string(1 + getpid() / 254 % 250) + ".8.";
-    const auto folder =
-        std::filesystem::temp_directory_path() / ("controls-test-" + std::to_string(getpid()));
-    const uint16_t control = freePort(net + "1"), inner = freePort(net + "1");
+// Four programs with disks and sockets on loopback; the first three begin the system.
+class Controls : public ::testing::Test {
+  protected:
     struct One {
         std::unique_ptr<network::Turning> turning = std::make_unique<network::Turning>();
         std::unique_ptr<Control> control;
     };
-    std::vector<One> all(4);
-    const auto begin = [&](size_t i) {
+    Controls() : all_(4) {
+        for (size_t i = 0; i < 3; ++i) begin(i);
+    }
+    ~Controls() override {
+        for (size_t i = 0; i < 4; ++i) end(i);
+        std::filesystem::remove_all(folder_);
+    }
+    std::string ip(size_t i) const { return net_ + std::to_string(i + 1); }
+    void begin(size_t i) {
         configuration::Settings s;
-        s.ip = net + std::to_string(i + 1), s.nodeName = "core-" + s.ip, s.role = "core", s.zone = "z";
+        s.ip = ip(i), s.nodeName = "core-" + s.ip, s.role = "core", s.zone = "z";
         s.bootstrap = i < 3, s.quorumMember = true;
-        s.dataDir = (folder / std::to_string(i)).string();
+        s.dataDir = (folder_ / std::to_string(i)).string();
         std::filesystem::create_directories(*s.dataDir);
-        s.control = configuration::Address{s.ip, control};
-        s.portFirst = inner, s.portLast = inner + 2;
-        for (int seed = 1; seed <= 3; ++seed) s.seeds.push_back({net + std::to_string(seed), control});
-        all[i] = One();
-        all[i].control = std::make_unique<Control>(all[i].turning->loop, s, static_cast<uint32_t>(7 + i));
+        s.control = configuration::Address{s.ip, control_};
+        s.portFirst = inner_, s.portLast = inner_ + 2;
+        for (size_t seed = 0; seed < 3; ++seed) s.seeds.push_back({ip(seed), control_});
+        all_[i] = One();
+        all_[i].control = std::make_unique<Control>(all_[i].turning->loop, s, static_cast<uint32_t>(7 + i));
         std::string error;
-        EXPECT_TRUE(all[i].control->open(error)) << error;
-        all[i].turning->start();
-    };
-    const auto end = [&](size_t i) {
-        if (!all[i].control) return;
-        all[i].turning->end();
-        all[i].control.reset();
-    };
-    // Again after a 503 and while `until` does not hold.
-    const auto call = [&](size_t i, const std::string& line, const std::string& body, int wanted) {
+        EXPECT_TRUE(all_[i].control->open(error)) << error;
+        all_[i].turning->start();
+    }
+    void end(size_t i) {
+        if (!all_[i].control) return;
+        all_[i].turning->end();
+        all_[i].control.reset();
+    }
+    // Again after a 503, until the answer has this status and holds these words.
+    std::string call(size_t i, const std::string& line, const std::string& body, int wanted,
+                     const std::string& words = "") {
         const Instant last = network::Loop::clock() + Span::seconds(20);
         int status = 0;
         std::string got;
-        while (status != wanted && network::Loop::clock() < last)
-            std::tie(status, got) = callAt(net + std::to_string(i + 1), control, line, body);
+        while ((status != wanted || got.find(words) == std::string::npos) && network::Loop::clock() < last)
+            std::tie(status, got) = callAt(ip(i), control_, line, body);
         EXPECT_EQ(status, wanted) << line << " " << got;
+        EXPECT_NE(got.find(words), std::string::npos) << line << " " << got;
         return got;
-    };
-    for (size_t i = 0; i < 3; ++i) begin(i);
+    }
+
+    const std::string net_ = "127." + std::to_string(1 + getpid() / 254 % 250) + ".8.";
+    const std::filesystem::path folder_ =
+        std::filesystem::temp_directory_path() / ("controls-test-" + std::to_string(getpid()));
+    const uint16_t control_ = freePort(net_ + "1"), inner_ = freePort(net_ + "1");
+    std::vector<One> all_;
+};
+
+// Three agree on who votes, one of them goes for good, the fourth takes its place at an operator's word, and
+// with one more away what was acknowledged before is read and a new one taken.
+TEST_F(Controls, ACoreThatIsGoneIsReplaced) {
     call(0, "PUT /configuration", configuration(7), 200);
     begin(3);
     end(2);
-    const std::string change = R"({"gone":[")" + net + R"(3"],"come":[")" + net + R"(4"]})";
-    const std::string voters = R"("voters":[")" + net + R"(1",")" + net + R"(2",")" + net + R"(4"]})";
+    const std::string change = R"({"gone":[")" + ip(2) + R"("],"come":[")" + ip(3) + R"("]})";
+    const std::string voters = R"("voters":[")" + ip(0) + R"(",")" + ip(1) + R"(",")" + ip(3) + R"("]})";
     EXPECT_EQ(call(0, "POST /voters", change, 200), R"({"epoch":2,)" + voters);
     end(0);  // the one that came counts: it and the second are a majority
     EXPECT_EQ(call(3, "GET /configuration", "", 200), configuration(7));
@@ -369,8 +384,20 @@
     call(1, "PUT /configuration", large, 200);
     EXPECT_EQ(call(3, "GET /configuration", "", 200), large);
     EXPECT_EQ(call(1, "POST /voters", change, 200), R"({"epoch":2,)" + voters);  // said again: as it is
-    for (size_t i = 0; i < 4; ++i) end(i);
-    std::filesystem::remove_all(folder);
+}
+
+// The same without an operator's word.
+TEST_F(Controls, ACoreThatIsGoneIsReplacedWithoutAWord) {
+    call(0, "PUT /configuration", configuration(7), 200);
+    end(2);
+    begin(3);
+    call(3, "GET /status", "", 200, R"("counts":true)");
+    call(1, "GET /status", "", 200, R"("voters_epoch":2)");
+    call(1, "GET /status", "", 200, R"("counts":true)");
+    end(0);
+    EXPECT_EQ(call(3, "GET /configuration", "", 200), configuration(7));
+    call(1, "PUT /configuration", configuration(9), 200);
+    call(1, "GET /status", "", 200, R"("in_contact":true)");
 }
 
 TEST_F(ControlTest, OtherCallsAreToldApart) {
