--- a/system/consensus/replacement_test.cpp
+++ b/system/consensus/replacement_test.cpp
@@ -165,5 +165,59 @@
 TEST(Replacement, AMemberThatLeavesHandsItsPlaceOverFirst) { EXPECT_EQ(leaveThenLose(Defect::none), ""); }
 TEST(Replacement, AMemberThatLeavesAtOnceIsCaught) { EXPECT_NE(leaveThenLose(Defect::leavesAtOnce), ""); }
 
+// One that is not the holder is told to end, and has a tenth of a second, at any point of the heartbeat.
+TEST(Replacement, TheWordOfAMemberThatLeavesIsActedOnAtOnce) {
+    for (int64_t offset = 0; offset < 150; offset += 15) {
+        World w(calm(3, 1, 1));
+        w.losses_ = [&w] {
+            w.loss_ = 0;
+            w.at(World::millis(7000), [&w] { w.start(3, false); });
+        };
+        w.at(World::millis(12000 + offset), [&w] {
+            const auto holder = static_cast<size_t>(w.holder());
+            const size_t old = (holder + 1) % 3, next = (holder + 2) % 3;
+            w.nodes_[old].core->release(w.clock(old));
+            w.drain(old);
+            w.at(World::millis(100), [&w, old, next] {
+                w.kill(old);
+                w.nodes_[old].gone = true;
+                w.kill(next);
+                w.nodes_[next].disk.reset();
+                w.start(next, false);
+            });
+        });
+        EXPECT_EQ(w.run(), "") << offset;
+    }
+}
+
+// A member that is heard and has not yet taken over the last change may still be needed: the next change
+// waits for it.
+TEST(Replacement, NoChangeBeginsBeforeTheLastIsTakenOverByAllThatAreHere) {
+    World w(calm(5, 2, 2));
+    size_t deaf = 0, first = 0, second = 0;
+    w.losses_ = [&w] {
+        w.loss_ = 0;
+        w.at(World::millis(7000), [&w] { w.start(5, false), w.start(6, false); });
+    };
+    w.at(World::millis(10000), [&] {
+        const auto holder = static_cast<size_t>(w.holder());
+        deaf = (holder + 1) % 5, first = (holder + 2) % 5, second = (holder + 3) % 5;
+        for (size_t k = 0; k < 7; ++k) w.cut_.insert({k, deaf});
+        w.kill(first);
+        w.nodes_[first].gone = true;
+    });
+    w.at(World::millis(14000), [&] {
+        EXPECT_EQ(w.lastEpoch_, 2u);
+        w.kill(second);
+        w.nodes_[second].gone = true;
+    });
+    w.at(World::millis(19000), [&] {
+        EXPECT_EQ(w.lastEpoch_, 2u);
+        w.cut_.clear();
+    });
+    w.at(World::millis(24000), [&] { EXPECT_EQ(w.lastEpoch_, 3u); });
+    EXPECT_EQ(w.run(), "");
+}
+
 }  // namespace
 }  // namespace petrelpond::consensus
