--- a/system/cli/changes.cpp
+++ b/system/cli/changes.cpp
@@ -191,7 +191,8 @@
                std::to_string(s.memoryMb) + " MB, boot " + millis(s.boot) + " ms, connections " +
                std::to_string(s.maxConnections) + "\n";
     out += "limits:";
-    for (const auto& [field, value] : fieldsOf(c.limits)) out += " " + field + "=" + value;
+    for (const auto& [field, value] : fieldsOf(c.limits))
+        out.append(" ").append(field).append("=").append(value);
     return out + "\n";
 }
 
--- a/system/cli/commands.cpp
+++ b/system/cli/commands.cpp
@@ -271,6 +271,7 @@
         next.resize(std::min(next.size(), kMostCores - answers.size()));
         Span time = std::min(s.silence, std::max(until - s.clock(), Span::millis(10)));
         std::vector<Question> questions;
+        questions.reserve(next.size());
         for (const Hint& h : next) questions.push_back({h.address, "GET", "/status", "", time});
         std::vector<Reply> replies = ask(questions);
         for (size_t i = 0; i < next.size(); ++i) {
--- a/system/configuration/configuration.cpp
+++ b/system/configuration/configuration.cpp
@@ -336,11 +336,12 @@
         if (at.IsString()) return addTarget(here, at, 1, r);
         if (at.IsObject()) {
             for (const auto& entry : at.GetObject()) {
-                const std::string name(entry.name.GetString(), entry.name.GetStringLength());
+                std::string path = here;
+                path.append("/").append(entry.name.GetString(), entry.name.GetStringLength());
                 if (!entry.value.IsNumber())
-                    m_.shape(here + "/" + name, "must be a weight");
+                    m_.shape(path, "must be a weight");
                 else
-                    addTarget(here + "/" + name, entry.name, entry.value.GetDouble(), r);
+                    addTarget(path, entry.name, entry.value.GetDouble(), r);
             }
             return;
         }
--- a/system/consensus/keeper.cpp
+++ b/system/consensus/keeper.cpp
@@ -252,7 +252,7 @@
 
 std::string Keeper::write(const Save& save) {
     if (!db_) {
-        const std::string why = open();
+        std::string why = open();
         if (!why.empty()) return why;
     }
     // The ballot stands with the rest: the same text under another ballot is not written again.
--- a/system/consensus/register_test.cpp
+++ b/system/consensus/register_test.cpp
@@ -1,5 +1,5 @@
-// Single steps of the register that a schedule found by chance may miss: each of these fails without the defence that it
-// names.
+// Single steps of the register that a schedule found by chance may miss: each of these fails without the
+// defence that it names.
 #include <gtest/gtest.h>
 
 #include "system/consensus/core.hpp"
@@ -66,8 +66,8 @@
         return {};
     }
     int count(Kind kind) const {
-        return static_cast<int>(std::count_if(sent_.begin(), sent_.end(),
-                                              [&](const Send& s) { return s.message.kind == kind; }));
+        return static_cast<int>(
+            std::count_if(sent_.begin(), sent_.end(), [&](const Send& s) { return s.message.kind == kind; }));
     }
 
     std::unique_ptr<Core> core_;
@@ -136,7 +136,8 @@
     }
 }
 
-// What is known to be chosen does not take the place of a higher version that was accepted and may be chosen too.
+// What is known to be chosen does not take the place of a higher version that was accepted and may be chosen
+// too.
 TEST_F(RegisterTest, AChosenTextDoesNotReplaceAHigherVersion) {
     start(disk(9, 3));
     Message chosen = of(Kind::value);
--- a/system/control_plane/status.cpp
+++ b/system/control_plane/status.cpp
@@ -45,7 +45,8 @@
 void version(Writer& w, const char* key, int64_t value) { w.Key(key), w.Int64(value); }
 void seconds(Writer& w, const char* key, Span value) {
     w.Key(key);
-    w.Double(static_cast<double>(value.inMicros() / 1000) / 1e3);
+    const int64_t wholeMillis = value.inMicros() / 1000;
+    w.Double(static_cast<double>(wholeMillis) / 1e3);
 }
 
 }  // namespace
--- a/system/proxy/proxy.cpp
+++ b/system/proxy/proxy.cpp
@@ -14,7 +14,6 @@
 using network::HttpVisit;
 using network::Kind;
 using network::Link;
-using network::Reading;
 using network::Stream;
 
 namespace {
