Status tells who votes, catches up, is suspected, and how many may still be lost

An operator saw the voters and nothing of the state of a change. Change: Core::members() and lossesLeft(); GET /status has members (votes, catching_up, standby, leaving, suspected, silent_s) and losses_left; petrelctl status prints them as the holder of the lease hears them, as it alone hears all the others all the time. Result: tests of the overview, and of three control programs of which one ends and a fourth takes its place.

--- a/system/cli/overview.cpp
+++ b/system/cli/overview.cpp
@@ -218,6 +218,11 @@
     c.saveFailed = yes(*disk, "last_save_failed");
     c.voters = words(d, "voters"), c.seeds = words(d, "seeds");
     each(d, "peers", [&](const Json& v) { c.peers.push_back({text(v, "ip"), seconds(v, "heard_s_ago")}); });
+    each(d, "members", [&](const Json& v) {
+        c.members.push_back({text(v, "ip"), yes(v, "votes"), yes(v, "catching_up"), yes(v, "standby"),
+                             yes(v, "leaving"), yes(v, "suspected"), seconds(v, "silent_s").value_or(0)});
+    });
+    if (const Json* left = member(d, "losses_left"); left && left->IsInt64()) c.lossesLeft = left->GetInt64();
     c.holder = text(*duty, "holder"), c.term = number(*duty, "term"), c.heldHere = yes(*duty, "held_here");
     c.left = seconds(*duty, "left_s");
     c.agentsLinked = number(d, "agents_linked");
@@ -329,6 +334,31 @@
     return o;
 }
 
+namespace {
+
+std::string stateOf(const MemberView& m) {
+    std::string state = m.votes ? "votes" : m.standby ? "standby" : "no voter";
+    if (m.catchingUp) state += ", catches up";
+    if (m.leaving) state += ", leaves";
+    if (m.suspected) state += ", suspected, silent for " + shown(m.silent);
+    return state;
+}
+
+// Only the holder of the lease hears all the others all the time, so it alone is shown.
+std::string membersText(const Overview& o) {
+    std::string out;
+    for (const Answer& a : o.cores) {
+        if (!a.core || !a.core->heldHere || !a.core->lossesLeft) continue;
+        const int64_t left = *a.core->lossesLeft;
+        out += "members: " + (left < 0 ? "no majority" : std::to_string(left) + " more may be lost") +
+               ", as the holder hears them\n";
+        for (const MemberView& m : a.core->members) out += "  " + m.ip + ": " + stateOf(m) + "\n";
+    }
+    return out;
+}
+
+}  // namespace
+
 std::string overviewText(const Overview& o) {
     std::string out;
     size_t answered = 0;
@@ -351,6 +381,7 @@
                (o.majority ? "a majority" : "no majority seen") + "\n";
     else if (answered > 0)
         out += "voters: not agreed on\n";
+    out += membersText(o);
     if (answered > 0) {
         out +=
             "configuration: " + (o.version ? "version " + shown(o.version) + " lies on a majority" : "none") +
--- a/system/cli/overview.hpp
+++ b/system/cli/overview.hpp
@@ -26,6 +26,11 @@
     std::string name;
     uint64_t up = 0, booting = 0, draining = 0, slots = 0, waiting = 0, busy = 0;
 };
+struct MemberView {
+    std::string ip;
+    bool votes = false, catchingUp = false, standby = false, leaving = false, suspected = false;
+    double silent = 0;  // seconds since the teller heard it
+};
 struct CoreView {
     std::string name, ip, zone;
     bool leaving = false;
@@ -33,7 +38,9 @@
     bool counts = false, selfIsVoter = false, recovering = false, saveFailed = false;
     std::vector<std::string> voters, seeds;
     std::vector<PeerView> peers;
-    std::string holder;  // of the duty, its ip; empty: nobody known
+    std::vector<MemberView> members;    // voters and standbys as this core hears them
+    std::optional<int64_t> lossesLeft;  // voters that may still be lost, as this core hears them
+    std::string holder;                 // of the duty, its ip; empty: nobody known
     uint64_t term = 0;
     bool heldHere = false;
     std::optional<double> left;  // seconds that the duty is surely held here
--- a/system/cli/overview_test.cpp
+++ b/system/cli/overview_test.cpp
@@ -140,6 +140,28 @@
     EXPECT_TRUE(hints({one, silent(2), silent(3)}).empty());
 }
 
+TEST(Overview, TellsWhoVotesWhoIsSuspectedAndHowManyMayStillBeLost) {
+    const auto core = readStatus(
+        R"({"ip":"10.0.0.1","duty":{"holder":"10.0.0.1","term":3,"held_here":true},"losses_left":0,"members":[
+            {"ip":"10.0.0.1","votes":true},
+            {"ip":"10.0.0.2","votes":true,"suspected":true,"silent_s":2.4},
+            {"ip":"10.0.0.3","votes":true,"catching_up":true,"leaving":true},
+            {"ip":"10.0.0.4","standby":true}]})",
+        "here");
+    ASSERT_TRUE(std::holds_alternative<CoreView>(core));
+    Answer answer;
+    answer.core = std::get<CoreView>(core);
+    const std::string text = overviewText(merge({answer}));
+    EXPECT_NE(text.find("members: 0 more may be lost, as the holder hears them\n"
+                        "  10.0.0.1: votes\n"
+                        "  10.0.0.2: votes, suspected, silent for 2.4 s\n"
+                        "  10.0.0.3: votes, catches up, leaves\n"
+                        "  10.0.0.4: standby\n"),
+              std::string::npos)
+        << text;
+    answer.core->lossesLeft = -1;
+    EXPECT_NE(overviewText(merge({answer})).find("members: no majority"), std::string::npos);
+}
 TEST(Status, OddTextsAreProblemsOrDefaultsNeverMore) {
     for (const std::string& odd : {std::string(), std::string("[]"), std::string("{"), std::string("{}"),
                                    std::string(R"({"ip":5})"), std::string(1'000'000, '[')})
--- a/system/consensus/core.hpp
+++ b/system/consensus/core.hpp
@@ -211,6 +211,17 @@
     Defect defect = Defect::none;
 };
 
+// What this core knows of one member or standby, for operators.
+struct MemberState {
+    NodeId node;
+    bool votes = false;       // is among the voters
+    bool catchingUp = false;  // a voter that has not taken part yet since its disk or the voters changed
+    bool standby = false;     // would take a place that falls free
+    bool leaving = false;     // was told to end
+    bool suspected = false;   // a voter whose place goes to a standby as soon as there is one
+    Span silent;              // since it was heard last; 0: this core itself
+};
+
 class Core {
   public:
     Core(Instant now, Options, std::optional<Durable> found);  // nullopt: the disk was empty or damaged
@@ -251,6 +262,10 @@
     // when we answered, not from when we were told. Outside of it nothing that we hold is the newest for
     // sure.
     bool inContact(Instant now) const;
+    std::vector<MemberState> members(Instant now) const;
+    // How many more voters may be lost, as seen from here, before a majority is missing; negative: it is
+    // missing.
+    int lossesLeft(Instant now) const;
     // Whether no majority can be reached from here: so few members have been heard lately.
     bool cutOff(Instant now) const;
     bool recovering() const { return mem_.recovering; }
--- a/system/consensus/replacement.cpp
+++ b/system/consensus/replacement.cpp
@@ -114,6 +114,38 @@
     for (const NodeId& n : fit) sayHello(n, Kind::hello, vacancyProbe_);
 }
 
+std::vector<MemberState> Core::members(Instant now) const {
+    const std::vector<NodeId> fit = standbys(now);
+    const auto stateOf = [&](const NodeId& node) {
+        MemberState state;
+        state.node = node;
+        state.votes = isVoter(node);
+        state.catchingUp = state.votes && !hasTakenOver(node);
+        state.standby = std::find(fit.begin(), fit.end(), node) != fit.end();
+        state.suspected = state.votes && node != o_.self && isAbsent(now, node);
+        const auto it = peers_.find(node);
+        state.leaving = node == o_.self ? released_ : it != peers_.end() && it->second.leaving;
+        if (it != peers_.end()) state.silent = now - std::max(it->second.heardAt, startedAt_);
+        return state;
+    };
+    std::vector<NodeId> known = mem_.voters;
+    known.push_back(o_.self);
+    for (const auto& [node, peer] : peers_) {
+        if (peer.counted) known.push_back(node);
+    }
+    sortUnique(known);
+    std::vector<MemberState> all;
+    for (const NodeId& node : known) all.push_back(stateOf(node));
+    return all;
+}
+
+int Core::lossesLeft(Instant now) const {
+    const auto whole = std::count_if(mem_.voters.begin(), mem_.voters.end(), [&](const NodeId& n) {
+        return hasTakenOver(n) && (n == o_.self || !isAbsent(now, n));
+    });
+    return static_cast<int>(whole) - static_cast<int>(majority());
+}
+
 void Core::forgetSilentPeers(Instant now) {
     std::erase_if(peers_, [&](const auto& entry) {
         const auto& [node, peer] = entry;
--- a/system/control_plane/control.hpp
+++ b/system/control_plane/control.hpp
@@ -2,6 +2,9 @@
 // agents, and, while it holds the startup duty, plans instances and slots for the whole fleet.
 #pragma once
 
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
 #include <deque>
 #include <map>
 #include <memory>
@@ -82,6 +85,7 @@
     void run(const ChangeVoters&);
     void run(const Unknown&);
     std::string status() const;  // JSON
+    void members(rapidjson::Writer<rapidjson::StringBuffer>&, Instant now) const;
     void runCommands();
     void pumpSoon();
     void pump();
--- a/system/control_plane/control_test.cpp
+++ b/system/control_plane/control_test.cpp
@@ -393,6 +393,10 @@
     begin(3);
     call(3, "GET /status", "", 200, R"("counts":true)");
     call(1, "GET /status", "", 200, R"("voters_epoch":2)");
+    // The one that is gone is no voter any more; with two of three whole for each of the others one may be
+    // lost.
+    call(0, "GET /status", "", 200, R"("ip":")" + ip(3) + R"(","votes":true,"catching_up":false)");
+    call(0, "GET /status", "", 200, R"("losses_left":1)");
     call(1, "GET /status", "", 200, R"("counts":true)");
     end(0);
     EXPECT_EQ(call(3, "GET /configuration", "", 200), configuration(7));
--- a/system/control_plane/status.cpp
+++ b/system/control_plane/status.cpp
@@ -56,6 +56,22 @@
         v->second->answer(200, "Content-Type: application/json\r\n", status());
 }
 
+// Who votes, who catches up, who is suspected and since when, and how many voters may still be lost.
+void Control::members(rapidjson::Writer<rapidjson::StringBuffer>& w, Instant now) const {
+    w.Key("losses_left"), w.Int(core_->lossesLeft(now));  // negative: no majority
+    w.Key("members"), w.StartArray();
+    const auto all = core_->members(now);
+    for (size_t i = 0; i < std::min(all.size(), kMostCores); ++i) {
+        w.StartObject();
+        text(w, "ip", all[i].node);
+        yes(w, "votes", all[i].votes), yes(w, "catching_up", all[i].catchingUp);
+        yes(w, "standby", all[i].standby), yes(w, "leaving", all[i].leaving);
+        yes(w, "suspected", all[i].suspected), seconds(w, "silent_s", all[i].silent);
+        w.EndObject();
+    }
+    w.EndArray();
+}
+
 std::string Control::status() const {
     const Instant now = loop_.now();
     const auto& voters = core_->voters();
@@ -83,6 +99,7 @@
     w.Key("voters"), w.StartArray();
     for (size_t i = 0; i < std::min(voters.size(), kMostCores); ++i) word(w, voters[i]);
     w.EndArray();
+    members(w, now);
     w.Key("seeds"), w.StartArray();
     for (size_t i = 0; i < std::min(settings_.seeds.size(), kMostCores); ++i)
         word(w, settings_.seeds[i].text());
