Range: replacements with second losses and cuts of 5 to 25 s, as real processes

Change: troubles node_replace and node_replace_planned, machines.spares; petrelfleet system replacements and system cuts draw plays by a seed; each replacement is watched by GET /status of the successor until it counts and the old one votes no more, and the times are printed. The judge counts a majority of the cores of the plan, whichever machines they are. Not made: connections of operators that are refused or reset; the operators of the range always reach a core that is cut off from the others.

--- a/fleet/system/command.cpp
+++ b/fleet/system/command.cpp
@@ -25,13 +25,15 @@
 }  // namespace
 
 struct Command::Parts {
-    CLI::App *all, *demo, *run, *check, *kills, *storm;
+    CLI::App *all, *demo, *run, *check, *kills, *storm, *replacements, *cuts;
     std::string file, programs, keep, defect;
     uint64_t seed = 0;
     int plays = 1;
     bool quiet = false;
     KillsPlan long_;
     StormPlan storm_;
+    ReplacementsPlan replacements_;
+    CutsPlan cuts_;
     int edges = 0, cores = 0;  // 0: as the file says
 
     int play(Plan plan) {
@@ -101,6 +103,18 @@
     p.storm->add_option("--senders", p.storm_.edges)->check(CLI::Range(1, 200));
     p.storm->add_option("--cores", p.storm_.cores)->check(CLI::Range(3, 9));
     usual(p.storm), defects(p.storm);
+    p.replacements = p.all->add_subcommand(
+        "replacements", "core machines that are replaced, planned or not, each followed by a second loss");
+    p.replacements->add_option("--replacements", p.replacements_.replacements)
+        ->check(CLI::Range(1, kMostSpares));
+    p.replacements->add_option("--senders", p.replacements_.edges)->check(CLI::Range(1, 200));
+    p.replacements->add_option("--cores", p.replacements_.cores)->check(CLI::Range(3, 9));
+    usual(p.replacements), defects(p.replacements);
+    p.cuts = p.all->add_subcommand("cuts", "cuts of 5 to 25 s of every shape, with orders on both sides");
+    p.cuts->add_option("--cuts", p.cuts_.cuts)->check(CLI::Range(1, 1000));
+    p.cuts->add_option("--senders", p.cuts_.edges)->check(CLI::Range(1, 200));
+    p.cuts->add_option("--cores", p.cuts_.cores)->check(CLI::Range(3, 9));
+    usual(p.cuts), defects(p.cuts);
 }
 
 Command::~Command() = default;
@@ -116,6 +130,14 @@
         p.storm_.seed = std::max<uint64_t>(1, p.seed);
         return p.play(stormPlan(p.storm_));
     }
+    if (*p.replacements) {
+        p.replacements_.seed = std::max<uint64_t>(1, p.seed);
+        return p.play(replacementsPlan(p.replacements_));
+    }
+    if (*p.cuts) {
+        p.cuts_.seed = std::max<uint64_t>(1, p.seed);
+        return p.play(cutsPlan(p.cuts_));
+    }
     Plan plan = *p.demo ? readPlan(demoPlan(), "demo") : readPlanFile(p.file);
     if (p.seed > 0) plan.seed = p.seed;
     if (p.edges > 0) plan.edges = p.edges;
--- a/fleet/system/judge.cpp
+++ b/fleet/system/judge.cpp
@@ -39,8 +39,10 @@
     return best;
 }
 
-Judge::Judge(Bounds bounds, std::vector<bool> machines) : bounds_(bounds), machines_(machines.size()) {
+Judge::Judge(Bounds bounds, std::vector<bool> machines, size_t cores)
+    : bounds_(bounds), cores_(cores), machines_(machines.size()) {
     for (size_t i = 0; i < machines.size(); ++i) machines_[i].core = machines[i];
+    if (cores_ == 0) cores_ = static_cast<size_t>(std::count(machines.begin(), machines.end(), true));
 }
 
 int Judge::all() const {
@@ -73,17 +75,15 @@
 
 bool Judge::majority(Instant from, Instant to) const {
     std::vector<Instant> moments = {from};
-    size_t cores = 0;
     for (const Machine& m : machines_) {
         if (!m.core) continue;
-        ++cores;
         for (const Trouble& t : m.troubles)
             if (t.from >= from && t.from <= to) moments.push_back(t.from);
     }
     return std::all_of(moments.begin(), moments.end(), [&](Instant at) {
         size_t away = 0;
         for (const Machine& m : machines_) away += m.core && !calm(m.troubles, at, at);
-        return (cores - away) * 2 > cores;
+        return away < cores_ && (cores_ - away) * 2 > cores_;
     });
 }
 
--- a/fleet/system/judge.hpp
+++ b/fleet/system/judge.hpp
@@ -76,7 +76,8 @@
 class Judge {
   public:
     // machines: by number, whether each is of the core.
-    Judge(Bounds, std::vector<bool> machines);
+    // cores: of how many at a time a majority is counted; 0: of all of the core.
+    Judge(Bounds, std::vector<bool> machines, size_t cores = 0);
 
     // ---- troubles, made by us
     void down(Instant, int machine);  // killed, told to end, or frozen
@@ -173,6 +174,7 @@
     bool drainClockRan(Instant shown, Instant now) const;
 
     Bounds bounds_;
+    size_t cores_;
     std::vector<Machine> machines_;
     std::unordered_map<std::string, Request> requests_;
     std::map<int64_t, Change> changes_;
--- a/fleet/system/machines.cpp
+++ b/fleet/system/machines.cpp
@@ -45,7 +45,11 @@
         machines_.push_back(std::move(m));
     };
     for (int i = 0; i < plan.edges; ++i) add(false, i);
-    for (int i = 0; i < plan.cores; ++i) add(true, i);
+    for (int i = 0; i < plan.cores + plan.spares; ++i) add(true, i);
+    for (size_t i = machines_.size() - static_cast<size_t>(plan.spares); i < machines_.size(); ++i) {
+        machines_[i].out = true;
+        machines_[i].bootstrap = false;
+    }
     std::vector<std::string> ips, folders;
     for (const Machine& m : machines_) ips.push_back(m.ip), folders.push_back(m.folder);
     weather_ = std::make_unique<Weather>(ips, folders, [this](int n) {
@@ -87,7 +91,8 @@
     y << "internal_port_range:\n  - " << ports.first << "\n  - " << ports.last << "\nseed_nodes:\n";
     int seeds = 0;
     for (const Machine& other : machines_)
-        if (other.core && seeds++ < 3) y << "  - \"" << other.ip << ":" << ports.control << "\"\n";
+        if (other.core && !other.out && seeds++ < 3)
+            y << "  - \"" << other.ip << ":" << ports.control << "\"\n";
     y << "bootstrap: " << (m.bootstrap ? "true" : "false")
       << "\nquorum_member: " << (m.core ? "true" : "false")
       << "\nlimits:\n  cpu_share: 0.5\n  cpu_cores: 1\n  memory_mb: 260\n  file_descriptors: 4100\n"
@@ -125,6 +130,7 @@
     }
     weather_->writeAll();
     for (Machine& m : machines_) {
+        if (m.out) continue;
         for (auto& p : m.processes) start(m, p);
         m.bootstrap = false;  // whatever starts again does so on old disks, or on lost ones
     }
@@ -193,7 +199,7 @@
 
 void Machines::kill(int n, Span away, bool wipe, const std::string& program) {
     Machine& m = machines_[static_cast<size_t>(n)];
-    if (ending_) return;
+    if (ending_ || m.out) return;
     judge_.down(loop_.now(), n);
     for (auto& p : m.processes)
         if (program.empty() || p.program == program) end(p);
@@ -205,7 +211,7 @@
 
 void Machines::back(int n) {
     Machine& m = machines_[static_cast<size_t>(n)];
-    if (ending_ || m.ending) return;
+    if (ending_ || m.ending || m.out) return;
     m.powerless = false, weather_->silent(n, false);
     bool newProxy = false;
     for (auto& p : m.processes)
@@ -244,12 +250,66 @@
     });
 }
 
+int Machines::nextSpare() const {
+    for (size_t i = 0; i < machines_.size(); ++i)
+        if (machines_[i].out && machines_[i].starts == 0) return static_cast<int>(i);
+    return -1;
+}
+
+void Machines::bringUp(int n) {
+    Machine& m = machines_[static_cast<size_t>(n)];
+    if (ending_) return;
+    m.out = false;
+    writeSettings(m);
+    for (auto& p : m.processes) start(m, p);
+}
+
+void Machines::endForGood(int n) {
+    Machine& m = machines_[static_cast<size_t>(n)];
+    for (auto& p : m.processes) end(p);
+    m.out = true, m.frozen = false, m.ending = false;
+    loseDisk(m.folder);
+}
+
+void Machines::lostUntilCaughtUp(int n, Instant successorComes) {
+    loop_.at(std::max(loop_.now(), successorComes + plan_.bounds.catchUp),
+             [this, n] { judge_.up(loop_.now(), n, false); });
+}
+
+int Machines::replace(int old, Span between, bool planned) {
+    const int successor = nextSpare();
+    Machine& m = machines_[static_cast<size_t>(old)];
+    if (ending_ || successor < 0 || m.out || m.ending) return -1;
+    const Instant now = loop_.now();
+    if (!planned) {
+        judge_.down(now, old);
+        endForGood(old);
+        loop_.at(now + between, [this, successor] { bringUp(successor); });
+        lostUntilCaughtUp(old, now + between);
+        return successor;
+    }
+    bringUp(successor);
+    loop_.at(now + between, [this, old, now] {
+        Machine& leaver = machines_[static_cast<size_t>(old)];
+        if (ending_ || leaver.out) return;
+        judge_.down(loop_.now(), old);
+        judge_.planned(loop_.now(), old);
+        leaver.ending = true;
+        for (auto& p : leaver.processes)
+            if (p.pid > 0) p.meant = false, ::kill(p.pid, SIGTERM);
+        lostUntilCaughtUp(old, now);
+        loop_.at(loop_.now() + plan_.bounds.grace, [this, old] { endForGood(old); });
+    });
+    return successor;
+}
+
 // The others are deaf to it before its processes end: a machine without power sends no word that they did.
 void Machines::losePower(const std::vector<int>& machines, Span away) {
     if (ending_) return;
     std::vector<int> struck;
     for (int n : machines)
-        if (Machine& m = machines_[static_cast<size_t>(n)]; !m.powerless && !m.ending) struck.push_back(n);
+        if (Machine& m = machines_[static_cast<size_t>(n)]; !m.powerless && !m.ending && !m.out)
+            struck.push_back(n);
     for (int n : struck)
         for (auto& p : machines_[static_cast<size_t>(n)].processes)
             if (p.pid > 0) ::kill(p.pid, SIGSTOP);
--- a/fleet/system/machines.hpp
+++ b/fleet/system/machines.hpp
@@ -24,6 +24,7 @@
     std::string name, zone, ip, folder;
     bool core = false, bootstrap = true, frozen = false, ending = false;
     bool powerless = false;
+    bool out = false;  // not there yet, or gone for good
     int starts = 0, ownEnds = 0;
     struct Process {
         std::string program;
@@ -50,6 +51,8 @@
     void kill(int machine, Span away, bool wipe, const std::string& program = "");
     void freeze(int machine, Span lasts);
     void terminate(int machine, Span away);
+    // A core machine that was never there takes the place of this one; -1: none is left. See Kind::replace.
+    int replace(int machine, Span between, bool planned);
     // All at the same moment: nothing more is said or heard, and what was not synced is forgotten.
     void losePower(const std::vector<int>& machines, Span away);
     void harmDisks(const std::vector<int>& machines, Kind, Span value, Span lasts);
@@ -70,6 +73,11 @@
 
   private:
     void writeSettings(const Machine&) const;
+    int nextSpare() const;
+    void bringUp(int machine);
+    void endForGood(int machine);
+    // Its loss is over once its successor, that comes then, has had its time to catch up.
+    void lostUntilCaughtUp(int machine, Instant successorComes);
     void start(Machine&, Machine::Process&);
     void end(Machine::Process&);
     void account(Machine::Process&, const rusage&);
--- a/fleet/system/operators.cpp
+++ b/fleet/system/operators.cpp
@@ -138,7 +138,7 @@
     results_.push_back(result);
     auto call = std::make_shared<Call>();
     call->version = version, call->text = text, call->valid = valid, call->result = results_.size() - 1;
-    call->core = static_cast<int>(chance_() % cores_.size());
+    call->core = anyCore();
     send(call);
     return version;
 }
@@ -197,13 +197,25 @@
     if (oldVersion_ == 0) return;
     auto call = std::make_shared<Call>();
     call->version = oldVersion_, call->text = oldText_, call->valid = true, call->result = results_.size();
-    call->core = static_cast<int>(chance_() % cores_.size());
+    call->core = anyCore();
     ChangeResult again;
     again.version = oldVersion_, again.offeredAt = loop_.now();
     results_.push_back(again);
     send(call);
 }
 
+int Operators::anyCore() { return inService(static_cast<int>(chance_() % cores_.size())); }
+
+// That core, or the next that is neither gone for good nor still to come.
+int Operators::inService(int core) const {
+    const auto all = static_cast<int>(cores_.size());
+    for (int step = 0; step < all; ++step) {
+        const int at = (core + step) % all;
+        if (!machines_.all()[static_cast<size_t>(cores_[static_cast<size_t>(at)])].out) return at;
+    }
+    return core % all;
+}
+
 void Operators::send(std::shared_ptr<Call> call) {
     auto core = static_cast<size_t>(call->core);
     ++call->tries;
@@ -230,7 +242,7 @@
         return;
     }
     if (call->tries >= kMostCalls) return;
-    call->core = (call->core + 1) % static_cast<int>(cores_.size());
+    call->core = inService(call->core + 1);
     Span pause = call->pause;
     call->pause = std::min(call->pause * 1.6, kPauseMost);
     loop_.at(loop_.now() + pause, [this, call] { send(call); });
@@ -266,7 +278,7 @@
 void Operators::readBack(Span lasts, bool closing) { read(loop_.now() + lasts, closing); }
 
 void Operators::read(Instant until, bool closing) {
-    auto core = static_cast<size_t>(reads_++) % cores_.size();
+    const auto core = static_cast<size_t>(inService(reads_++));
     callers_[core]->call(
         "GET", "/configuration", "", "",
         [this, until, closing, asked = loop_.now()](int status, const std::string& body) {
--- a/fleet/system/operators.hpp
+++ b/fleet/system/operators.hpp
@@ -57,6 +57,8 @@
     };
     std::string text(int64_t version, const std::vector<RouteState>&) const;
     void mutate();
+    int anyCore();
+    int inService(int core) const;
     int64_t offer(const std::string& text, bool valid, int64_t version, const std::vector<RouteState>&);
     void send(std::shared_ptr<Call>);
     void answered(std::shared_ptr<Call>, int core, int status);
--- a/fleet/system/plan.cpp
+++ b/fleet/system/plan.cpp
@@ -17,13 +17,39 @@
 using fleet::Mistake;
 using fleet::WrongScenario;
 
-constexpr std::string_view kWords[kKinds] = {
-    "node_kill",     "node_freeze",     "node_term",     "disk_lost",    "after_ack_kill", "after_ack_wipe",
-    "power_lost",    "after_ack_power", "disk_slow",     "disk_stalled", "disk_full",      "link_cut",
-    "link_loss",     "link_delay",      "link_squeeze",  "worker_crash", "worker_drain",   "platform_down",
-    "platform_slow", "answer_lost",     "cut",           "noise",        "excess",         "excess_late",
-    "reset",         "burst",           "config_change", "config_race",  "bad_config",     "config_old",
-    "config_read"};
+constexpr std::string_view kWords[kKinds] = {"node_kill",
+                                             "node_freeze",
+                                             "node_term",
+                                             "node_replace",
+                                             "node_replace_planned",
+                                             "disk_lost",
+                                             "after_ack_kill",
+                                             "after_ack_wipe",
+                                             "power_lost",
+                                             "after_ack_power",
+                                             "disk_slow",
+                                             "disk_stalled",
+                                             "disk_full",
+                                             "link_cut",
+                                             "link_loss",
+                                             "link_delay",
+                                             "link_squeeze",
+                                             "worker_crash",
+                                             "worker_drain",
+                                             "platform_down",
+                                             "platform_slow",
+                                             "answer_lost",
+                                             "cut",
+                                             "noise",
+                                             "excess",
+                                             "excess_late",
+                                             "reset",
+                                             "burst",
+                                             "config_change",
+                                             "config_race",
+                                             "bad_config",
+                                             "config_old",
+                                             "config_read"};
 
 // One table: each key is asked for once, and what nobody asked for is a mistake.
 class Part {
@@ -159,9 +185,10 @@
 void checkNames(Part& p, const Plan& plan, const char* key, const std::vector<std::string>& names) {
     for (const std::string& name : names) {
         bool known = name == "edge" || name == "core" || name == "all";
-        for (int i = 1; i <= std::max(plan.edges, plan.cores); ++i)
+        const int coreMachines = plan.cores + plan.spares;
+        for (int i = 1; i <= std::max(plan.edges, coreMachines); ++i)
             known |= (i <= plan.edges && name == "edge-" + std::to_string(i)) ||
-                     (i <= plan.cores && name == "core-" + std::to_string(i));
+                     (i <= coreMachines && name == "core-" + std::to_string(i));
         if (!known) p.wrong(p.find(key), key, "knows no '" + name + "'");
     }
 }
@@ -237,6 +264,7 @@
     all.table("machines", [&](Part& p) {
         plan.edges = p.whole("edges", plan.edges, 1, 200), plan.cores = p.whole("cores", plan.cores, 1, 9);
         plan.zones = p.whole("zones", plan.zones, 1, 9);
+        plan.spares = p.whole("spares", plan.spares, 0, kMostSpares);
     });
     all.table("platform", [&](Part& p) {
         plan.workers = p.whole("workers", plan.workers, 1, 1000);
@@ -376,190 +404,4 @@
 )";
 }
 
-Plan killsPlan(const KillsPlan& k) {
-    Plan plan = readPlan(demoPlan(), "demo");
-    plan.name = "kills", plan.seed = k.seed, plan.faults.clear();
-    std::mt19937_64 chance(k.seed);
-    auto draw = [&](int n) { return static_cast<int>(chance() % static_cast<uint64_t>(n)); };
-    std::vector<bool> wipes(static_cast<size_t>(k.kills + k.wipes));
-    std::fill_n(wipes.begin(), k.wipes, true);
-    std::shuffle(wipes.begin(), wipes.end(), chance);
-    Span at = plan.settle + Span::seconds(2), last;
-    for (bool wipe : wipes) {
-        FaultPlan f;
-        f.at = at, f.lasts = Span::millis(300 + draw(2000));
-        int kind = draw(10);
-        std::string core = "core-" + std::to_string(1 + draw(plan.cores));
-        if (wipe) {
-            f.kind = draw(3) == 0 ? Kind::afterAckWipe : Kind::wipe;
-            if (f.kind == Kind::wipe) f.machines = {core};
-        } else if (kind < 3) {
-            f.machines = {core};
-        } else if (kind < 5) {
-            f.machines = {"edge"}, f.count = 1 + draw(3);
-        } else if (kind < 6) {  // every process of the core at the same moment: their disks survive
-            f.machines = {"core"}, f.lasts = Span::millis(300 + draw(600));
-        } else if (kind < 7) {
-            f.kind = Kind::freeze,
-            f.machines = {draw(2) ? core : "edge-" + std::to_string(1 + draw(plan.edges))};
-        } else if (kind < 8) {
-            f.kind = Kind::term,
-            f.machines = {draw(2) ? core : "edge-" + std::to_string(1 + draw(plan.edges))};
-            f.lasts = Span::seconds(1);
-        } else if (kind < 9) {
-            f.kind = Kind::afterAckKill;
-        } else {
-            f.kind = Kind::workerCrash, f.count = 1, f.lasts = Span::seconds(2);
-        }
-        // A change in the midst, and one just before, so that what was just acknowledged is at stake.
-        FaultPlan change;
-        change.kind = Kind::configChange, change.at = at - Span::millis(200 + draw(400));
-        plan.faults.push_back(change), plan.faults.push_back(f);
-        Span rest = plan.bounds.catchUp + Span::millis(500 + draw(2500));
-        last = f.at + f.lasts + (f.kind == Kind::term ? plan.bounds.grace : Span());
-        at = last + rest;
-    }
-    plan.lasts = at + Span::seconds(3);
-    return plan;
-}
-
-Plan stormPlan(const StormPlan& s) {
-    Plan plan = readPlan(demoPlan(), "demo");
-    plan.name = "storm", plan.seed = s.seed, plan.edges = s.edges, plan.cores = s.cores;
-    plan.faults.clear();
-    std::mt19937_64 chance(s.seed);
-    auto draw = [&](int n) { return static_cast<int>(chance() % static_cast<uint64_t>(n)); };
-    int losses = std::max(1, (s.cores - 1) / 2);
-    // Some cores, at most `most` of them; some senders.
-    auto cores = [&](int most) {
-        std::vector<std::string> all;
-        for (int i = 1; i <= s.cores; ++i) all.push_back("core-" + std::to_string(i));
-        std::shuffle(all.begin(), all.end(), chance);
-        all.resize(static_cast<size_t>(1 + draw(most)));
-        return all;
-    };
-    auto others = [&](const std::vector<std::string>& these) {
-        std::vector<std::string> all;
-        for (int i = 1; i <= s.cores; ++i)
-            if (std::string name = "core-" + std::to_string(i);
-                std::find(these.begin(), these.end(), name) == these.end())
-                all.push_back(name);
-        return all;
-    };
-    auto edges = [&] {
-        std::vector<std::string> all;
-        for (int i = 1 + draw(s.edges), n = 1 + draw(std::min(4, s.edges)); n > 0; --n, ++i)
-            all.push_back("edge-" + std::to_string((i - 1) % s.edges + 1));
-        return all;
-    };
-    Span at = plan.settle + Span::seconds(2);
-    for (int round = 0; round < s.rounds; ++round) {
-        // Out of eight rounds four are of kills and stops, two of power, one of disks and one of cuts.
-        static constexpr int order[8] = {0, 1, 0, 2, 0, 1, 0, 3};
-        FaultPlan f, beside;
-        bool both = false;
-        Span rest = Span::millis(1200 + draw(1500)), stretch;
-        f.lasts = Span::millis(300 + draw(1200));
-        auto add = [&](Kind kind, Span when, Span lasts, std::vector<std::string> machines) {
-            FaultPlan more;
-            more.kind = kind, more.at = when, more.lasts = lasts, more.machines = std::move(machines);
-            plan.faults.push_back(more);
-            return &plan.faults.back();
-        };
-        f.at = at;
-        switch (order[round % 8]) {
-            case 0:
-                switch (draw(8)) {
-                    case 0:
-                        f.machines = {"core"}, f.lasts = Span::millis(300 + draw(600));
-                        break;
-                    case 1:
-                        f.kind = Kind::afterAckKill;
-                        break;
-                    case 2:
-                        f.kind = Kind::freeze, f.machines = draw(2) ? cores(losses) : edges();
-                        break;
-                    case 3:
-                        f.machines = edges(), f.program = draw(2) ? "petrel-agent" : "petrel-proxy";
-                        break;
-                    case 4:
-                    case 5:
-                        f.machines = cores(losses);
-                        break;
-                    default:
-                        f.machines = edges();
-                }
-                break;
-            case 1:
-                f.kind = draw(2) ? Kind::afterAckPower : Kind::powerLost;
-                f.machines = draw(4) == 0   ? edges()
-                             : draw(4) == 0 ? std::vector<std::string>{"all"}
-                             : draw(2)      ? std::vector<std::string>{"core"}
-                                            : cores(losses);
-                // Writes that are under way as the power goes.
-                if (draw(2)) {
-                    Span slow = Span::millis(60 + draw(300));
-                    add(Kind::diskSlow, at - Span::millis(900), Span::seconds(2), {"core"})->value = slow;
-                }
-                break;
-            case 2:
-                f.kind = draw(3) == 0 ? Kind::afterAckWipe : Kind::wipe;
-                if (f.kind == Kind::wipe) f.machines = cores(losses);
-                if (f.kind == Kind::wipe && draw(2))
-                    both = true, beside = f, beside.kind = Kind::powerLost,
-                    beside.machines = others(f.machines);
-                rest = rest + Span::seconds(4);  // a lost disk is rebuilt before another may be lost
-                break;
-            default:
-                f.kind = Kind::linkCut, f.lasts = Span::millis(800 + draw(5000)), f.oneWay = draw(3) == 0;
-                switch (draw(4)) {
-                    case 0:
-                        f.machines = edges(), f.to = {"core"};
-                        break;
-                    case 1:
-                        f.machines = edges();
-                        break;
-                    case 2:
-                        f.machines = cores(losses), f.to = others(f.machines);
-                        break;
-                    default:
-                        f.machines = cores(losses);
-                }
-        }
-        if (draw(4) == 0) {  // and harm that lasts beyond
-            Span lasts = Span::millis(500 + draw(2500));
-            stretch = lasts;
-            switch (draw(6)) {
-                case 0:
-                    add(Kind::diskStalled, at, lasts, cores(losses));
-                    break;
-                case 1:
-                    add(Kind::diskFull, at, lasts, cores(losses));
-                    break;
-                case 2:
-                    add(Kind::linkLoss, at, lasts, {"all"})->share = 0.02 + 0.01 * draw(20);
-                    break;
-                case 3:
-                    add(Kind::linkDelay, at, lasts, {"all"})->value = Span::millis(10 + draw(150));
-                    break;
-                case 4:
-                    add(Kind::linkSqueeze, at, lasts, {"core"})->rate = 20000 + 1000 * draw(200);
-                    break;
-                default:
-                    add(Kind::workerCrash, at, Span::seconds(2), {})->count = 1;
-            }
-        }
-        // What was just acknowledged, or is under way, is at stake.
-        add(Kind::configChange, at - Span::millis(draw(500)), Span(), {});
-        plan.faults.push_back(f);
-        if (both) plan.faults.push_back(beside);
-        if (round % 6 == 5) rest = rest + plan.bounds.contact * 2.0;  // calm, in which all rules hold
-        at = at + std::max(f.lasts, stretch) + rest;
-        add(Kind::readConfig, at - Span::millis(300), Span(), {});
-        at = at + Span::millis(600);
-    }
-    plan.lasts = at + Span::seconds(3);
-    return plan;
-}
-
 }  // namespace petrelpond::range
--- a/fleet/system/plan.hpp
+++ b/fleet/system/plan.hpp
@@ -33,6 +33,8 @@
     kill,
     freeze,
     term,
+    replace,         // gone for good with its disk; a machine that was never there comes `lasts` later
+    replacePlanned,  // one that was never there comes first; `lasts` later the old one is told to end
     wipe,
     afterAckKill,
     afterAckWipe,
@@ -62,7 +64,8 @@
     oldConfig,
     readConfig
 };
-constexpr size_t kKinds = 31;
+constexpr size_t kKinds = 33;
+constexpr int kMostSpares = 60;
 std::string_view wordOf(Kind);
 bool atMachines(Kind);
 bool atEndpoints(Kind);
@@ -88,6 +91,7 @@
     std::string name = "play";
     uint64_t seed = 1;
     Span lasts = Span::seconds(20), settle = Span::seconds(3);  // settle: before traffic starts
+    int spares = 0;  // core machines that come only in the place of others
     int edges = 6, cores = 3, zones = 3, workers = 6, workerMemoryMb = 9303, clients = 60;
     double keepAlive = 0.6;  // share of requests on kept connections
     double listRate = 26, dutyRate = 150;
@@ -118,4 +122,21 @@
 };
 Plan stormPlan(const StormPlan&);
 
+// Replacements of core machines, planned and not, drawn by the seed, each followed by a second loss as soon
+// as as many losses are borne again: a killed or frozen machine, a lost disk, with the power of all the
+// others.
+struct ReplacementsPlan {
+    int replacements = 10, edges = 4, cores = 3;
+    uint64_t seed = 1;
+};
+Plan replacementsPlan(const ReplacementsPlan&);
+
+// Cuts of 5 to 25 s of every shape round the core machines, with orders pressed on both sides, senders that
+// start anew during them, and resets.
+struct CutsPlan {
+    int cuts = 8, edges = 4, cores = 3;
+    uint64_t seed = 1;
+};
+Plan cutsPlan(const CutsPlan&);
+
 }  // namespace petrelpond::range
--- a/fleet/system/stage.cpp
+++ b/fleet/system/stage.cpp
@@ -9,6 +9,8 @@
 #include <iostream>
 #include <stdexcept>
 
+#include "fleet/system/replacements.hpp"
+
 namespace petrelpond::range {
 
 namespace {
@@ -27,12 +29,12 @@
     Stage(const Plan& plan, const StageOptions& options)
         : plan_(plan), options_(options), began_(loop_.now()),
           network_(127u << 24 | (16u + static_cast<uint32_t>(getpid()) % 200) << 16), zones_(zoneNames(plan)),
-          services_(servicesOf(plan)), judge_(plan.bounds, coreFlags(plan)),
+          services_(servicesOf(plan)), judge_(plan.bounds, coreFlags(plan), static_cast<size_t>(plan.cores)),
           machines_(loop_, judge_, plan, options.programs, options.folder, network_, zones_),
           platform_(loop_, judge_, plan, services_, zones_, network_, plan.seed * 7 + 1),
           door_(loop_, machines_), clients_(loop_, judge_, plan, machines_, door_, zones_, plan.seed * 7 + 2),
           operators_(loop_, judge_, plan, machines_, door_, clients_, services_, plan.seed * 7 + 3),
-          chance_(plan.seed * 7 + 4) {}
+          replacements_(loop_, machines_), chance_(plan.seed * 7 + 4) {}
 
     Outcome run() {
         for (int number : {SIGINT, SIGTERM})
@@ -83,7 +85,7 @@
     }
     static std::vector<bool> coreFlags(const Plan& plan) {
         std::vector<bool> flags(static_cast<size_t>(plan.edges), false);
-        flags.resize(static_cast<size_t>(plan.edges + plan.cores), true);
+        flags.resize(static_cast<size_t>(plan.edges + plan.cores + plan.spares), true);
         return flags;
     }
 
@@ -97,6 +99,7 @@
         for (const std::string& name : f.machines)
             for (size_t i = 0; i < machines_.all().size(); ++i) {
                 const Machine& m = machines_.all()[i];
+                if (m.out) continue;
                 bool meant = name == m.name || name == "all" || name == (m.core ? "core" : "edge");
                 if (meant && std::find(all.begin(), all.end(), static_cast<int>(i)) == all.end())
                     all.push_back(static_cast<int>(i));
@@ -132,6 +135,7 @@
             if (f.kind == Kind::wipe) machines_.kill(n, f.lasts, true);
             if (f.kind == Kind::freeze) machines_.freeze(n, f.lasts);
             if (f.kind == Kind::term) machines_.terminate(n, f.lasts);
+            if (f.kind == Kind::replace || f.kind == Kind::replacePlanned) replace(n, f);
         }
         if (f.kind == Kind::powerLost) machines_.losePower(struck, f.lasts);
         if (atDisks(f.kind)) machines_.harmDisks(struck, f.kind, f.value, f.lasts);
@@ -206,6 +210,19 @@
         }
     }
 
+    void replace(int old, const FaultPlan& f) {
+        const bool planned = f.kind == Kind::replacePlanned;
+        const int successor = machines_.replace(old, f.lasts, planned);
+        if (successor < 0) return note("nobody is left to take the place of " + nameOf(old));
+        note(nameOf(successor) + " comes in the place of " + nameOf(old));
+        const Instant begins =
+            loop_.now() + f.lasts;  // planned: the old one is told to end; else the new one comes
+        replacements_.watch(old, successor, begins, planned);
+    }
+    const std::string& nameOf(int machine) const {
+        return machines_.all()[static_cast<size_t>(machine)].name;
+    }
+
     void look() {
         Instant now = loop_.now();
         // What the stage itself was late by: a host that is too busy is no fault of the system's.
@@ -252,6 +269,7 @@
         out_.reads = operators_.reads(), out_.ownEnds = machines_.ownEnds();
         out_.connections = clients_.connections(), out_.cpuSeconds = machines_.cpuSeconds();
         out_.memoryMb = machines_.mostMemoryMb(), out_.began = began_;
+        out_.replacements = replacements_.results();
         return out_;
     }
 
@@ -268,6 +286,7 @@
     Door door_;
     Clients clients_;
     Operators operators_;
+    Replacements replacements_;
     std::mt19937_64 chance_;
     Instant readUntil_, lookedAt_;
     Outcome out_;
@@ -355,6 +374,7 @@
     for (const auto& [word, n] : o.strikes) say(" %s %d/%d", word.c_str(), n.first, n.second);
     if (o.fileLosses > 0) say("; %d files lost what was not synced", o.fileLosses);
     if (!o.strikes.empty()) out += "\n\n";
+    out += inWords(o.replacements);
     const PlatformCounts& p = o.platform;
     say("platform: %ld lists, %ld starts, %ld stops, %ld without room, %ld over the rate, %ld by an old "
         "holder; most %zu endpoints at once\n",
--- a/fleet/system/stage.hpp
+++ b/fleet/system/stage.hpp
@@ -10,6 +10,7 @@
 #include "fleet/system/operators.hpp"
 #include "fleet/system/plan.hpp"
 #include "fleet/system/platform.hpp"
+#include "fleet/system/replacements.hpp"
 
 namespace petrelpond::range {
 
@@ -28,6 +29,7 @@
     std::vector<Breach> breaches;
     std::array<int, kRules> broken{};
     std::vector<ChangeResult> changes;
+    std::vector<ReplacementResult> replacements;
     std::vector<std::pair<double, std::string>> faults;  // second, words
     PlatformCounts platform;
     int64_t readVersion = 0;
--- a/tests/system/plan_test.cpp
+++ b/tests/system/plan_test.cpp
@@ -2,6 +2,7 @@
 #include "fleet/system/plan.hpp"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "fleet/scenario.hpp"
 
@@ -66,3 +67,58 @@
     }
     CHECK(wipes == 5);
 }
+
+TEST_CASE(
+    "replacements: each machine goes once, its successor comes, and a second loss meets one that is there") {
+    for (int cores : {3, 5}) {
+        ReplacementsPlan r{12, 4, cores, 9};
+        Plan a = replacementsPlan(r), b = replacementsPlan(r);
+        REQUIRE(a.faults.size() == b.faults.size());
+        CHECK(a.spares == 12);
+        std::set<std::string> here, gone;
+        for (int i = 1; i <= cores; ++i) here.insert("core-" + std::to_string(i));
+        int replaced = 0, second = 0;
+        for (size_t i = 0; i < a.faults.size(); ++i) {
+            const FaultPlan& f = a.faults[i];
+            CHECK(
+                (f.kind == b.faults[i].kind && f.at == b.faults[i].at && f.machines == b.faults[i].machines));
+            CHECK(f.at < a.lasts);
+            for (const std::string& name : f.machines) CHECK(here.count(name) == 1);
+            if (f.kind == range::Kind::replace || f.kind == range::Kind::replacePlanned) {
+                ++replaced;
+                here.erase(f.machines.front());
+                CHECK(gone.insert(f.machines.front()).second);
+                here.insert("core-" + std::to_string(cores + replaced));
+            } else if (f.kind != range::Kind::configChange && f.kind != range::Kind::readConfig &&
+                       f.kind != range::Kind::powerLost) {
+                ++second;
+            }
+        }
+        CHECK(replaced == 12);
+        CHECK(second == 12);
+    }
+}
+
+TEST_CASE("cuts: of 5 to 25 s, of fewer than half, with orders and a sender that starts anew in each") {
+    for (int cores : {3, 5}) {
+        const Plan plan = cutsPlan({12, 4, cores, 9});
+        int cuts = 0, starts = 0, orders = 0;
+        for (const FaultPlan& f : plan.faults) {
+            const bool cut = f.kind == range::Kind::linkCut || f.kind == range::Kind::freeze;
+            cuts += cut, starts += f.kind == range::Kind::kill;
+            orders += f.kind == range::Kind::configChange || f.kind == range::Kind::configRace;
+            if (cut) CHECK((f.lasts >= Span::seconds(5) && f.lasts <= Span::seconds(25)));
+        }
+        CHECK(cuts == 12);
+        CHECK(starts == 12);
+        CHECK(orders >= 36);
+    }
+}
+
+TEST_CASE("spares are named like the machines in whose place they come") {
+    CHECK(mistakesIn(kLeast +
+                     "[machines]\ncores = 3\nspares = 1\n[[fault]]\nkind = \"node_replace\"\nat = 1\n"
+                     "machines = [\"core-4\"]\n") == "");
+    CHECK(mistakesIn(kLeast + "[[fault]]\nkind = \"node_replace\"\nat = 1\nmachines = [\"core-4\"]\n")
+              .find("fault.machines: knows no 'core-4'") != std::string::npos);
+}
