Model: seeds that were all exchanged, newcomers in trouble, and who was replaced though alive

Change: tests of successors whose settings name only machines that are gone (also through a loss of power), of a newcomer none of whose seeds lives, of two newcomers for one place, of a newcomer that loses its disk and of power lost everywhere at each 20 ms of a change. The replacement search counts voters that were replaced though they came back, and fails where nothing was wrong with one.

--- a/fleet/system/command.cpp
+++ b/fleet/system/command.cpp
@@ -108,6 +108,7 @@
     p.replacements->add_option("--replacements", p.replacements_.replacements)
         ->check(CLI::Range(1, kMostSpares));
     p.replacements->add_option("--senders", p.replacements_.edges)->check(CLI::Range(1, 200));
+    p.replacements->add_option("--functions", p.replacements_.functions)->check(CLI::Range(1, 2000));
     p.replacements->add_option("--cores", p.replacements_.cores)->check(CLI::Range(3, 9));
     usual(p.replacements), defects(p.replacements);
     p.cuts = p.all->add_subcommand("cuts", "cuts of 5 to 25 s of every shape, with orders on both sides");
--- a/fleet/system/drawn_plans.cpp
+++ b/fleet/system/drawn_plans.cpp
@@ -81,6 +81,7 @@
 Plan replacementsPlan(const ReplacementsPlan& r) {
     Plan plan = quietPlan("replacements", r.seed, r.edges, r.cores);
     plan.spares = r.replacements;
+    if (r.functions > 0) plan.groups.back().count = r.functions;
     Draw draw(r.seed);
     std::vector<std::string> here = coreNames(1, r.cores);
     const bool bearsTwo = r.cores >= 5;
--- a/fleet/system/plan.hpp
+++ b/fleet/system/plan.hpp
@@ -127,6 +127,7 @@
 // others.
 struct ReplacementsPlan {
     int replacements = 10, edges = 4, cores = 3;
+    int functions = 0;  // of the rarely called kind, each with two routes; 0: as in the demo
     uint64_t seed = 1;
 };
 Plan replacementsPlan(const ReplacementsPlan&);
--- a/system/consensus/core_test.cpp
+++ b/system/consensus/core_test.cpp
@@ -608,8 +608,9 @@
     EXPECT_TRUE(inContactAsItWakes(Defect::contactThroughFreeze));
 }
 
-// The holder sends a heartbeat and sleeps for most of its lease, is cut off, and hears on waking what was answered
-// before: its lease runs from when it asked, so that it is over before the others may vote for another.
+// The holder sends a heartbeat and sleeps for most of its lease, is cut off, and hears on waking what was
+// answered before: its lease runs from when it asked, so that it is over before the others may vote for
+// another.
 std::string sleepsThenIsCutOff(Defect defect) {
     sim::World w({9, 3, 1, defect, false, 20, false});
     w.loss_ = 0;
--- a/system/consensus/losses_for_test.hpp
+++ b/system/consensus/losses_for_test.hpp
@@ -26,6 +26,11 @@
         for (size_t i = nextSpare_; i < world_.nodes_.size(); ++i) world_.nodes_[i].gone = true;
         world_.losses_ = [this] { later(World::millis(3000 + world_.below(3000)), [this] { strike(); }); };
         later(0, [this] { judgeReserve(); });
+        world_.votersChange_ = [this](const auto& before, const auto& after) {
+            for (const NodeId& node : before) {
+                if (!World::contains(after, node)) countReplaced(node);
+            }
+        };
         world_.acknowledged_ = [this] {
             if (!world_.chance(0.02)) return;
             later(0, [this] { world_.chance(0.5) ? loseDisk() : losePower(); });
@@ -33,6 +38,10 @@
     }
     int replaced() const { return replaced_; }
     int disksLost() const { return disksLost_; }
+    // Voters whose place was given away though they were there: cut off or frozen at that moment, or lately
+    // started anew; and though nothing at all was wrong with them.
+    int pausedReplaced() const { return pausedReplaced_; }
+    int wellReplaced() const { return wellReplaced_; }
 
   private:
     void later(int64_t delay, std::function<void()> f) {
@@ -129,6 +138,15 @@
         return false;
     }
 
+    void countReplaced(const NodeId& node) {
+        for (size_t i = 0; i < world_.nodes_.size(); ++i) {
+            const World::Node& n = world_.nodes_[i];
+            if (n.id != node || n.gone || leaving(i)) continue;
+            const bool well = n.core && !unheard(i) && lost() == 0 && world_.now_ > allBackAt_;
+            ++(well ? wellReplaced_ : pausedReplaced_);
+        }
+    }
+
     void trace(const char* what, size_t i) const {
         if (std::getenv("CONSENSUS_TRACE"))
             std::printf("%8.3f %s %zu (lost %d)\n", static_cast<double>(world_.now_) / 1e6, what, i, lost());
@@ -232,7 +250,7 @@
     int64_t allBackAt_ = 0;
     std::vector<int64_t> until_;
     std::vector<size_t> leaving_;
-    int replaced_ = 0, disksLost_ = 0;
+    int replaced_ = 0, disksLost_ = 0, pausedReplaced_ = 0, wellReplaced_ = 0;
 };
 
 }  // namespace petrelpond::consensus::sim
--- a/system/consensus/replacement_test.cpp
+++ b/system/consensus/replacement_test.cpp
@@ -23,7 +23,7 @@
 
 struct Outcome {
     std::string broken;
-    int replaced = 0, disksLost = 0, changes = 0;
+    int replaced = 0, disksLost = 0, changes = 0, pausedReplaced = 0, wellReplaced = 0;
 };
 
 Outcome play(uint32_t seed, Defect defect) {
@@ -33,6 +33,7 @@
     outcome.broken = world.run();
     outcome.replaced = losses.replaced(), outcome.disksLost = losses.disksLost();
     outcome.changes = world.changes();
+    outcome.pausedReplaced = losses.pausedReplaced(), outcome.wellReplaced = losses.wellReplaced();
     return outcome;
 }
 
@@ -45,9 +46,13 @@
         const Outcome one = play(seed, Defect::none);
         EXPECT_EQ(one.broken, "") << "seed " << seed;
         all.replaced += one.replaced, all.disksLost += one.disksLost, all.changes += one.changes;
+        all.pausedReplaced += one.pausedReplaced, all.wellReplaced += one.wellReplaced;
     }
     std::cout << count << " schedules: " << all.replaced << " replaced, " << all.disksLost << " disks lost, "
-              << all.changes << " changes of the voters\n";
+              << all.changes << " changes of the voters, of which " << all.pausedReplaced
+              << " replaced one that was cut off, frozen or down and came back, " << all.wellReplaced
+              << " one that nothing was wrong with\n";
+    EXPECT_EQ(all.wellReplaced, 0);
     EXPECT_GT(all.replaced, static_cast<int>(count));
     EXPECT_GT(all.disksLost, static_cast<int>(count));
     EXPECT_GT(all.changes, static_cast<int>(count));
@@ -197,6 +202,95 @@
     }
 }
 
+void endForGood(World& w, size_t i) {
+    w.kill(i);
+    w.nodes_[i].gone = true;
+}
+void losesItsDisk(World& w, size_t i) {
+    w.kill(i);
+    w.nodes_[i].disk.reset();
+    w.start(i, false);
+}
+World& withSpares(World& w, std::vector<std::pair<int64_t, size_t>> starts) {
+    w.losses_ = [&w, starts] {
+        w.loss_ = 0;
+        for (const auto& [at, spare] : starts)
+            w.at(World::millis(at), [&w, spare = spare] { w.start(spare, false); });
+    };
+    return w;
+}
+bool votes(const World& w, size_t i) {
+    return World::contains(w.voterSets_.rbegin()->second, w.nodes_[i].id);
+}
+
+// All machines of the first start are gone, and the settings of their successors still name them as seeds:
+// after a loss of power the successors find one another from their disks.
+TEST(Replacement, AfterAllSeedsWereExchangedTheOthersComeBackFromALossOfPower) {
+    World w(calm(3, 1, 3));
+    withSpares(w, {{7000, 3}, {12000, 4}, {17000, 5}});
+    for (size_t i = 0; i < 3; ++i)
+        w.at(World::millis(10000 + 5000 * static_cast<int64_t>(i)), [&w, i] { endForGood(w, i); });
+    w.at(World::millis(26000), [&w] {
+        for (size_t i = 3; i < 6; ++i) {
+            EXPECT_TRUE(votes(w, i));
+            w.seedsOf_[i] = {w.nodes_[0].id, w.nodes_[1].id, w.nodes_[2].id};
+        }
+        w.powerLoss();
+    });
+    EXPECT_EQ(w.run(), "");
+}
+
+// It is unknown to the others and changes nothing; with a seed that lives it has the place that is free.
+TEST(Replacement, ANewcomerWhoseSeedsAreAllGoneHarmsNobodyAndJoinsWithOneThatLives) {
+    World w(calm(3, 1, 1));
+    w.seedsOf_[3] = {"10.9.9.1", "10.9.9.2", "10.9.9.3"};
+    withSpares(w, {{7000, 3}});
+    w.at(World::millis(10000), [&w] { endForGood(w, 1); });
+    w.at(World::millis(16000), [&w] {
+        EXPECT_FALSE(votes(w, 3));
+        w.kill(3);
+        w.seedsOf_[3] = {w.nodes_[0].id};
+        w.start(3, false);
+    });
+    w.at(World::millis(20000), [&w] { EXPECT_TRUE(votes(w, 3)); });
+    EXPECT_EQ(w.run(), "");
+}
+
+TEST(Replacement, OfTwoNewcomersAtOnceOneHasThePlace) {
+    World w(calm(3, 1, 2));
+    withSpares(w, {{7000, 3}, {7000, 4}});
+    w.at(World::millis(10000), [&w] { endForGood(w, 1); });
+    w.at(World::millis(14000), [&w] {
+        EXPECT_EQ(w.voterSets_.rbegin()->second.size(), 3u);
+        EXPECT_NE(votes(w, 3), votes(w, 4));
+        EXPECT_EQ(w.lastEpoch_, 2u);
+    });
+    EXPECT_EQ(w.run(), "");
+}
+
+// At any instant of the change, which takes from 2 s to 2.3 s after the loss.
+TEST(Replacement, ANewcomerThatLosesItsDiskWhileItTakesAPlaceStillTakesPartInTheEnd) {
+    for (int64_t after = 1900; after < 2500; after += 20) {
+        World w(calm(5, 2, 1));
+        withSpares(w, {{7000, 5}});
+        w.at(World::millis(10000), [&w] { endForGood(w, 1); });
+        w.at(World::millis(10000 + after), [&w] { losesItsDisk(w, 5); });
+        w.at(World::millis(20000), [&w] { EXPECT_TRUE(votes(w, 5)); });
+        EXPECT_EQ(w.run(), "") << after;
+    }
+}
+
+TEST(Replacement, PowerLostEverywhereInTheMidstOfAChangeLosesNothing) {
+    for (int64_t after = 1900; after < 2500; after += 20) {
+        World w(calm(3, 1, 1));
+        withSpares(w, {{7000, 3}});
+        w.at(World::millis(10000), [&w] { endForGood(w, 1); });
+        w.at(World::millis(10000 + after), [&w] { w.powerLoss(); });
+        w.at(World::millis(20000), [&w] { EXPECT_TRUE(votes(w, 3)); });
+        EXPECT_EQ(w.run(), "") << after;
+    }
+}
+
 // Two standbys, of which the first ends unseen a moment before a place falls free: the other one has it.
 std::string voterAfterAStandbyEnded(Defect defect) {
     sim::Plan plan = calm(3, 1, 2);
--- a/system/consensus/sim_for_test.hpp
+++ b/system/consensus/sim_for_test.hpp
@@ -172,6 +172,7 @@
     // Those of the first start, or, where machines are replaced, three that are there as the settings are
     // written.
     std::vector<NodeId> seedsFor(size_t i) {
+        if (const auto given = seedsOf_.find(i); given != seedsOf_.end()) return given->second;
         std::vector<NodeId> seeds;
         if (!losses_ || now_ < millis(3000)) {
             for (size_t s = 0; s < std::min<size_t>(3, static_cast<size_t>(plan_.cores)); ++s)
@@ -399,6 +400,7 @@
             for (const NodeId& n : voters) std::printf(" %s", n.c_str());
             std::printf("\n");
         }
+        if (epoch > lastEpoch_ && votersChange_) votersChange_(voterSets_[lastEpoch_], voters);
         lastEpoch_ = std::max(lastEpoch_, epoch);
     }
     // One core leaves the voters, more often one that is away, and another comes; now and then two or none.
@@ -552,6 +554,8 @@
     Value acked_;
     uint64_t lastTerm_ = 0;
     std::function<void()> losses_;  // begins a schedule of losses from outside; see losses_for_test.hpp
+    std::function<void(const std::vector<NodeId>& before, const std::vector<NodeId>& after)> votersChange_;
+    std::map<size_t, std::vector<NodeId>> seedsOf_;              // as a test wants them
     std::function<bool(size_t, size_t, const Message&)> drops_;  // messages that a test loses on purpose
     std::function<void()> acknowledged_;                         // a write or a read has just been done
     std::map<uint64_t, std::vector<NodeId>> voterSets_;
--- a/tests/system/plan_test.cpp
+++ b/tests/system/plan_test.cpp
@@ -71,7 +71,7 @@
 TEST_CASE(
     "replacements: each machine goes once, its successor comes, and a second loss meets one that is there") {
     for (int cores : {3, 5}) {
-        ReplacementsPlan r{12, 4, cores, 9};
+        ReplacementsPlan r{12, 4, cores, 0, 9};
         Plan a = replacementsPlan(r), b = replacementsPlan(r);
         REQUIRE(a.faults.size() == b.faults.size());
         CHECK(a.spares == 12);
