Tests: one simulated time for the searches, and the cluster apart from what judges it

Change: system/network/simulation_for_test.hpp (Simulation) is the base of both; cluster_for_test.hpp has the machines, clocks, disks and links of simulated cores, sim_for_test.hpp the clients, troubles and judge. No check is gone or altered.

--- /dev/null
+++ b/system/consensus/cluster_for_test.hpp
@@ -0,0 +1,224 @@
+// Cores on simulated machines: their clocks, disks, links, starts and ends. What they answer is judged by whoever
+// derives from it.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "system/consensus/core.hpp"
+#include "system/network/simulation_for_test.hpp"
+
+namespace petrelpond::consensus::sim {
+
+struct Plan {
+    uint32_t seed = 1;
+    int cores = 3;
+    int losses = 1;
+    Defect defect = Defect::none;
+    bool faults = true;
+    double seconds = 25;  // of faults; then all heals and must work
+    bool clients = true;
+    int spares = 0;  // cores that start later, and may come onto the voters
+    bool bareSeeds =
+        false;  // two seeds may lose their disks before there is a set of voters: no work asked for then
+    bool cornered = false;  // all but the holder start anew, while nobody hears it
+    bool spans = false;     // the spans of the program in service, instead of the longer default ones
+    bool clocks = false;    // differing clocks, without faults of World's own
+};
+
+class Cluster : public simulation::Simulation {
+  public:
+    explicit Cluster(const Plan& plan) : Simulation(plan.seed), plan_(plan) {
+        for (int i = 0; i < plan_.cores + plan_.spares; ++i) {
+            nodes_.push_back(Node{"10.0.0." + std::to_string(i + 1)});
+            // Clocks differ in what they show, and by up to a sixteenth in how fast they go.
+            if (!plan_.faults && !plan_.clocks) continue;
+            nodes_.back().clockAhead = below(millis(100000));
+            nodes_.back().clockFaster = static_cast<double>(below(62500)) / 1e6;
+        }
+    }
+
+    virtual ~Cluster() = default;
+
+    // The parts, for tests with a script of their own.
+    struct Node {
+        NodeId id;
+        std::unique_ptr<Core> core = nullptr;
+        int life = 0;
+        std::optional<Durable> disk = std::nullopt;
+        int64_t clockAhead = 0;
+        double clockFaster = 0;
+        std::vector<Save> unsynced = {};
+        int64_t frozenUntil = 0;
+        int64_t wakeSet = -1;
+        bool diskSick = false;
+        bool wiped = false;  // lost its disk and has not yet rebuilt it
+        bool gone = false;   // for good, or not here yet
+        int64_t wipedAt = 0;
+        std::map<uint64_t, std::pair<bool, Value>> asked = {};  // ticket: reading?, what must be reached
+    };
+    // What the machine's clock shows, and what is left until it shows something.
+    Instant clock(size_t i) const {
+        const Node& n = nodes_[i];
+        const auto run = static_cast<int64_t>(static_cast<double>(now_) * (1 + n.clockFaster));
+        return Instant::atMicros(n.clockAhead + run);
+    }
+    int64_t until(size_t i, Instant shown) const {
+        const double left = static_cast<double>((shown - clock(i)).inMicros());
+        return static_cast<int64_t>(left / (1 + nodes_[i].clockFaster)) + 1;
+    }
+    static bool contains(const std::vector<NodeId>& all, const NodeId& n) {
+        return std::find(all.begin(), all.end(), n) != all.end();
+    }
+
+    // Those of the first start, or, where machines are replaced, three that are there as the settings are
+    // written.
+    std::vector<NodeId> seedsFor(size_t i) {
+        if (const auto given = seedsOf_.find(i); given != seedsOf_.end()) return given->second;
+        std::vector<NodeId> seeds;
+        if (!losses_ || now_ < millis(3000)) {
+            for (size_t s = 0; s < std::min<size_t>(3, static_cast<size_t>(plan_.cores)); ++s)
+                seeds.push_back(nodes_[s].id);
+            return seeds;
+        }
+        for (size_t s = 0; s < nodes_.size(); ++s)
+            if (s != i && !nodes_[s].gone) seeds.push_back(nodes_[s].id);
+        std::shuffle(seeds.begin(), seeds.end(), random_);
+        seeds.resize(std::min<size_t>(seeds.size(), 3));
+        return seeds;
+    }
+    void start(size_t i, bool first) {
+        Node& n = nodes_[i];
+        if (n.core || n.gone) return;
+        Options o;
+        o.self = n.id;
+        o.seeds = seedsFor(i);
+        o.bootstrap = first;
+        o.machineLosses = plan_.losses;
+        o.chance = random_();
+        o.defect = plan_.defect;
+        if (plan_.spans) o.beat = Span::millis(150), o.leaseTime = Span::millis(700);
+        ++n.life;
+        n.frozenUntil = 0;
+        n.wakeSet = -1;
+        n.core = std::make_unique<Core>(clock(i), o, n.disk);
+        drain(i);
+    }
+    void kill(size_t i) {
+        Node& n = nodes_[i];
+        if (!n.core) return;
+        n.core.reset();
+        ++n.life;
+        n.asked.clear();
+        n.unsynced.clear();
+    }
+    // Runs f in the core's process, after a freeze if it is frozen.
+    void in(size_t i, int life, std::function<void(Core&)> f) {
+        Node& n = nodes_[i];
+        if (n.life != life || !n.core) return;
+        if (now_ < n.frozenUntil) {
+            at(n.frozenUntil - now_ + below(2000), [this, i, life, f = std::move(f)] { in(i, life, f); });
+            return;
+        }
+        f(*n.core);
+        drain(i);
+    }
+    void drain(size_t i) {
+        Node& n = nodes_[i];
+        while (auto o = n.core->next()) {
+            if (auto* s = std::get_if<Send>(&*o)) deliver(i, *s);
+            if (auto* s = std::get_if<Save>(&*o)) store(i, std::move(*s));
+            if (auto* a = std::get_if<Answer>(&*o)) answered(i, *a);
+            if (auto* d = std::get_if<Duty>(&*o)) dutyChanged(i, *d);
+        }
+        stateChanged(i);
+        if (n.wiped && !n.core->recovering() && n.disk && !n.disk->recovering) n.wiped = false;
+        const Instant wanted = n.core->wakeAt();
+        const bool near = wanted - clock(i) < Span::seconds(3600);
+        const int64_t wake = now_ + (near ? std::max<int64_t>(1, until(i, wanted)) : millis(3600000));
+        if (n.wakeSet > now_ && n.wakeSet <= wake) return;
+        n.wakeSet = wake;
+        at(wake - now_, [this, i, life = n.life, wake] {
+            if (nodes_[i].life != life || nodes_[i].wakeSet != wake) return;
+            in(i, life, [this, i](Core& c) {
+                nodes_[i].wakeSet = -1;
+                c.tick(clock(i));
+            });
+        });
+    }
+    void deliver(size_t from, const Send& s) {
+        ++sends_;
+        size_t to = 0;
+        while (to < nodes_.size() && nodes_[to].id != s.to) ++to;
+        if (to == nodes_.size() || cut_.count({from, to})) return;
+        if (drops_ && drops_(from, to, s.message)) return;
+        if (chance(loss_)) return;
+        const int copies = chance(loss_ / 2) ? 2 : 1;
+        const auto message = std::make_shared<const Message>(s.message);
+        for (int c = 0; c < copies; ++c) {
+            int64_t delay = 200 + below(2000);
+            if (chance(loss_)) delay += below(millis(chance(0.2) ? 4000 : 600));
+            at(delay, [this, from, to, message] {
+                if (cut_.count({from, to})) return;
+                in(to, nodes_[to].life,
+                   [this, from, to, message](Core& c) { c.heard(clock(to), nodes_[from].id, *message); });
+            });
+        }
+    }
+    void store(size_t i, Save save) {
+        Node& n = nodes_[i];
+        n.unsynced.push_back(std::move(save));
+        const uint64_t token = n.unsynced.back().token;
+        int64_t delay = 300 + below(3000);
+        if (chance(loss_)) delay += below(millis(300));
+        at(delay, [this, i, token, life = n.life] {
+            Node& m = nodes_[i];
+            if (m.life != life || !m.core) return;
+            if (m.diskSick) {
+                in(i, life, [this, i, token](Core& c) { c.saveFailed(clock(i), token); });
+                return;
+            }
+            for (Save& s : m.unsynced) {
+                if (s.token != token) continue;
+                const bool older = m.disk && !m.unsynced.empty() && s.token < syncedToken_[i];
+                if (!older) {
+                    m.disk = s.state;
+                    syncedToken_[i] = s.token;
+                }
+            }
+            std::erase_if(m.unsynced, [&](const Save& s) { return s.token <= token; });
+            in(i, life, [this, i, token](Core& c) { c.saved(clock(i), token); });
+        });
+        if (n.life != lifeOfToken_[i]) {
+            lifeOfToken_[i] = n.life;
+            syncedToken_[i] = 0;
+        }
+    }
+
+    Plan plan_;
+    std::vector<Node> nodes_;
+    double loss_ = 0.02;  // share of messages
+    std::set<std::pair<size_t, size_t>> cut_;  // from, to
+    std::function<void()> losses_;  // begins a schedule of losses from outside; see losses_for_test.hpp
+    std::map<size_t, std::vector<NodeId>> seedsOf_;              // as a test wants them
+    std::function<bool(size_t, size_t, const Message&)> drops_;  // messages that a test loses on purpose
+    long sends_ = 0;
+
+  protected:
+    virtual void answered(size_t i, const Answer&) = 0;
+    virtual void dutyChanged(size_t i, const Duty&) = 0;
+    virtual void stateChanged(size_t i) = 0;  // after every input of that core
+
+  private:
+    std::map<size_t, uint64_t> syncedToken_;
+    std::map<size_t, int> lifeOfToken_;
+};
+
+}  // namespace petrelpond::consensus::sim
--- a/system/proxy/slots_sim_for_test.hpp
+++ b/system/proxy/slots_sim_for_test.hpp
@@ -17,12 +17,11 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "system/network/simulation_for_test.hpp"
 #include "system/proxy/dispatch.hpp"
 #include "system/scaler/planner.hpp"
 
@@ -44,9 +43,9 @@
     const char* follow = nullptr;  // an instance of which all is printed
 };
 
-class World {
+class World : public simulation::Simulation {
   public:
-    explicit World(Plan plan) : plan_(plan), random_(plan.seed) {
+    explicit World(Plan plan) : Simulation(plan.seed), plan_(plan) {
         senders_.resize(3 + static_cast<size_t>(below(3)));
         accounts_.resize(senders_.size());
         listLag_ = Span::millis(200 + below(500));
@@ -67,13 +66,7 @@
             for (Sender& x : senders_) x.rate = 5;
         });
         at(end - millis(2000), [this] { open_ = false; });
-        while (!events_.empty() && broken_.empty()) {
-            const Event e = events_.top();
-            events_.pop();
-            if (e.at > end) break;
-            now_ = e.at;
-            e.run();
-        }
+        runUntil(end);
         if (!broken_.empty()) return broken_;
         if (arrivedCalm_ < 20 || passedCalm_ < arrivedCalm_ * 0.8)
             return "seed " + std::to_string(plan_.seed) + ": " + std::to_string(passedCalm_) + " of " +
@@ -87,18 +80,6 @@
 
   private:
     static constexpr size_t kCores = 3;
-    static int64_t millis(int64_t ms) { return ms * 1000; }
-    int64_t below(int64_t n) {
-        return static_cast<int64_t>(random_() % static_cast<uint32_t>(std::max<int64_t>(n, 1)));
-    }
-    bool chance(double p) { return below(1000000) < static_cast<int64_t>(p * 1e6); }
-    struct Event {
-        int64_t at;
-        uint64_t order;
-        std::function<void()> run;
-        bool operator<(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
-    };
-    void at(int64_t delay, std::function<void()> f) { events_.push({now_ + delay, ++order_, std::move(f)}); }
     Instant now() const { return Instant::atMicros(now_); }
     template <class... Parts>
     void note(const std::string& id, const char* form, Parts... parts) {
@@ -107,11 +88,6 @@
         std::printf(form, parts...);
         std::printf("\n");
     }
-    void fail(const std::string& why) {
-        if (broken_.empty())
-            broken_ = "seed " + std::to_string(plan_.seed) + " at " + std::to_string(now_) + ": " + why;
-    }
-
     // ---- the platform: instances
     struct Service {
         const char* name;
@@ -933,11 +909,6 @@
     }
 
     Plan plan_;
-    std::mt19937 random_;
-    std::priority_queue<Event> events_;
-    uint64_t order_ = 0;
-    int64_t now_ = 1000000;
-    std::string broken_;
     double trouble_ = 1;
     bool calm_ = false, open_ = true;
     Span listLag_;
