--- a/system/consensus/cluster_for_test.hpp
+++ b/system/consensus/cluster_for_test.hpp
@@ -1,5 +1,5 @@
-// Cores on simulated machines: their clocks, disks, links, starts and ends. What they answer is judged by whoever
-// derives from it.
+// Cores on simulated machines: their clocks, disks, links, starts and ends. What they answer is judged by
+// whoever derives from it.
 #pragma once
 
 #include <algorithm>
@@ -204,7 +204,7 @@
 
     Plan plan_;
     std::vector<Node> nodes_;
-    double loss_ = 0.02;  // share of messages
+    double loss_ = 0.02;                       // share of messages
     std::set<std::pair<size_t, size_t>> cut_;  // from, to
     std::function<void()> losses_;  // begins a schedule of losses from outside; see losses_for_test.hpp
     std::map<size_t, std::vector<NodeId>> seedsOf_;              // as a test wants them
--- a/system/network/simulation_for_test.hpp
+++ b/system/network/simulation_for_test.hpp
@@ -1,4 +1,5 @@
-// Simulated time for searches: events in the order of their instants, chance from a seed, and what broke first.
+// Simulated time for searches: events in the order of their instants, chance from a seed, and what broke
+// first.
 #pragma once
 
 #include <algorithm>
