Senders learn of new cores while their links stay up; cores that are gone are forgotten

Cause: an agent learned of cores from its seeds, the welcome at the beginning of a link, and the holder of the lease. Also, an agent that had met 32 cores learned of no other, and cores told each other of machines that were gone for ever. Ruled out: the core side (the successors counted and acknowledged in 2 ms), the senders' gossip (no sender knew a holder). Change: cores tell linked agents whenever the cores that they know have changed; an agent forgets a core after a minute of silence, at its bound the one silent for longest, never a seed or the holder; a core that is no voter is forgotten after two minutes by all cores and told of for one; newer settings name cores to one that was away through it all.

--- a/system/agent/agent.cpp
+++ b/system/agent/agent.cpp
@@ -81,11 +81,44 @@
 }
 
 void Agent::meetCore(const std::string& ip) {
-    if (ip.empty() || cores_.count(ip) != 0 || cores_.size() >= 32) return;
+    if (ip.empty() || cores_.count(ip) != 0) return;
+    if (cores_.size() >= kMostCores) {
+        std::map<std::string, CoreSeen> all;
+        for (const auto& [known, core] : cores_) all[known] = seen(core);
+        const std::string longest = silentLongest(all);
+        if (longest.empty()) return;
+        forgetCore(longest);
+    }
     cores_[ip].ip = ip;
+    cores_[ip].seenAt = loop_.now();
     connectCores();
 }
 
+CoreSeen Agent::seen(const CoreLink& core) const {
+    const auto& seeds = settings_.seeds;
+    const bool seed =
+        std::any_of(seeds.begin(), seeds.end(), [&](const auto& each) { return each.ip == core.ip; });
+    const bool linked = core.link && core.link->isUp();
+    return {seed || core.ip == holder_, linked, core.seenAt};
+}
+
+void Agent::forgetCore(const std::string& ip) {
+    const auto core = cores_.find(ip);
+    if (core == cores_.end()) return;
+    if (core->second.link) {
+        core->second.link->close();
+        loop_.bury(std::move(core->second.link));
+    }
+    cores_.erase(core);
+}
+
+void Agent::forgetSilentCores() {
+    std::vector<std::string> silent;
+    for (const auto& [ip, core] : cores_)
+        if (mayForget(seen(core), loop_.now())) silent.push_back(ip);
+    for (const std::string& ip : silent) forgetCore(ip);
+}
+
 void Agent::connectCores() {
     for (auto& [ip, core] : cores_) {
         if (core.link || loop_.now() - core.triedAt < core.pause) continue;
@@ -116,7 +149,7 @@
 void Agent::frame(Link& link, Kind kind, std::string_view payload) {
     for (auto& [ip, core] : cores_) {
         if (core.link.get() != &link) continue;
-        core.heardAt = loop_.now();
+        core.heardAt = core.seenAt = loop_.now();
         if (kind == Kind::beat) {
             if (auto b = network::unpacked<network::Beat>(payload)) heardBeat(core, *b);
         } else if (kind == Kind::welcome) {
@@ -251,6 +284,7 @@
         if (lost || now - core.heardAt > kCoreSilence) silent.push_back(core.link.get());
     }
     for (Link* link : silent) linkDown(*link, false);
+    forgetSilentCores();
     connectCores();
     if (now - beatAt_ >= kBeat) {
         beatAt_ = now;
--- a/system/agent/agent.hpp
+++ b/system/agent/agent.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "system/agent/asking.hpp"
+#include "system/agent/known_core.hpp"
 #include "system/configuration/settings.hpp"
 #include "system/gossip/views.hpp"
 #include "system/network/link.hpp"
@@ -34,6 +35,7 @@
         std::string ip;
         std::unique_ptr<network::Link> link;
         Instant triedAt = Instant::longAgo(), heardAt = Instant::longAgo();
+        Instant seenAt;  // heard while it was linked; at first: when it was told of
         Span pause = Span::millis(100);
         network::Beat last;
     };
@@ -42,6 +44,9 @@
         std::string fetchFrom;  // its ip, where we fetch
     };
     void meetCore(const std::string& ip);
+    CoreSeen seen(const CoreLink&) const;
+    void forgetCore(const std::string& ip);
+    void forgetSilentCores();
     void connectCores();
     void tick();
     void pump();
--- a/system/consensus/core.cpp
+++ b/system/consensus/core.cpp
@@ -4,7 +4,7 @@
 namespace petrelpond::consensus {
 
 Core::Core(Instant now, Options options, std::optional<Durable> found)
-    : o_(std::move(options)), random_(o_.chance), startedAt_(now), helloAt_(now) {
+    : o_(std::move(options)), random_(o_.chance), startedAt_(now), enteredAt_(now), helloAt_(now) {
     sortUnique(o_.seeds);
     const uint64_t own = std::hash<std::string>{}(o_.self);
     life_ = (static_cast<uint64_t>(random_()) << 32 ^ own ^ static_cast<uint64_t>(now.inMicros()) << 20) &
@@ -77,6 +77,7 @@
 
 // Whatever woke us may have come after a long sleep: what has lapsed meanwhile is told before all else.
 void Core::enter(Instant now) {
+    enteredAt_ = now;
     if (duty_.holder.empty() || now < duty_.validUntil) return;
     if (duty_.held && o_.defect == Defect::outlastsLease) {
         duty_.validUntil = now + o_.leaseTime;
@@ -237,7 +238,7 @@
     withVoters(m);
     m.electors = mem_.electors;
     for (const auto& [node, peer] : peers_) {
-        if (peer.heardAt > Instant::longAgo() || isVoter(node)) m.nodes.push_back(node);
+        if (tellsOf(enteredAt_, node, peer)) m.nodes.push_back(node);
     }
     send(to, std::move(m));
 }
@@ -334,6 +335,7 @@
 void Core::tick(Instant now) {
     enter(now);
     if (now >= helloAt_) {
+        forgetSilentPeers(now);
         const bool lonely = mem_.voters.empty() || mem_.recovering || !ageChecked_;
         helloAt_ = now + (lonely ? o_.beat : duty_.holder.empty() ? o_.beat * 2 : o_.beat * 4);
         if (lonely || duty_.holder.empty()) {
@@ -364,7 +366,6 @@
     if (now >= proposeAt_) propose(now);
     if (now >= standAt_) stand(now);
     if (duty_.held && now >= beatAt_) {
-        forgetSilentPeers(now);
         replaceAbsent(now);
         sendBeats(now);
         if (released_ && !change_ && vacancyProbe_ == 0) giveUpLease();
--- a/system/consensus/core.hpp
+++ b/system/consensus/core.hpp
@@ -248,6 +248,8 @@
     // Whether nothing would be lost or left without a majority by ending now: the place among the voters has
     // been taken over by a standby, or there is none, and who is here holds what we know to be acknowledged.
     bool mayLeave(Instant now) const;
+    // Other cores, as newer settings name them.
+    void learnOf(Instant now, const std::vector<NodeId>& cores);
     void tick(Instant now);
     Instant wakeAt() const;
     std::optional<Output> next();
@@ -385,6 +387,7 @@
     void replaceAbsent(Instant now);
     void noteSender(Instant now, const NodeId& from, const Message& m);
     void forgetSilentPeers(Instant now);
+    bool tellsOf(Instant now, const NodeId& node, const Peer&) const;
     void tellTakenOver();
     void prepareBallot(Instant now);
     bool ballotUnderWay(Instant now) const;
@@ -427,6 +430,7 @@
     uint64_t life_ = 0;  // numbers of requests start here, so that answers to an earlier life match none
     uint64_t number_ = 0;
     Instant startedAt_;
+    Instant enteredAt_;  // the last input
     std::deque<Output> out_;
     std::map<NodeId, Peer> peers_;
 
--- a/system/consensus/core_parts.hpp
+++ b/system/consensus/core_parts.hpp
@@ -10,6 +10,12 @@
 
 namespace petrelpond::consensus {
 
+// A core that is no voter is forgotten after so long a silence, else each replaced machine would be tried for
+// ever; and others are told of it for half of that, so that it is not learned again from one that forgets it
+// later. Harm: one that was away for longer has to say hello itself.
+inline const Span kForgetPeer = Span::seconds(120);
+inline const Span kTellOfPeer = Span::seconds(60);
+
 inline const NodeId nobody = "-";  // a vote that is used up and went to no one
 
 inline Mark markOf(const std::shared_ptr<const Value>& v) {
--- a/system/consensus/lease_test.cpp
+++ b/system/consensus/lease_test.cpp
@@ -1,4 +1,5 @@
-// The lease and the contact with a majority, on simulated machines: each fails without the defence that it names.
+// The lease and the contact with a majority, on simulated machines: each fails without the defence that it
+// names.
 #include <gtest/gtest.h>
 
 #include "system/consensus/sim_for_test.hpp"
--- a/system/consensus/replacement.cpp
+++ b/system/consensus/replacement.cpp
@@ -14,13 +14,7 @@
 #include "system/consensus/core_parts.hpp"
 
 namespace petrelpond::consensus {
-namespace {
-
-// A core that is no voter is forgotten after so long a silence; each replaced machine would be tried for
-// ever.
-const Span kForgetAfter = Span::seconds(120);
-
-}  // namespace
+namespace {}  // namespace
 
 void Core::noteSender(Instant now, const NodeId& from, const Message& m) {
     if (from == o_.self) return;
@@ -150,10 +144,25 @@
     std::erase_if(peers_, [&](const auto& entry) {
         const auto& [node, peer] = entry;
         if (isVoter(node) || contains(o_.seeds, node)) return false;
-        return now - std::max(peer.heardAt, peer.knownSince) > kForgetAfter;
+        return now - std::max(peer.heardAt, peer.knownSince) > kForgetPeer;
     });
 }
 
+// Against a core that was away for so long that all it knew are gone and have been forgotten by their
+// successors, which have forgotten it too: the settings are written anew before long, and name others.
+void Core::learnOf(Instant now, const std::vector<NodeId>& cores) {
+    enter(now);
+    for (const NodeId& node : cores) {
+        if (node != o_.self && peers_.count(node) == 0) peers_[node].knownSince = now;
+    }
+    helloAt_ = now;
+    leave(now);
+}
+
+bool Core::tellsOf(Instant now, const NodeId& node, const Peer& peer) const {
+    return isVoter(node) || now - peer.heardAt <= kTellOfPeer;
+}
+
 bool Core::mayLeave(Instant now) const {
     if (mem_.voters.empty() || diskBroken_ || o_.defect == Defect::leavesAtOnce) return true;
     if (!selfIsVoter()) {  // replaced: we may be needed to tell what we know until a majority has taken over
--- a/system/consensus/replacement_test.cpp
+++ b/system/consensus/replacement_test.cpp
@@ -240,6 +240,57 @@
     EXPECT_EQ(w.run(), "");
 }
 
+// Machines that were replaced are neither tried nor told of for ever.
+TEST(Replacement, MachinesThatAreGoneAreForgottenByAll) {
+    sim::Plan plan = calm(3, 1, 3);
+    plan.seconds = 180;
+    World w(plan);
+    withSpares(w, {{7000, 3}, {12000, 4}, {17000, 5}});
+    for (size_t i = 3; i < 6; ++i) w.seedsOf_[i] = {w.nodes_[2].id};
+    for (size_t i = 0; i < 3; ++i)
+        w.at(World::millis(10000 + 5000 * static_cast<int64_t>(i)), [&w, i] { endForGood(w, i); });
+    w.at(World::millis(30000), [&w] {
+        const auto known = w.nodes_[5].core->peers();
+        EXPECT_TRUE(World::contains(known, w.nodes_[1].id));  // still: it may come back
+    });
+    w.at(World::millis(170000), [&w] {
+        for (size_t i = 3; i < 6; ++i) {
+            const auto known = w.nodes_[i].core->peers();
+            EXPECT_FALSE(World::contains(known, w.nodes_[0].id));
+            EXPECT_FALSE(World::contains(known, w.nodes_[1].id));
+            EXPECT_EQ(known.size(), 3u);  // the seed that is gone, and the two others
+        }
+    });
+    EXPECT_EQ(w.run(), "");
+}
+
+// One that was cut off while all that it knew were replaced, and forgotten by their successors, finds them as
+// soon as its settings name one.
+TEST(Replacement, ACoreThatWasAwayThroughAllReplacementsComesBackByNewSettings) {
+    sim::Plan plan = calm(3, 1, 4);
+    plan.seconds = 220;
+    World w(plan);
+    withSpares(w, {{7000, 6}, {8000, 3}, {15000, 4}, {20000, 5}});
+    for (size_t i = 3; i < 7; ++i) w.seedsOf_[i] = {w.nodes_[2].id};
+    w.at(World::millis(12000), [&w] {
+        for (size_t k = 0; k < 6; ++k) w.cut_.insert({k, 6}), w.cut_.insert({6, k});
+    });
+    for (size_t i = 0; i < 3; ++i)
+        w.at(World::millis(13000 + 5000 * static_cast<int64_t>(i)), [&w, i] { endForGood(w, i); });
+    w.at(World::millis(200000), [&w] {
+        w.cut_.clear();
+        EXPECT_FALSE(w.nodes_[4].core->peers().empty());
+        EXPECT_FALSE(World::contains(w.nodes_[4].core->peers(), w.nodes_[6].id));
+    });
+    w.at(World::millis(210000), [&w] {
+        EXPECT_LT(w.nodes_[6].core->epoch(), w.lastEpoch_);
+        w.nodes_[6].core->learnOf(w.clock(6), {w.nodes_[5].id});
+        w.drain(6);
+    });
+    w.at(World::millis(215000), [&w] { EXPECT_EQ(w.nodes_[6].core->epoch(), w.lastEpoch_); });
+    EXPECT_EQ(w.run(), "");
+}
+
 // It is unknown to the others and changes nothing; with a seed that lives it has the place that is free.
 TEST(Replacement, ANewcomerWhoseSeedsAreAllGoneHarmsNobodyAndJoinsWithOneThatLives) {
     World w(calm(3, 1, 1));
--- a/system/control_plane/control.cpp
+++ b/system/control_plane/control.cpp
@@ -136,9 +136,11 @@
 }
 
 void Control::newSettings(const configuration::Settings& settings) {
-    // Other seeds are other names for what is known already; the voters and the other cores stand in the
-    // state.
     settings_.seeds = settings.seeds;
+    std::vector<std::string> cores;
+    for (const auto& seed : settings.seeds) cores.push_back(seed.ip);
+    core_->learnOf(loop_.now(), cores);
+    pumpSoon();
 }
 
 // --- operators ---------------------------------------------------------------------------------------------
@@ -419,8 +421,7 @@
 
 void Control::welcome(Guest& guest) {
     network::Welcome w;
-    w.cores = core_->peers();
-    w.cores.push_back(settings_.ip);
+    w.cores = knownCores();
     for (const auto& [name, tag] : agentByName_) {
         if (w.senders.size() >= 16) break;
         const network::Hello& h = guests_[tag].hello;
@@ -430,6 +431,30 @@
     beatAgent(guest);
 }
 
+std::vector<std::string> Control::knownCores() const {
+    std::vector<std::string> cores = core_->peers();
+    cores.push_back(settings_.ip);
+    return cores;
+}
+
+// Against agents that know none of the cores any more once each of those that they were told of has been
+// replaced: a link that stays up brings no second welcome, and a core that has never held the lease is told
+// of by nobody else. It harms by one small message to each agent for each change of the cores.
+void Control::followCores() {
+    std::vector<std::string> cores = knownCores();
+    if (cores == toldCores_) return;
+    toldCores_ = std::move(cores);
+    network::Welcome w;
+    w.cores = toldCores_;
+    for (auto& [tag, guest] : guests_)
+        if (guest.agent) guest.link->say(Kind::welcome, w);
+    for (auto it = peers_.begin(); it != peers_.end();) {
+        const bool known = std::find(toldCores_.begin(), toldCores_.end(), it->first) != toldCores_.end();
+        if (!known && it->second.link) it->second.link->close(), loop_.bury(std::move(it->second.link));
+        it = known ? std::next(it) : peers_.erase(it);
+    }
+}
+
 void Control::linkUp(Link& link) {
     for (auto& [ip, peer] : peers_) {
         if (peer.link.get() != &link) continue;
@@ -544,6 +569,7 @@
     for (auto& [tag, guest] : guests_)
         if (guest.agent && now - guest.heardAt > kAgentSilence) silent.push_back(guest.link.get());
     for (Link* link : silent) linkDown(*link, false);
+    followCores();
     if (now - beatAt_ >= kAgentBeat) beatAgents();
     if (now >= logAt_) logAt_ = now + Span::seconds(10), logCounters();
     if (core_->inContact(now) != inContact_) {
--- a/system/control_plane/control.hpp
+++ b/system/control_plane/control.hpp
@@ -101,6 +101,8 @@
     void beatAgent(Guest&);
     void beatSoon();
     void welcome(Guest&);
+    void followCores();
+    std::vector<std::string> knownCores() const;  // by their ips, this one too
     void sendConfig(network::Link&);
     void housekeep();
     void mayEnd();
@@ -118,6 +120,7 @@
     std::map<uint64_t, Guest> guests_;
     std::map<std::string, uint64_t> agentByName_;
     std::map<std::string, Peer> peers_;
+    std::vector<std::string> toldCores_;  // what linked agents know of the cores
     std::deque<Command> commands_;
     Backlog reports_;
     bool reporting_ = false;
--- a/system/control_plane/control_test.cpp
+++ b/system/control_plane/control_test.cpp
@@ -386,6 +386,47 @@
     EXPECT_EQ(call(1, "POST /voters", change, 200), R"({"epoch":2,)" + voters);  // said again: as it is
 }
 
+// An agent whose link stays up is told of a core that comes later; else it would know none of them once all
+// that it was told of have been replaced.
+TEST_F(Controls, ALinkedAgentIsToldOfACoreThatComesLater) {
+    call(0, "PUT /configuration", configuration(7), 200);
+    network::Turning turning;
+    struct Told : network::LinkOwner {
+        void linkUp(network::Link& link) override {
+            link.say(network::Kind::hello, network::Hello{"edge", "10.0.0.9", "z", 1, 0});
+        }
+        void frame(network::Link&, network::Kind kind, std::string_view payload) override {
+            if (kind != network::Kind::welcome) return;
+            const auto welcome = network::unpacked<network::Welcome>(payload);
+            if (!welcome) return;
+            const std::lock_guard<std::mutex> guard(lock);
+            cores = welcome->cores;
+        }
+        void linkDown(network::Link&, bool) override {}
+        bool has(const std::string& ip) {
+            const std::lock_guard<std::mutex> guard(lock);
+            return std::find(cores.begin(), cores.end(), ip) != cores.end();
+        }
+        std::mutex lock;
+        std::vector<std::string> cores;
+    } told;
+    auto link =
+        network::Link::connect(turning.loop, told, *network::Address::parse(ip(0), inner_), Span::seconds(2));
+    ASSERT_TRUE(link);
+    turning.start();
+    const auto wait = [&](const std::string& core) {
+        const Instant until = network::Loop::clock() + Span::seconds(10);
+        while (!told.has(core) && network::Loop::clock() < until)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        return told.has(core);
+    };
+    EXPECT_TRUE(wait(ip(1)));
+    EXPECT_FALSE(told.has(ip(3)));
+    begin(3);
+    EXPECT_TRUE(wait(ip(3)));
+    turning.end();
+}
+
 // The same without an operator's word.
 TEST_F(Controls, ACoreThatIsGoneIsReplacedWithoutAWord) {
     call(0, "PUT /configuration", configuration(7), 200);
