--- a/system/consensus/replacement.cpp
+++ b/system/consensus/replacement.cpp
@@ -129,6 +129,7 @@
     }
     sortUnique(known);
     std::vector<MemberState> all;
+    all.reserve(known.size());
     for (const NodeId& node : known) all.push_back(stateOf(node));
     return all;
 }
