--- a/system/agent/known_core.hpp
+++ b/system/agent/known_core.hpp
@@ -9,9 +9,10 @@
 
 namespace petrelpond::agent {
 
-// Against a list that only grows: each core machine that was replaced would be tried for ever, and at the bound no
-// new one would be learned of any more. A core that is back is learned of again from any that lives, or by its own
-// lease. Harm: cut off from all for longer than that, an agent is left with its seeds and the holder.
+// Against a list that only grows: each core machine that was replaced would be tried for ever, and at the
+// bound no new one would be learned of any more. A core that is back is learned of again from any that lives,
+// or by its own lease. Harm: cut off from all for longer than that, an agent is left with its seeds and the
+// holder.
 inline const Span kForgetCore = Span::seconds(60);
 constexpr size_t kMostCores = 32;
 
