Range: two replacements at a time, and a sender cut off while all cores are replaced

Cause: two replacements that began in the same moment were given the same spare, so one of two machines had no successor; found by a play of five cores of which two go at a time, in which nothing was acknowledged any more. The fault is the range's. Change: a spare is taken as soon as it is promised. Machines that have not come yet can be named in a cut, which then holds as they come.

--- a/fleet/system/machines.cpp
+++ b/fleet/system/machines.cpp
@@ -250,9 +250,13 @@
     });
 }
 
-int Machines::nextSpare() const {
-    for (size_t i = 0; i < machines_.size(); ++i)
-        if (machines_[i].out && machines_[i].starts == 0) return static_cast<int>(i);
+int Machines::takeSpare() {
+    for (size_t i = 0; i < machines_.size(); ++i) {
+        Machine& m = machines_[i];
+        if (!m.out || m.taken || m.starts > 0) continue;
+        m.taken = true;
+        return static_cast<int>(i);
+    }
     return -1;
 }
 
@@ -277,9 +281,10 @@
 }
 
 int Machines::replace(int old, Span between, bool planned) {
-    const int successor = nextSpare();
     Machine& m = machines_[static_cast<size_t>(old)];
-    if (ending_ || successor < 0 || m.out || m.ending) return -1;
+    if (ending_ || m.out || m.ending) return -1;
+    const int successor = takeSpare();
+    if (successor < 0) return -1;
     const Instant now = loop_.now();
     if (!planned) {
         judge_.down(now, old);
--- a/fleet/system/machines.hpp
+++ b/fleet/system/machines.hpp
@@ -24,7 +24,8 @@
     std::string name, zone, ip, folder;
     bool core = false, bootstrap = true, frozen = false, ending = false;
     bool powerless = false;
-    bool out = false;  // not there yet, or gone for good
+    bool out = false;    // not there yet, or gone for good
+    bool taken = false;  // a spare that comes in some machine's place
     int starts = 0, ownEnds = 0;
     struct Process {
         std::string program;
@@ -73,7 +74,7 @@
 
   private:
     void writeSettings(const Machine&) const;
-    int nextSpare() const;
+    int takeSpare();
     void bringUp(int machine);
     void endForGood(int machine);
     // Its loss is over once its successor, that comes then, has had its time to catch up.
--- a/fleet/system/stage.cpp
+++ b/fleet/system/stage.cpp
@@ -99,7 +99,7 @@
         for (const std::string& name : f.machines)
             for (size_t i = 0; i < machines_.all().size(); ++i) {
                 const Machine& m = machines_.all()[i];
-                if (m.out) continue;
+                if (m.out && name != m.name) continue;  // by its name: a cut may begin before it comes
                 bool meant = name == m.name || name == "all" || name == (m.core ? "core" : "edge");
                 if (meant && std::find(all.begin(), all.end(), static_cast<int>(i)) == all.end())
                     all.push_back(static_cast<int>(i));
