--- a/system/consensus/replacement_test.cpp
+++ b/system/consensus/replacement_test.cpp
@@ -80,6 +80,27 @@
     return plan;
 }
 
+void endForGood(World& w, size_t i) {
+    w.kill(i);
+    w.nodes_[i].gone = true;
+}
+void losesItsDisk(World& w, size_t i) {
+    w.kill(i);
+    w.nodes_[i].disk.reset();
+    w.start(i, false);
+}
+World& withSpares(World& w, std::vector<std::pair<int64_t, size_t>> starts) {
+    w.losses_ = [&w, starts] {
+        w.loss_ = 0;
+        for (const auto& [at, spare] : starts)
+            w.at(World::millis(at), [&w, spare = spare] { w.start(spare, false); });
+    };
+    return w;
+}
+bool votes(const World& w, size_t i) {
+    return World::contains(w.voterSets_.rbegin()->second, w.nodes_[i].id);
+}
+
 // The successor counts, and the machine that is gone does not, well before the successor's time is over.
 TEST(Replacement, ASuccessorHasThePlaceWithinTheTimeToCatchUp) {
     for (const bool holder : {true, false}) {
@@ -111,10 +132,7 @@
 // which has the next place that falls free.
 TEST(Replacement, AMemberThatWasCutOffComesBackAsTheStandby) {
     World w(calm(3, 1, 1));
-    w.losses_ = [&w] {
-        w.loss_ = 0;
-        w.at(World::millis(7000), [&w] { w.start(3, false); });
-    };
+    withSpares(w, {{7000, 3}});
     size_t cutOff = 0;
     w.at(World::millis(10000), [&] {
         cutOff = (static_cast<size_t>(w.holder()) + 1) % 3;
@@ -150,10 +168,7 @@
     sim::Plan plan = calm(3, 1, 1);
     plan.defect = defect;
     World w(plan);
-    w.losses_ = [&w] {
-        w.loss_ = 0;
-        w.at(World::millis(7000), [&w] { w.start(3, false); });
-    };
+    withSpares(w, {{7000, 3}});
     const auto lose = [&w](size_t old) {
         w.kill(old);
         w.nodes_[old].gone = true;
@@ -181,10 +196,7 @@
 TEST(Replacement, TheWordOfAMemberThatLeavesIsActedOnAtOnce) {
     for (int64_t offset = 0; offset < 150; offset += 15) {
         World w(calm(3, 1, 1));
-        w.losses_ = [&w] {
-            w.loss_ = 0;
-            w.at(World::millis(7000), [&w] { w.start(3, false); });
-        };
+        withSpares(w, {{7000, 3}});
         w.at(World::millis(12000 + offset), [&w] {
             const auto holder = static_cast<size_t>(w.holder());
             const size_t old = (holder + 1) % 3, next = (holder + 2) % 3;
@@ -202,27 +214,6 @@
     }
 }
 
-void endForGood(World& w, size_t i) {
-    w.kill(i);
-    w.nodes_[i].gone = true;
-}
-void losesItsDisk(World& w, size_t i) {
-    w.kill(i);
-    w.nodes_[i].disk.reset();
-    w.start(i, false);
-}
-World& withSpares(World& w, std::vector<std::pair<int64_t, size_t>> starts) {
-    w.losses_ = [&w, starts] {
-        w.loss_ = 0;
-        for (const auto& [at, spare] : starts)
-            w.at(World::millis(at), [&w, spare = spare] { w.start(spare, false); });
-    };
-    return w;
-}
-bool votes(const World& w, size_t i) {
-    return World::contains(w.voterSets_.rbegin()->second, w.nodes_[i].id);
-}
-
 // All machines of the first start are gone, and the settings of their successors still name them as seeds:
 // after a loss of power the successors find one another from their disks.
 TEST(Replacement, AfterAllSeedsWereExchangedTheOthersComeBackFromALossOfPower) {
@@ -347,10 +338,7 @@
     sim::Plan plan = calm(3, 1, 2);
     plan.defect = defect;
     World w(plan);
-    w.losses_ = [&w] {
-        w.loss_ = 0;
-        w.at(World::millis(7000), [&w] { w.start(3, false), w.start(4, false); });
-    };
+    withSpares(w, {{7000, 3}, {7000, 4}});
     w.at(World::millis(12000), [&w] {
         w.kill(3);
         w.nodes_[3].gone = true;
@@ -380,10 +368,7 @@
     sim::Plan plan = calm(3, 1, 1);
     plan.defect = defect;
     World w(plan);
-    w.losses_ = [&w] {
-        w.loss_ = 0;
-        w.at(World::millis(7000), [&w] { w.start(3, false); });
-    };
+    withSpares(w, {{7000, 3}});
     bool leaves = false, inTime = false;
     std::set<std::pair<size_t, size_t>> lost;
     w.drops_ = [&](size_t from, size_t to, const Message& m) {
@@ -415,10 +400,7 @@
     World w(plan);
     uint64_t epoch = 0;
     size_t deaf = 0, first = 0, second = 0;
-    w.losses_ = [&w] {
-        w.loss_ = 0;
-        w.at(World::millis(7000), [&w] { w.start(5, false), w.start(6, false); });
-    };
+    withSpares(w, {{7000, 5}, {7000, 6}});
     w.at(World::millis(10000), [&] {
         const auto holder = static_cast<size_t>(w.holder());
         deaf = (holder + 1) % 5, first = (holder + 2) % 5, second = (holder + 3) % 5;
