Gossip: a zone's agents begin six exchanges across a round, however many they are

Change: Views::goesAcross() by the living of the own zone, the second exchange stays in the zone; the fleet of the tests and the model count bytes between zones.

--- a/system/configuration/held_text.cpp
+++ b/system/configuration/held_text.cpp
@@ -65,8 +65,8 @@
 
 const Config& HeldText::configFor(TextId base) {
     if (const auto known = packed_.find(base); known != packed_.end()) return known->second;
-    const auto former = std::find_if(formers_.begin(), formers_.end(),
-                                     [&](const Former& each) { return each.id == base; });
+    const auto former =
+        std::find_if(formers_.begin(), formers_.end(), [&](const Former& each) { return each.id == base; });
     if (former == formers_.end()) {
         const auto [whole, fresh] = packed_.try_emplace(TextId{});
         if (fresh) whole->second = packedFor(nullptr);
--- a/system/configuration/held_text.hpp
+++ b/system/configuration/held_text.hpp
@@ -57,7 +57,7 @@
     size_t basesKept_;
     TextId id_;
     std::string text_;
-    std::deque<Former> formers_;  // newest first
+    std::deque<Former> formers_;                // newest first
     std::map<TextId, network::Config> packed_;  // of the newest text, by the receiver's base
 };
 
--- a/system/configuration/packing_test.cpp
+++ b/system/configuration/packing_test.cpp
@@ -18,8 +18,8 @@
     for (int i = 0; i < routes; ++i) {
         const uint32_t name = random();
         text += (i > 0 ? ",{" : "{") + std::string("\"name\":\"r-") + std::to_string(name) +
-                "\",\"host_name\":\"h" + std::to_string(name % 9973) + ".example\",\"timeout_ms\":" +
-                (i == changedRoute ? "4100" : "4000") + "}";
+                "\",\"host_name\":\"h" + std::to_string(name % 9973) +
+                ".example\",\"timeout_ms\":" + (i == changedRoute ? "4100" : "4000") + "}";
     }
     return text + "]}";
 }
--- a/system/gossip/fleet_for_test.hpp
+++ b/system/gossip/fleet_for_test.hpp
@@ -67,6 +67,7 @@
                 ++datagrams;
                 bytes += data.size();
                 const auto to = ips_.find(s->ip);
+                if (to != ips_.end() && peer(i).zone != peer(to->second).zone) bytesAcross += data.size();
                 if (to == ips_.end() || cut(i, to->second) || real() < loss_) continue;
                 if (doubled > 0 && real() < doubled)
                     push({now + Span::millis(1 + rng_() % 2000), 0, to->second, i, data});
@@ -155,7 +156,7 @@
     Instant now = at(1000);
     std::set<size_t> frozen, failFetchFrom;
     std::function<bool(size_t, size_t)> cut = [](size_t, size_t) { return false; };
-    size_t datagrams = 0, bytes = 0, fetches = 0, holderNews = 0;
+    size_t datagrams = 0, bytes = 0, bytesAcross = 0, fetches = 0, holderNews = 0;
     // How long a configuration takes from that agent, asked for now.
     std::function<Span(size_t)> transfer = [](size_t) { return Span::millis(5); };
     std::function<void()> each = [] {};  // after each input
--- a/system/gossip/model_test.cpp
+++ b/system/gossip/model_test.cpp
@@ -42,10 +42,11 @@
         for (const double loss : {0.0, 0.05, 0.2}) {
             Fleet f(n, loss, 1);
             f.run(n > 500 ? 30 : 20);
-            const size_t bytes = f.bytes, datagrams = f.datagrams;
+            const size_t bytes = f.bytes, across = f.bytesAcross, datagrams = f.datagrams;
             f.run(10);
             const double each = 10 * static_cast<double>(n);
             const double bytesS = static_cast<double>(f.bytes - bytes) / each,
+                         acrossS = static_cast<double>(f.bytesAcross - across) / each,
                          datagramsS = static_cast<double>(f.datagrams - datagrams) / each;
             // 2 Mbit/s out of each agent, shared by those that ask it, or what a stream gets through such
             // losses in 40 ms there and back (1,460 bytes x 1.22 / root of the loss a round trip).
@@ -61,9 +62,10 @@
             f.know(3, {1, 1, 1, "core"});
             const double all = f.until(120, [&] { return f.behind(1) == 0; });
             std::printf(
-                "%4zu senders, loss %2.0f%%: at rest %5.0f bytes and %.2f datagrams a sender a second; new "
+                "%4zu senders, loss %2.0f%%: at rest %5.0f bytes, %4.0f of them between zones, and %.2f "
+                "datagrams a sender a second; new "
                 "configuration at all after %5.2f s, %.2f fetches a sender\n",
-                n, loss * 100, bytesS, datagramsS, all,
+                n, loss * 100, bytesS, acrossS, datagramsS, all,
                 static_cast<double>(f.fetches - fetches) / static_cast<double>(n));
         }
     }
--- a/system/gossip/views.cpp
+++ b/system/gossip/views.cpp
@@ -7,11 +7,14 @@
 
 namespace {
 
-constexpr size_t kTable = 2048;    // entries kept, the dead included
-constexpr size_t kWants = 20;      // of one message: as many entries as surely fit into its answer
-constexpr size_t kTellers = 4;     // kept in case the one asked fails
-constexpr size_t kOutputs = 4096;  // against a host that does not pull; then the oldest go, as if lost
-constexpr size_t kLookedAt = 512;  // entries of the table, for the beats of one message
+constexpr size_t kTable = 2048;     // entries kept, the dead included
+constexpr size_t kWants = 20;       // of one message: as many entries as surely fit into its answer
+constexpr size_t kTellers = 4;      // kept in case the one asked fails
+constexpr size_t kOutputs = 4096;   // against a host that does not pull; then the oldest go, as if lost
+constexpr size_t kLookedAt = 512;   // entries of the table, for the beats of one message
+constexpr size_t kAcross = 6;       // exchanges a round that the agents of one zone begin across
+constexpr size_t kAcrossEvery = 3;  // of few agents: every so many rounds one exchange across
+constexpr int kTries = 16;          // draws for somebody of the own zone
 constexpr size_t kRider = 9, kWant = 5;
 constexpr uint64_t kIdMask = (uint64_t{1} << 39) - 1;
 constexpr Span kBeat = Span::seconds(1);
@@ -175,7 +178,12 @@
 
 void Views::measure(Instant now) {
     size_t n = 1;
-    for (const Entry& e : entries_) n += lives(e, now);
+    ownZone_ = 1;
+    for (const Entry& e : entries_) {
+        if (!lives(e, now)) continue;
+        ++n;
+        ownZone_ += e.peer.zone == self_.zone;
+    }
     window_ = options_.forget * (n > 64 ? 1 + std::log2(static_cast<double>(n) / 64) : 1.0);
 }
 
@@ -481,9 +489,16 @@
 
 Instant Views::wakeAt() const { return left_ ? Instant::never() : std::min(nextShuffle_, fetchUntil_); }
 
+// Whether this round's exchange goes to another zone. Bytes between zones are dear, so the agents of a zone
+// together begin kAcross exchanges across in a round, however many they are; few of them, every third of
+// theirs. Harm if too few: a beat comes late to the other zones, and who lives there is held dead.
+bool Views::goesAcross() {
+    if (ownZone_ <= kAcrossEvery * kAcross) return round_ % kAcrossEvery == 0;
+    return below(ownZone_) < kAcross;
+}
+
 uint32_t Views::pickNeighbour() {
-    // Two of three times within the zone, where datagrams are cheap and quick; the third time across.
-    const bool within = round_ % 3 != 0;
+    const bool within = !goesAcross();
     uint32_t best = kNone, bestAge = 0, any = kNone, anyAge = 0;
     for (const Slot& s : view_) {
         if (any == kNone || s.age > anyAge) any = s.entry, anyAge = s.age;
@@ -565,12 +580,13 @@
         answered_ = false;
         startShuffle(now, partner_);
     }
-    // A second exchange with anybody that lives: with one only, beats reach the last of 74 agents at 30% loss
-    // too late. Fewer have no need of it.
+    // A second exchange with anybody of the zone that lives: with one only, beats reach the last of 74 agents
+    // at 30% loss too late. Fewer have no need of it.
     if (window_ > options_.forget || view_.size() >= options_.view) {
-        for (int tries = 0; tries < 4; ++tries) {
+        for (int tries = 0; tries < kTries; ++tries) {
             const uint32_t any = static_cast<uint32_t>(below(entries_.size()));
-            if (any == partner_ || !lives(entries_[any], now)) continue;
+            const Entry& entry = entries_[any];
+            if (any == partner_ || !lives(entry, now) || entry.peer.zone != self_.zone) continue;
             startShuffle(now, any);
             break;
         }
--- a/system/gossip/views.hpp
+++ b/system/gossip/views.hpp
@@ -156,6 +156,7 @@
     void measure(Instant now);
     void offer(Instant now, uint32_t entry, std::vector<uint32_t>& replaceable);
     bool inView(uint32_t entry) const;
+    bool goesAcross();
     uint32_t pickNeighbour();
     uint32_t pickDead(Instant now, bool orAny);
     void startShuffle(Instant now, uint32_t entry);
@@ -176,7 +177,8 @@
     std::mt19937 rng_;
     Instant started_, lastSeen_, nextShuffle_, nextPrune_;
     Span window_;
-    uint32_t base_ = 0;  // beat at started_
+    size_t ownZone_ = 1;  // living agents of our zone, self included
+    uint32_t base_ = 0;   // beat at started_
     bool left_ = false;
     uint64_t round_ = 0;
 
