A connection to an instance outlasts its slot and serves when one comes back

Change: idle connections are kept by the instance's id, at most the sender's even part of nine tenths of what the instance takes, a quarter of the bound on clients in all, as long as the endpoint and kIdleMost allow; none to an instance that missed.

--- a/system/proxy/dispatch.cpp
+++ b/system/proxy/dispatch.cpp
@@ -144,7 +144,7 @@
 
 void Dispatch::dropInstance(InstanceIx ix) {
     Instance& i = *instances_[ix];
-    out_.push_back(Drop{ix});
+    out_.push_back(Drop{ix, connectionsKept(i)});
     auto& all = services_[i.service].instances;
     all.erase(std::remove(all.begin(), all.end(), ix), all.end());
     instanceById_.erase(i.view.id);
@@ -152,6 +152,15 @@
     freeIx_.push_back(ix);
 }
 
+// Slots go from sender to sender and come back within seconds: a connection that stays open spares the next
+// call a round trip and a small instance another connection. Harm: all senders' idle connections together
+// must not use up what the instance takes, so each keeps its even part only.
+size_t Dispatch::connectionsKept(const Instance& i) const {
+    constexpr double kPartForIdle = 0.9;
+    if (i.misses > 0 || i.deadTold) return 0;
+    return static_cast<size_t>(kPartForIdle * services_[i.service].spec.maxConnections / senders_);
+}
+
 const InstanceView* Dispatch::instance(InstanceIx ix) const {
     return ix < instances_.size() && instances_[ix] ? &instances_[ix]->view : nullptr;
 }
--- a/system/proxy/dispatch.hpp
+++ b/system/proxy/dispatch.hpp
@@ -33,6 +33,7 @@
     std::string name;
     int maxConcurrency = 1;
     Span boot;
+    int maxConnections = 0;  // that one instance takes from all senders together; 0: not known
 };
 
 struct Arrival {
@@ -79,8 +80,9 @@
 struct Probe {  // see whether it takes a connection
     InstanceIx at;
 };
-struct Drop {  // its connections are of no more use
+struct Drop {  // no slot of it is ours any more
     InstanceIx at;
+    size_t mayKeep;  // so many idle connections to it may stay open, as a slot may come back
 };
 struct Tell {
     scaler::Report report;
@@ -200,6 +202,7 @@
     void probe(Instant now, Instance&, InstanceIx);
     void missed(Instant now, Instance&, InstanceIx);
     void dropInstance(InstanceIx);
+    size_t connectionsKept(const Instance&) const;
     void noteHeld(Instance&);
     void report(Instant now, bool whole);
     void sweep(Instant now);
--- a/system/proxy/proxy.cpp
+++ b/system/proxy/proxy.cpp
@@ -101,6 +101,7 @@
     std::unique_ptr<Stream> stream;
     RequestId request = 0;  // 0: none
     bool probe = false, idle = false;
+    bool parked = false;  // idle, and no slot of its instance is ours
     AnswerReading reading{kMostAnswer};
     network::TimerId timer = 0;
     Instant connectBy, patientUntil, deadline, idleSince;
@@ -157,6 +158,7 @@
     // client goes elsewhere. 200 are the platform's for files, some our own; each request may take two.
     mostVisits_ = static_cast<size_t>(std::max(64, settings_.limits.fileDescriptors - 300)) * 2 / 3;
     dispatch_.bound(mostVisits_ / 2);
+    mostParked_ = mostVisits_ / 4;
     // A body lies in several places on its way: as it came, in the kernel, and as it goes on.
     mostBytes_ = static_cast<size_t>(settings_.limits.memoryMb) * 1'000'000 / 8;
     listener_ = network::Listener::open(
@@ -227,7 +229,8 @@
     limits_ = {made->limits.headerBytes, made->limits.bodyBytes, made->limits.headerTimeout,
                made->limits.idleTimeout};
     std::vector<ServiceSpec> specs;
-    for (const auto& s : made->services) specs.push_back({s.name, s.maxConcurrency, s.boot});
+    for (const auto& s : made->services)
+        specs.push_back({s.name, s.maxConcurrency, s.boot, s.maxConnections});
     routes_ = std::make_unique<configuration::RouteTable>(std::move(made));
     dispatch_.configured(loop_.now(), specs);
     spdlog::info("configuration {} in force, {} routes, {} services", c.version,
@@ -355,7 +358,7 @@
         else if (auto* b = std::get_if<Probe>(&*output))
             probe(b->at);
         else if (auto* d = std::get_if<Drop>(&*output))
-            drop(d->at);
+            drop(*d);
         else if (auto* t = std::get_if<Tell>(&*output)) {
             if (agent_ && agent_->isUp()) agent_->say(Kind::report, t->report);
         }
@@ -405,19 +408,14 @@
     Exchange& e = found->second;
     Instant now = loop_.now();
     Place& p = place(s.at);
-    Line* line = nullptr;
-    // The one used last, as it is the least likely to be about to close. What may run only once does not
-    // trust one that lay long: a close that crosses it would leave open whether it ran.
-    while (!p.idle.empty()) {
-        Line* last = p.idle.back();
-        p.idle.pop_back();
-        Span lay = now - last->idleSince;
-        Span most = e.repeatable ? last->keep : std::min(kIdleOnce, last->keep * 0.5);
-        if (lay < most && !last->reading.spoilt()) {
-            line = last;
-            break;
-        }
-        buryLine(*last);
+    Line* line = takeIdle(p.idle, e);
+    if (auto parked = parked_.find(view->id); !line && parked != parked_.end()) {
+        p.idle = std::move(parked->second);
+        parked_.erase(parked);
+        parkedCount_ -= p.idle.size();
+        for (Line* each : p.idle) each->parked = false, each->at = s.at;
+        line = takeIdle(p.idle, e);
+        connectsSpared_ += line != nullptr;
     }
     if (!line) {
         auto address = network::Address::parse(view->address);
@@ -443,6 +441,20 @@
     line->timer = loop_.at(first, [this, line] { line->timer = 0, lineTimed(*line); });
 }
 
+// The one used last, as it is the least likely to be about to close. What may run only once does not trust
+// one that lay long: a close that crosses it would leave open whether it ran.
+Proxy::Line* Proxy::takeIdle(std::vector<Line*>& idle, const Exchange& e) {
+    while (!idle.empty()) {
+        Line* last = idle.back();
+        idle.pop_back();
+        Span lay = loop_.now() - last->idleSince;
+        Span most = e.repeatable ? last->keep : std::min(kIdleOnce, last->keep * 0.5);
+        if (lay < most && !last->reading.spoilt()) return last;
+        buryLine(*last);
+    }
+    return nullptr;
+}
+
 void Proxy::lineTimed(Line& line) {
     Instant now = loop_.now();
     if (line.probe) {
@@ -480,6 +492,10 @@
     line.stream->close();
     auto& idle = place(line.at).idle;
     idle.erase(std::remove(idle.begin(), idle.end(), &line), idle.end());
+    if (auto parked = parked_.find(line.instance); parked != parked_.end()) {
+        parkedCount_ -= std::erase(parked->second, &line);
+        if (parked->second.empty()) parked_.erase(parked);
+    }
     auto found = lines_.find(line.id);
     if (found == lines_.end()) return;
     loop_.bury(std::move(found->second));
@@ -576,17 +592,30 @@
     line->timer = loop_.at(loop_.now() + kConnect, [this, line] { line->timer = 0, lineTimed(*line); });
 }
 
-void Proxy::drop(InstanceIx at) {
+// Keeps an idle connection for when a slot of its instance comes back. False: it is to be closed.
+bool Proxy::park(Line& line, size_t mayKeep) {
+    if (!line.idle || line.request != 0 || line.reading.spoilt()) return false;
+    const auto same = parked_.find(line.instance);
+    const size_t kept = same != parked_.end() ? same->second.size() : 0;
+    if (kept >= mayKeep || parkedCount_ >= mostParked_) return false;
+    parked_[line.instance].push_back(&line);
+    line.parked = true;
+    ++parkedCount_;
+    return true;
+}
+
+void Proxy::drop(const Drop& d) {
     std::vector<Line*> mine;
     for (auto& [id, line] : lines_)
-        if (line->at == at) mine.push_back(line.get());
+        if (line->at == d.at && !line->parked) mine.push_back(line.get());
     for (Line* line : mine) {
+        if (park(*line, d.mayKeep)) continue;
         if (line->request != 0)
             endLine(*line, line->stream->anythingSent() ? Ending::broken : Ending::unsent);
         else
             buryLine(*line);
     }
-    place(at).idle.clear();
+    place(d.at).idle.clear();
 }
 
 void Proxy::sweep() {
@@ -595,14 +624,22 @@
     for (auto& [id, visit] : visits_) all.push_back(visit.get());
     for (HttpVisit* visit : all) visit->look();
     readiness_.look();
-    for (Place& p : places_)
-        while (!p.idle.empty() && now - p.idle.front()->idleSince > p.idle.front()->keep)
-            buryLine(*p.idle.front());
+    for (Place& p : places_) buryIdleLongest(p.idle);
+    std::vector<std::string> parked;
+    for (const auto& [instance, idle] : parked_) parked.push_back(instance);
+    for (const std::string& instance : parked) buryIdleLongest(parked_[instance]);
     if (now >= logAt_) logAt_ = now + Span::seconds(10), logCounters();
     if (leaving_) mayEnd();
     sweepTimer_ = loop_.at(now + Span::millis(leaving_ ? 100 : 500), [this] { sweep(); });
 }
 
+void Proxy::buryIdleLongest(std::vector<Line*>& idle) {
+    size_t over = 0;
+    while (over < idle.size() && loop_.now() - idle[over]->idleSince > idle[over]->keep) ++over;
+    const std::vector<Line*> old(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(over));
+    for (Line* line : old) buryLine(*line);
+}
+
 void Proxy::leave() {
     if (leaving_) return;
     leaving_ = true, leavingSince_ = loop_.now();
@@ -643,10 +680,12 @@
     spdlog::info(
         "counters arrived={} sent={} passed={} refused={} refused_held={} again={} gave_up={} full={} "
         "misdirected={} broken={} silent={} unconnected={} probes={} reports={} no_route={} not_ready={} "
-        "excess={} spoilt={} connects={} open={} waiting={} turned_away={} too_much={} bytes={}",
+        "excess={} spoilt={} connects={} connects_spared={} parked={} whole_asked={} open={} waiting={} "
+        "turned_away={} too_much={} bytes={}",
         c.arrived, c.sent, c.passed, c.refusedAtOnce, c.refusedHeld, c.again, c.gaveUp, c.full, c.misdirected,
         c.broken, c.silent, c.unconnected, c.probes, c.reports, noRoute_, notReady_, excess_, spoilt_,
-        connects_, visits_.size(), dispatch_.held(), turnedAway_, tooMuch_, bytes_);
+        connects_, connectsSpared_, parkedCount_, wholeAsked_, visits_.size(), dispatch_.held(), turnedAway_,
+        tooMuch_, bytes_);
 }
 
 }  // namespace petrelpond::proxy
--- a/system/proxy/proxy.hpp
+++ b/system/proxy/proxy.hpp
@@ -76,7 +76,10 @@
     void arm();
     void carry(const SendTo&);
     void probe(InstanceIx);
-    void drop(InstanceIx);
+    void drop(const Drop&);
+    bool park(Line&, size_t mayKeep);
+    Line* takeIdle(std::vector<Line*>& idle, const Exchange&);
+    void buryIdleLongest(std::vector<Line*>& idle);
     void passOn(RequestId);
     void endLine(Line&, Ending how);  // with its request, if any
     void buryLine(Line&);
@@ -106,6 +109,9 @@
     std::unordered_map<RequestId, Exchange> exchanges_;
     std::unordered_map<uint64_t, std::unique_ptr<Line>> lines_;
     std::vector<Place> places_;
+    // Idle connections to instances of which no slot is ours at present, by the instance's id.
+    std::unordered_map<std::string, std::vector<Line*>> parked_;
+    size_t parkedCount_ = 0, mostParked_ = 0;
     std::unique_ptr<network::Link> agent_;
     uint64_t nextVisit_ = 1, nextRequest_ = 1, nextLine_ = 1;
     bool pumping_ = false, leaving_ = false;
@@ -113,7 +119,7 @@
     network::TimerId timer_ = 0, sweepTimer_ = 0;
     Instant armedFor_ = Instant::never();
     uint64_t noRoute_ = 0, notReady_ = 0, excess_ = 0, spoilt_ = 0, connects_ = 0, turnedAway_ = 0,
-             wholeAsked_ = 0, tooMuch_ = 0;
+             wholeAsked_ = 0, connectsSpared_ = 0, tooMuch_ = 0;
     size_t mostVisits_ = 1000;
     size_t bytes_ = 0, mostBytes_ = 0;  // of requests and answers under way
 };
