A client that has ended its sending gets the whole of a long answer

Cause: an answer longer than the kernel takes at once was cut where the client had half-closed, before or while it read: the visit ended as soon as the answer was handed over, or at the client's end. Also an answer under way was cut a second after it was given where its connection was to close. Change: the visit ends when all is written; what is under way has the idle time.

--- a/system/network/http_server.cpp
+++ b/system/network/http_server.cpp
@@ -116,7 +116,8 @@
         closing_ = true;
         stream_->finishWriting();  // the peer closes, or look() ends it
         stream_->in().clear();
-        if (hungUp_) loop_.soon([this] { host_.left(*this); });
+        // What the answer has still to send goes first; written() ends the visit then.
+        if (hungUp_ && stream_->unsent() == 0) loop_.soon([this] { host_.left(*this); });
         return;
     }
     if (!hungUp_) stream_->pauseReading(false);
@@ -145,7 +146,10 @@
     if (stream_->isClosed() || busy_) return;
     Span lasts = loop_.now() - since_;
     if (closing_) {
-        if (lasts > Span::seconds(1)) stream_->close(), host_.left(*this);
+        // A long answer on a narrow link takes its time; one that does not read it has as much as an idle
+        // one.
+        const Span most = stream_->unsent() > 0 ? host_.limits().idleTimeout : Span::seconds(1);
+        if (lasts > most) stream_->close(), host_.left(*this);
     } else if (begun_) {
         if (lasts > host_.limits().headerTimeout) refuse(408);
     } else if (lasts > host_.limits().idleTimeout) {
@@ -154,15 +158,22 @@
 }
 
 void HttpVisit::ended(Stream&, int error) {
-    if (error == 0 && busy_ && !hungUp_) {  // it may have ended its sending alone
+    // It may have ended its sending alone, and still read what it is owed. Against a long answer that was cut
+    // where the client had half-closed. Harm: one that is gone holds its bytes until its reset comes.
+    const bool owed = busy_ || stream_->unsent() > 0;
+    if (error == 0 && owed && !hungUp_) {
         hungUp_ = true;
-        host_.hungUp(*this);
+        if (busy_) host_.hungUp(*this);
         return;
     }
     stream_->close();
     host_.left(*this);
 }
 
-void HttpVisit::written(Stream&) {}
+void HttpVisit::written(Stream&) {
+    if (!hungUp_ || busy_) return;
+    if (closing_) return host_.left(*this);
+    if (stream_->in().empty()) done(true);
+}
 
 }  // namespace petrelpond::network
--- a/system/network/http_test.cpp
+++ b/system/network/http_test.cpp
@@ -661,6 +661,28 @@
     EXPECT_TRUE(client->toTheEnd());
 }
 
+// More than the kernel takes at once: what is left goes out although the client has ended its sending, before
+// the answer or while it is read.
+TEST_F(Visits, AHalfClosingClientGetsAllOfALongAnswer) {
+    const std::string body(24u << 20, 'x');
+    for (bool before : {true, false}) {
+        holdAnswers();
+        const size_t earlier = askedSoFar();
+        const int hungUpsEarlier = hungUps_;
+        auto client = connect();
+        client->send(kGet);
+        if (before) client->finish();
+        untilAsked(earlier + 1);
+        auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(kPatience);
+        while (before && hungUps_ == hungUpsEarlier && std::chrono::steady_clock::now() < until) askedSoFar();
+        answerNow(seen().back().visit, body);
+        if (!before) client->finish(), askedSoFar();
+        auto all = client->toTheEnd();
+        ASSERT_TRUE(all) << before;
+        EXPECT_GT(all->size(), body.size()) << before;
+    }
+}
+
 TEST_F(Visits, CloseIsHonoured) {
     for (const char* first :
          {"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
