Fewer and shorter words on slots; in a crowd wants go together; contact is told at once

After a loss of all cores the holder fell behind by the reports of a crowd. After a start of all, agents without a configuration waited for the next heartbeat of a core that had come into contact. Change: a granted slot that is in use at once is answered with the end of its call; an instance is named whole only where it may be new to the receiver; with five services waiting at a sender its wants go together each 30 ms; cores send a heartbeat as contact changes. Tests: the answer with the call's end, a lower number at once and by the id alone, a crowd's wants together (12 reports for 100 services in 0.1 s).

--- a/system/control_plane/control.cpp
+++ b/system/control_plane/control.cpp
@@ -306,6 +306,7 @@
         else if (auto* d = std::get_if<consensus::Duty>(&*output))
             duty(*d);
     }
+    followContact();
     arm();
 }
 
@@ -557,6 +558,15 @@
     if (!guest.coreIp.empty()) core_->lost(loop_.now(), guest.coreIp), pumpSoon();
 }
 
+// Agents are told at once. Against a start of all: those without a configuration ask only a core that is in
+// contact, and waited for its next heartbeat. Harm: one heartbeat more to each agent.
+void Control::followContact() {
+    if (core_->inContact(loop_.now()) == inContact_) return;
+    inContact_ = !inContact_;
+    spdlog::info("state: {} with a majority of the cores", inContact_ ? "in contact" : "out of contact");
+    beatSoon();
+}
+
 void Control::housekeep() {
     Instant now = loop_.now();
     std::vector<HttpVisit*> all;
@@ -569,10 +579,7 @@
     followCores();
     if (now - beatAt_ >= kAgentBeat) beatAgents();
     if (now >= logAt_) logAt_ = now + Span::seconds(10), logCounters();
-    if (core_->inContact(now) != inContact_) {
-        inContact_ = !inContact_;
-        spdlog::info("state: {} with a majority of the cores", inContact_ ? "in contact" : "out of contact");
-    }
+    followContact();
     if (leaving_) mayEnd();
     loop_.at(now + Span::millis(250), [this] { housekeep(); });
 }
--- a/system/control_plane/control.hpp
+++ b/system/control_plane/control.hpp
@@ -105,6 +105,7 @@
     void followCores();
     std::vector<std::string> knownCores() const;  // by their ips, this one too
     void sendConfig(network::Link&, configuration::TextId base);
+    void followContact();
     void housekeep();
     void mayEnd();
 
--- a/system/proxy/dispatch.cpp
+++ b/system/proxy/dispatch.cpp
@@ -9,6 +9,8 @@
 
 constexpr double kUnknownMean = 0.1;          // seconds; of a kind never answered
 const Span kReportEvery = Span::millis(100);  // what is not urgent gathers for so long
+constexpr size_t kCrowdOfServices = 5;        // for so many requests wait here: a crowd
+const Span kCrowdEvery = Span::millis(30);    // its reports
 const Span kUrgentAgain = Span::millis(150);  // a want that was not met is said again
 const Span kProbeEvery = Span::millis(60);
 const Span kRest = Span::millis(250);  // of an instance that just refused a connection
@@ -85,10 +87,13 @@
             }
     }
     std::vector<uint32_t> touched, grown;  // grown: more slots than before
+    std::vector<InstanceIx> raised;
+    bool lowered = false;
     for (const scaler::Grant& g : grants.grants) {
         auto found = instanceById_.find(g.instance);
         if (found == instanceById_.end()) {
             if (g.slots == 0) {  // not known here: so nothing is held of it
+                lowered = true;
                 heldChanges_[g.instance] = {g.instance, g.service, g.address, 0, 0};
                 continue;
             }
@@ -115,8 +120,10 @@
         if (g.upInMs == 0 && !i.up) i.up = true, i.restsUntil = Instant::longAgo();
         if (g.slots == 0 && i.misses > 0) i.deadTold = false;
         bool more = g.slots > i.slots;
+        lowered |= g.slots < i.slots || g.slots == 0;
         i.slots = g.slots;
         if (i.slots > 0) i.dropped = false;
+        if (more) raised.push_back(found->second);
         // Every number is answered, a higher one too: the holder lowers none that it has not seen arrive.
         // Unanswered, a slot that lay idle here could not be asked back for three seconds while others waited
         // for it.
@@ -132,7 +139,18 @@
         Instance* i = instances_[ix].get();
         if (i && i->slots == 0 && i->busy == 0) dropInstance(ix);
     }
-    if (!heldChanges_.empty()) report(now, false);
+    // Somebody waits for what is taken back, and what lies idle may be asked back once its number is
+    // answered. Of slots that are in use at once the answer goes with the end of the call, or the next report
+    // that gathers: a word less for each call. Harm: a call that ends meanwhile frees its slot a round trip
+    // later.
+    const bool idle = std::any_of(raised.begin(), raised.end(), [this](InstanceIx ix) {
+        const Instance* i = instances_[ix].get();
+        return i && i->busy < i->slots;
+    });
+    if (lowered || idle || grants.whole)
+        report(now, false);
+    else if (!heldChanges_.empty())
+        wakeBy(reportedAt_ + kReportEvery);
 }
 
 // What is still held of an instance after fewer slots were granted, or after a slot that was asked back
@@ -274,7 +292,14 @@
 
 void Dispatch::tellNow(Instant now) {
     urgent_ = true;
-    wakeBy(now);
+    wakeBy(urgentAt(now));
+}
+
+// When what is urgent is reported: at once, but in a crowd a few times a tenth of a second. Against a holder
+// that falls behind by the reports of all senders when, after a loss, requests for many services wait at each
+// of them. Harm: a want is heard so much later while many others wait.
+Instant Dispatch::urgentAt(Instant now) const {
+    return hungry_.size() < kCrowdOfServices ? now : std::max(now, reportedAt_ + kCrowdEvery);
 }
 
 // More slots are a higher rate at once, and a wait reckoned by the old rate is shortened in step: bound while
@@ -378,6 +403,8 @@
     if (i.busy == 0) i.idleSince = now;
     if (!s.changed) s.changed = true, changed_.push_back(i.service);
     if (i.busy >= i.slots) noteHeld(i), tellNow(now);  // it was asked back and is free now
+    // Its number is not answered yet. Where others wait here it is in use again at once.
+    if (s.waiting.empty() && heldChanges_.count(i.view.id)) noteHeld(i), tellNow(now);
 }
 
 void Dispatch::missed(Instant now, Instance& i, InstanceIx) {
@@ -594,7 +621,11 @@
         }
     }
     changed_.clear();
-    for (auto& [id, held] : heldChanges_) out.held.push_back(std::move(held));
+    for (auto& [id, held] : heldChanges_) {
+        // The holder that has had a whole report knows them by their ids.
+        if (!whole) held.service.clear(), held.address.clear();
+        out.held.push_back(std::move(held));
+    }
     heldChanges_.clear();
     out.dead.swap(dead_), out.up.swap(up_);
     ++counters_.reports;
@@ -621,7 +652,9 @@
         for (uint32_t i : all) run(now, i);
     }
     bool anything = !changed_.empty() || !heldChanges_.empty() || !dead_.empty() || !up_.empty();
-    if (urgent_ || (anything && now - reportedAt_ >= kReportEvery))
+    const bool urgentDue = urgent_ && now >= urgentAt(now);
+    if (urgent_ && !urgentDue) wakeBy(urgentAt(now));
+    if (urgentDue || (anything && now - reportedAt_ >= kReportEvery))
         report(now, false);
     else if (anything)
         wakeBy(reportedAt_ + kReportEvery);
--- a/system/proxy/dispatch.hpp
+++ b/system/proxy/dispatch.hpp
@@ -186,6 +186,7 @@
     void run(Instant now, uint32_t service);
     void hold(Instant now, Service&);
     void raise(Instant now, Service&);
+    Instant urgentAt(Instant now) const;
     void tellNow(Instant now);  // a report in this round, not with the next that gathers
     std::optional<InstanceIx> pick(Instant now, const Service&, const Request&) const;
     double slice(const Service&) const;
--- a/system/proxy/dispatch_test.cpp
+++ b/system/proxy/dispatch_test.cpp
@@ -265,6 +265,78 @@
     EXPECT_EQ(p.held("a")->busy, 0u);
 }
 
+// A slot that is in use as soon as it is granted is answered with the end of its call.
+TEST(Dispatch, AGrantThatIsUsedAtOnceIsAnsweredWithTheEndOfItsCall) {
+    Play p;
+    auto one = p.come();
+    const size_t before = p.reports().size();
+    p.grants({grant("a", 1)});
+    ASSERT_TRUE(p.sent(one));
+    EXPECT_EQ(p.reports().size(), before);
+    p.pass(50);
+    p.end(one, Ending::passed);
+    p.pass(1);
+    ASSERT_EQ(p.reports().size(), before + 1);
+    EXPECT_EQ(p.held("a")->slots, 1u);
+    EXPECT_EQ(p.held("a")->busy, 0u);
+    auto two = p.come();  // a long call does not put the answer off
+    p.grants({grant("a", 2)});
+    p.pass(101);
+    EXPECT_EQ(p.held("a")->slots, 2u);
+    EXPECT_EQ(p.held("a")->busy, 1u);
+    EXPECT_TRUE(p.sent(two));
+}
+
+// After a loss requests for many services wait at each sender: its wants go together, not one by one.
+TEST(Dispatch, InACrowdWantsAreReportedTogether) {
+    Dispatch core(kStart, {1, "here"});
+    core.standing(kStart, 1, true, 1);
+    Instant now = kStart;
+    size_t reports = 0, wanted = 0;
+    const auto pull = [&] {
+        while (auto output = core.next())
+            if (auto* tell = std::get_if<Tell>(&*output)) {
+                ++reports;
+                for (const auto& demand : tell->report.demands) wanted += demand.waiting > 0;
+            }
+    };
+    pull();
+    reports = 0;
+    for (uint64_t id = 1; id <= 100; ++id) {  // one a millisecond, each for a service of its own
+        Arrival a{id,
+                  "s" + std::to_string(id),
+                  true,
+                  2,
+                  1,
+                  now + Span::seconds(4),
+                  Span::millis(400),
+                  Span::seconds(4)};
+        core.arrived(now, a);
+        if (core.wakeAt() <= now) core.tick(now);
+        pull();
+        now = now + Span::millis(1);
+    }
+    EXPECT_LE(reports, 12u);  // four before it is a crowd, then one each 30 ms
+    core.tick(now = now + Span::millis(30));
+    pull();
+    EXPECT_GE(wanted, 100u);
+}
+
+// Somebody waits for what is taken back.
+TEST(Dispatch, ALowerGrantIsAnsweredAtOnceAndByTheInstancesIdAlone) {
+    Play p;
+    p.grants({grant("a", 2)});
+    p.pass(100);
+    const size_t before = p.reports().size();
+    p.grants({grant("a", 1)});
+    ASSERT_EQ(p.reports().size(), before + 1);
+    ASSERT_EQ(p.reports().back().held.size(), 1u);
+    EXPECT_EQ(p.reports().back().held[0].instance, "a");
+    EXPECT_EQ(p.reports().back().held[0].slots, 1u);
+    EXPECT_TRUE(p.reports().back().held[0].service.empty());
+    EXPECT_TRUE(p.reports().back().held[0].address.empty());
+}
+
 TEST(Dispatch, AWholeGrantTakesBackWhatItDoesNotName) {
     Play p;
     p.grants({grant("a", 1), grant("b", 1), grant("c", 1)});
--- a/system/scaler/planner.cpp
+++ b/system/scaler/planner.cpp
@@ -327,8 +327,12 @@
                 Share* s = i->share(who);
                 if (!s) continue;
                 s->due = false;
-                Grant g{i->id, i->service->spec.name, i->address, i->zone, s->told,
-                        0,     have(i->service).slots};
+                Grant g;
+                g.instance = i->id;
+                g.slots = s->told;
+                g.fleetSlots = have(i->service).slots;
+                // What is taken back its sender knows by the id.
+                if (s->told > 0) g.service = i->service->spec.name, g.address = i->address, g.zone = i->zone;
                 if (i->phase == Phase::booting) {
                     int64_t us = (i->startedAt + i->service->spec.boot - now).inMicros();
                     g.upInMs = static_cast<uint32_t>(std::max<int64_t>(1, us / 1000));
