While the holder is silent, waiting requests borrow slots that were ours not long ago

Ruled out: a shorter lapse of the duty (a needless ballot costs 0.2 s of learning); taking a reset for the holder's end (cuts reset as well). What the holder says ends is not remembered. A report that names no service adopts nothing.

--- a/system/agent/agent.cpp
+++ b/system/agent/agent.cpp
@@ -15,6 +15,8 @@
 
 const Span kBeat = Span::millis(1000);
 const Span kCoreSilence = Span::millis(2200);  // without a word from a core for so long its link is made anew
+// The holder sends a heartbeat each 250 ms; one may be late by the hiccup of a small machine.
+const Span kHolderSilence = Span::millis(500);
 const Span kAskAgain = Span::millis(600);
 // Of a core whose process starts anew: short, as one that won the duty without us would give our slots away.
 const Span kTryAgain = Span::millis(200);
@@ -291,7 +293,10 @@
     s.term = term_;
     auto core = cores_.find(holder_);
     s.linked = core != cores_.end() && core->second.link && core->second.link->isUp();
-    if (toldAny_ && s.senders == told_.senders && s.term == told_.term && s.linked == told_.linked) return;
+    s.silent = !s.linked || loop_.now() - core->second.heardAt > kHolderSilence;
+    if (toldAny_ && s.senders == told_.senders && s.term == told_.term && s.linked == told_.linked &&
+        s.silent == told_.silent)
+        return;
     told_ = s, toldAny_ = true;
     toProxy(Kind::standing, network::packed(s));
 }
@@ -328,7 +333,7 @@
         return;
     }
     bool missing = std::any_of(cores_.begin(), cores_.end(), [](const auto& c) { return !c.second.link; });
-    Span pause = Span::millis(missing ? 100 : 250);
+    Span pause = Span::millis(missing ? 100 : 150);
     Instant next = std::min(now + pause, std::max(views_.wakeAt(), now + Span::millis(5)));
     loop_.at(next, [this] { tick(); });
 }
--- a/system/control_plane/control.cpp
+++ b/system/control_plane/control.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 const Span kAgentBeat = Span::millis(500);
+const Span kHolderBeat = Span::millis(200);     // of the holder: senders are to miss it soon
 const Span kAgentSilence = Span::millis(3000);  // no word of an agent for so long: its slots may be passed on
 
 std::string json(const std::string& cause) {
@@ -577,7 +578,7 @@
         if (guest.agent && now - guest.heardAt > kAgentSilence) silent.push_back(guest.link.get());
     for (Link* link : silent) linkDown(*link, false);
     followCores();
-    if (now - beatAt_ >= kAgentBeat) beatAgents();
+    if (now - beatAt_ >= (duty_.held ? kHolderBeat : kAgentBeat)) beatAgents();
     if (now >= logAt_) logAt_ = now + Span::seconds(10), logCounters();
     followContact();
     if (leaving_) mayEnd();
--- a/system/network/words.hpp
+++ b/system/network/words.hpp
@@ -83,7 +83,8 @@
     uint32_t senders = 1;  // living ones, this one included
     uint64_t term = 0;     // of the holder to report to
     bool linked = false;   // whether the holder hears us
-    MSGPACK_DEFINE(senders, term, linked)
+    bool silent = false;   // no holder is known, or nothing has been heard of it for a while
+    MSGPACK_DEFINE(senders, term, linked, silent)
 };
 
 template <class T>
--- a/system/proxy/dispatch.cpp
+++ b/system/proxy/dispatch.cpp
@@ -18,7 +18,9 @@
 const Span kUnheard = Span::millis(400);   // thought to pass until the holder's first word
 const Span kPassedOn = Span::millis(100);  // a slot from another sender: two round trips between regions
 const Span kSweep = Span::millis(50);
-constexpr double kHoldShare = 0.45;  // of the time that a request had; then it is told
+const Span kRemember = Span::seconds(30);  // an instance of which we have no slot any more
+constexpr size_t kMostFormers = 8;         // such instances of a service
+constexpr double kHoldShare = 0.45;        // of the time that a request had; then it is told
 
 }  // namespace
 
@@ -94,27 +96,20 @@
         if (found == instanceById_.end()) {
             if (g.slots == 0) {  // not known here: so nothing is held of it
                 lowered = true;
+                if (g.ends)
+                    for (Service& each : services_) forget(each, g.instance);
                 heldChanges_[g.instance] = {g.instance, g.service, g.address, 0, 0};
                 continue;
             }
-            InstanceIx ix;
-            if (!freeIx_.empty()) {
-                ix = freeIx_.back(), freeIx_.pop_back();
-            } else {
-                ix = static_cast<InstanceIx>(instances_.size());
-                instances_.emplace_back();
-            }
-            auto made = std::make_unique<Instance>();
-            made->view = {g.instance, g.address, g.zone};
-            made->service = serviceOf(g.service);
-            made->up = g.upInMs == 0;
-            made->upAt = now + Span::millis(g.upInMs);
+            const uint32_t service = serviceOf(g.service);
+            forget(services_[service], g.instance);
+            const InstanceIx ix = makeInstance(now, {g.instance, g.address, g.zone}, service);
+            Instance& made = *instances_[ix];
+            made.up = g.upInMs == 0;
+            made.upAt = now + Span::millis(g.upInMs);
             // Starts vary by a third or more: looked at from two thirds of the time on.
-            made->probeAt = now + Span::millis(g.upInMs) * 0.6;
-            made->idleSince = now;
-            services_[made->service].instances.push_back(ix);
-            instances_[ix] = std::move(made);
-            found = instanceById_.emplace(g.instance, ix).first;
+            made.probeAt = now + Span::millis(g.upInMs) * 0.6;
+            found = instanceById_.find(g.instance);
         }
         Instance& i = *instances_[found->second];
         if (g.upInMs == 0 && !i.up) i.up = true, i.restsUntil = Instant::longAgo();
@@ -122,6 +117,7 @@
         bool more = g.slots > i.slots;
         lowered |= g.slots < i.slots || g.slots == 0;
         i.slots = g.slots;
+        i.ends = g.ends;
         if (i.slots > 0) i.dropped = false;
         if (more) raised.push_back(found->second);
         // Every number is answered, a higher one too: the holder lowers none that it has not seen arrive.
@@ -137,7 +133,7 @@
     for (uint32_t s : touched) run(now, s);
     for (InstanceIx ix = 0; ix < instances_.size(); ++ix) {
         Instance* i = instances_[ix].get();
-        if (i && i->slots == 0 && i->busy == 0) dropInstance(ix);
+        if (i && i->slots == 0 && i->busy == 0) dropInstance(now, ix);
     }
     // Somebody waits for what is taken back, and what lies idle may be asked back once its number is
     // answered. Of slots that are in use at once the answer goes with the end of the call, or the next report
@@ -160,8 +156,75 @@
     heldChanges_[i.view.id] = {i.view.id, services_[i.service].spec.name, i.view.address, held, i.busy};
 }
 
-void Dispatch::dropInstance(InstanceIx ix) {
+InstanceIx Dispatch::makeInstance(Instant now, const InstanceView& view, uint32_t service) {
+    InstanceIx ix;
+    if (!freeIx_.empty()) {
+        ix = freeIx_.back(), freeIx_.pop_back();
+    } else {
+        ix = static_cast<InstanceIx>(instances_.size());
+        instances_.emplace_back();
+    }
+    auto made = std::make_unique<Instance>();
+    made->view = view;
+    made->service = service;
+    made->idleSince = made->upAt = now;
+    services_[service].instances.push_back(ix);
+    instances_[ix] = std::move(made);
+    instanceById_[view.id] = ix;
+    return ix;
+}
+
+void Dispatch::remember(Instant now, const Instance& i) {
+    Service& s = services_[i.service];
+    forget(s, i.view.id);
+    if (i.ends || i.misses > 0 || i.deadTold || !i.up) return;
+    s.formers.push_back({i.view, now + kRemember});
+    if (s.formers.size() > kMostFormers) s.formers.erase(s.formers.begin());
+}
+
+void Dispatch::forget(Service& s, const std::string& instance) {
+    std::erase_if(s.formers, [&](const Former& each) { return each.view.id == instance; });
+}
+
+void Dispatch::holderSilent(Instant now, bool is) {
+    if (silent_ == is) return;
+    silent_ = is;
+    if (!silent_) return;
+    const std::vector<uint32_t> all(hungry_.begin(), hungry_.end());
+    for (uint32_t service : all) run(now, service);
+}
+
+// An instance for a request that has no slot here while nobody grants any, as after a loss of the cores: one
+// that had a slot of ours not long ago. As a rule it has room, and where it is full it says so and has run
+// nothing: then others of the service are left alone for a while, and the request goes the way of all that
+// are turned away. One call at an instance at a time, one such send a request, paced by the bucket. Harm:
+// the calls of others that hold its slots may be turned away in its place.
+bool Dispatch::mayBorrow(Instant now, Service& s, const Request& r) {
+    if (!silent_ || r.attempts > 0) return false;
+    std::erase_if(s.formers, [now](const Former& each) { return now >= each.until; });
+    if (s.formers.empty()) return false;
+    if (now >= s.borrowAt && s.bucket.ready(now, 0, chance_)) return true;
+    wakeBy(std::max(s.borrowAt, s.bucket.askAt));
+    return false;
+}
+
+// The one in our zone, else the one that was used longest ago.
+InstanceIx Dispatch::borrow(Instant now, uint32_t service) {
+    Service& s = services_[service];
+    ++counters_.borrowed;
+    auto best = std::find_if(s.formers.begin(), s.formers.end(),
+                             [this](const Former& each) { return each.view.zone == options_.zone; });
+    if (best == s.formers.end()) best = s.formers.begin();
+    const InstanceView view = best->view;
+    forget(s, view.id);
+    const InstanceIx ix = makeInstance(now, view, service);
+    instances_[ix]->up = true;
+    return ix;
+}
+
+void Dispatch::dropInstance(Instant now, InstanceIx ix) {
     Instance& i = *instances_[ix];
+    remember(now, i);
     out_.push_back(Drop{ix, connectionsKept(i)});
     auto& all = services_[i.service].instances;
     all.erase(std::remove(all.begin(), all.end(), ix), all.end());
@@ -334,6 +397,7 @@
             continue;
         }
         auto at = pick(now, s, r);
+        if (!at && mayBorrow(now, s, r)) at = borrow(now, ix);
         if (!at) {
             hold(now, s);
             for (InstanceIx each : s.instances) {
@@ -452,6 +516,10 @@
                 break;
             case Ending::notRun:
                 // Somebody else has its slots, or a call that we gave up still runs there.
+                if (i->slots == 0) {
+                    ++counters_.borrowedFull;
+                    s.borrowAt = now + Span::seconds(chance_.between(0.1, 0.3));
+                }
                 i->restsUntil = std::max(i->restsUntil, now + Span::millis(40));
                 wakeBy(i->restsUntil);
                 break;
@@ -474,7 +542,7 @@
             case Ending::unsent:
                 break;
         }
-        if (i->slots == 0 && i->busy == 0) dropInstance(at);
+        if (i->slots == 0 && i->busy == 0) dropInstance(now, at);
     }
     if (answered && (how == Ending::passed || !r.is.repeatable || r.attempts >= r.is.maxAttempts)) {
         ++counters_.passed;
--- a/system/proxy/dispatch.hpp
+++ b/system/proxy/dispatch.hpp
@@ -96,6 +96,7 @@
 struct Counters {
     uint64_t arrived = 0, sent = 0, passed = 0, refusedAtOnce = 0, refusedHeld = 0, again = 0, gaveUp = 0;
     uint64_t full = 0, misdirected = 0, broken = 0, silent = 0, unconnected = 0, probes = 0, reports = 0;
+    uint64_t borrowed = 0, borrowedFull = 0;  // sent without a slot of ours; turned away as full
 };
 
 class Dispatch {
@@ -117,6 +118,8 @@
     // The holder that is reported to, and the number of living senders. A new term or link asks for all anew.
     void standing(Instant now, uint64_t term, bool linked, uint32_t senders);
     void unlinked() { linked_ = false; }  // the way to the holder is broken
+    // Nothing is heard of the holder: who waits without a slot may borrow one, see borrow().
+    void holderSilent(Instant now, bool);
     void granted(Instant now, const scaler::Grants&);
     void arrived(Instant now, const Arrival&);
     void withdrawn(Instant now, RequestId);  // its client has gone; nothing is answered
@@ -151,8 +154,14 @@
         Instant idleSince;
         int misses = 0;  // failed connects and breaks since it last answered
         bool deadTold = false;
+        bool ends = false;  // as the holder said
         Instant deadToldAt = Instant::longAgo();
     };
+    // An instance that had a slot of ours not long ago.
+    struct Former {
+        InstanceView view;
+        Instant until;  // then it is forgotten
+    };
     struct Service {
         ServiceSpec spec;
         bool known = false;
@@ -164,6 +173,8 @@
         double mean = 0;        // seconds of a call; 0: none seen
         uint32_t busy = 0, peak = 0, arrived = 0;
         uint32_t fleetSlots = 0;
+        std::vector<Former> formers;            // oldest first
+        Instant borrowAt = Instant::longAgo();  // not before, as one was full
         bool changed = false, wanting = false;
         Instant wantedAt = Instant::longAgo();
     };
@@ -202,7 +213,12 @@
     void close(Request&);
     void probe(Instant now, Instance&, InstanceIx);
     void missed(Instant now, Instance&, InstanceIx);
-    void dropInstance(InstanceIx);
+    InstanceIx makeInstance(Instant now, const InstanceView&, uint32_t service);
+    bool mayBorrow(Instant now, Service&, const Request&);
+    InstanceIx borrow(Instant now, uint32_t service);
+    void remember(Instant now, const Instance&);
+    void forget(Service&, const std::string& instance);
+    void dropInstance(Instant now, InstanceIx);
     size_t connectionsKept(const Instance&) const;
     void noteHeld(Instance&);
     void report(Instant now, bool whole);
@@ -225,6 +241,7 @@
     std::vector<uint32_t> changed_;
     std::set<uint32_t> hungry_;  // services for which requests wait
     uint64_t term_ = 0, grantedTerm_ = 0, order_ = 0;
+    bool silent_ = false;  // nothing is heard of the holder
     bool linked_ = false, urgent_ = false, leaving_ = false;
     uint32_t senders_ = 1, mostSenders_ = 1;  // as told; the most of them within a window
     Instant fewerSince_ = Instant::never();
--- a/system/proxy/proxy.cpp
+++ b/system/proxy/proxy.cpp
@@ -200,6 +200,7 @@
     agent_->close();
     loop_.bury(std::move(agent_));
     dispatch_.unlinked();
+    dispatch_.holderSilent(loop_.now(), true);
     loop_.at(loop_.now() + Span::millis(100), [this] { connectAgent(); });
 }
 
@@ -207,8 +208,10 @@
     if (kind == Kind::config) {
         if (auto c = network::unpacked<network::Config>(payload)) configure(*c);
     } else if (kind == Kind::standing) {
-        if (auto s = network::unpacked<network::Standing>(payload))
+        if (auto s = network::unpacked<network::Standing>(payload)) {
             dispatch_.standing(loop_.now(), s->term, s->linked, s->senders);
+            dispatch_.holderSilent(loop_.now(), s->silent);
+        }
     } else if (kind == Kind::grants) {
         if (auto g = network::unpacked<scaler::Grants>(payload)) dispatch_.granted(loop_.now(), *g);
     }
@@ -680,12 +683,13 @@
     spdlog::info(
         "counters arrived={} sent={} passed={} refused={} refused_held={} again={} gave_up={} full={} "
         "misdirected={} broken={} silent={} unconnected={} probes={} reports={} no_route={} not_ready={} "
-        "excess={} spoilt={} connects={} connects_spared={} parked={} whole_asked={} open={} waiting={} "
+        "borrowed={} borrowed_full={} excess={} spoilt={} connects={} connects_spared={} parked={} "
+        "whole_asked={} open={} waiting={} "
         "turned_away={} too_much={} bytes={}",
         c.arrived, c.sent, c.passed, c.refusedAtOnce, c.refusedHeld, c.again, c.gaveUp, c.full, c.misdirected,
-        c.broken, c.silent, c.unconnected, c.probes, c.reports, noRoute_, notReady_, excess_, spoilt_,
-        connects_, connectsSpared_, parkedCount_, wholeAsked_, visits_.size(), dispatch_.held(), turnedAway_,
-        tooMuch_, bytes_);
+        c.broken, c.silent, c.unconnected, c.probes, c.reports, noRoute_, notReady_, c.borrowed,
+        c.borrowedFull, excess_, spoilt_, connects_, connectsSpared_, parkedCount_, wholeAsked_,
+        visits_.size(), dispatch_.held(), turnedAway_, tooMuch_, bytes_);
 }
 
 }  // namespace petrelpond::proxy
--- a/system/scaler/messages.hpp
+++ b/system/scaler/messages.hpp
@@ -46,7 +46,8 @@
     uint32_t slots = 0;
     uint32_t upInMs = 0;  // 0: it is thought to be up; else the time that its start is thought to still take
     uint32_t fleetSlots = 0;  // of all instances of the service, for the fleet's rate
-    MSGPACK_DEFINE(instance, service, address, zone, slots, upInMs, fleetSlots)
+    bool ends = false;        // it drains, ends or is gone: never to be used again
+    MSGPACK_DEFINE(instance, service, address, zone, slots, upInMs, fleetSlots, ends)
 };
 struct Grants {
     uint64_t term = 0;
--- a/system/scaler/planner.cpp
+++ b/system/scaler/planner.cpp
@@ -331,6 +331,7 @@
                 g.instance = i->id;
                 g.slots = s->told;
                 g.fleetSlots = have(i->service).slots;
+                g.ends = !i->usable();
                 // What is taken back its sender knows by the id.
                 if (s->told > 0) g.service = i->service->spec.name, g.address = i->address, g.zone = i->zone;
                 if (i->phase == Phase::booting) {
@@ -1189,7 +1190,7 @@
         auto it = st.instances.find(h.instance);
         Instance* i;
         if (it == st.instances.end()) {
-            if (h.slots == 0) continue;
+            if (h.slots == 0 || h.service.empty()) continue;
             i = st.adopt(now, h.instance, h.service, h.address);
             ++st.counts.adopted;
         } else {
