--- a/system/scaler/planner_test.cpp
+++ b/system/scaler/planner_test.cpp
@@ -279,6 +279,31 @@
     EXPECT_EQ((b.told.count({"s2", "i1"})), 0u);
 }
 
+// A sender goes on calling instances that it had slots of, while it hears of no holder: not these.
+TEST(Planner, whatIsTakenBackIsNamedByItsIdAndWhetherItEnds) {
+    Bench b;
+    b.list({{"i1", false}});
+    b.report("s1", 1, 0, 1);
+    b.report("s1", 0, 0, 0, {b.held("i1", 1, 0)});
+    const auto last = [&] { return b.tells.back().grants.grants.back(); };
+    EXPECT_EQ(last().service, "f");
+    EXPECT_FALSE(last().ends);
+    b.list({{"i1", true}});
+    EXPECT_EQ(last().instance, "i1");
+    EXPECT_EQ(last().slots, 0u);
+    EXPECT_TRUE(last().ends);
+    EXPECT_TRUE(last().service.empty() && last().address.empty());
+}
+
+// After a word that names no service an instance that nobody knows is not made up.
+TEST(Planner, anUnknownInstanceWithoutItsServiceIsNotAdopted) {
+    Bench b;
+    b.report("s1", 0, 0, 0, {{"i9", "", "", 1, 1}});
+    EXPECT_EQ(b.planner.counts().adopted, 0u);
+    b.report("s1", 0, 0, 0, {b.held("i9", 1, 1)});
+    EXPECT_EQ(b.planner.counts().adopted, 1u);
+}
+
 TEST(Planner, aCrashIsBelievedAtTheSecondWordAndNotWhileItBoots) {
     Bench b;
     b.report("s1", 1, 0, 1);
