--- /dev/null
+++ b/system/consensus/recorded_disk_for_test.cpp
@@ -0,0 +1,231 @@
+#include "system/consensus/recorded_disk_for_test.hpp"
+
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <sys/stat.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+
+namespace petrelpond::consensus {
+namespace {
+
+namespace fs = std::filesystem;
+
+std::atomic<RecordedDisk*> recording{nullptr};
+
+std::string parentOf(const std::string& name) {
+    const size_t slash = name.rfind('/');
+    return slash == std::string::npos ? "" : name.substr(0, slash);
+}
+
+void copyPart(const fs::path& from, const fs::path& to, uint64_t length) {
+    std::error_code ignored;
+    fs::copy_file(from, to, fs::copy_options::overwrite_existing, ignored);
+    fs::resize_file(to, std::min<uint64_t>(length, fs::file_size(to)), ignored);
+}
+
+}  // namespace
+
+RecordedDisk* RecordedDisk::active() { return recording; }
+
+RecordedDisk::RecordedDisk(const fs::path& folder) : folder_(folder), kept_(folder.string() + ".kept") {
+    fs::create_directories(folder_);
+    fs::create_directories(kept_);
+    for (const auto& entry : fs::recursive_directory_iterator(folder_)) {
+        struct stat is {};
+        ::stat(entry.path().c_str(), &is);
+        const Inode inode = entry.is_directory() ? 0 : is.st_ino;
+        now_.certain[nameOf(entry.path().c_str())] = inode;
+        if (inode == 0) continue;
+        fs::create_hard_link(entry.path(), kept_ / std::to_string(inode));
+        now_.synced[inode] = static_cast<uint64_t>(is.st_size);
+    }
+    recording = this;
+}
+
+RecordedDisk::~RecordedDisk() {
+    recording = nullptr;
+    fs::remove_all(kept_);
+}
+
+bool RecordedDisk::holds(const char* path) const {
+    return std::string_view(path).starts_with(folder_.string() + "/");
+}
+
+std::string RecordedDisk::nameOf(const char* path) const {
+    return std::string(path).substr(folder_.string().size() + 1);
+}
+
+void RecordedDisk::remember() {
+    for (const auto& entry : fs::directory_iterator(kept_)) {
+        now_.written[std::stoull(entry.path().filename().string())] = entry.file_size();
+    }
+    moments_.push_back(now_);
+}
+
+void RecordedDisk::told(uint64_t what) {
+    const std::lock_guard lock(mutex_);
+    now_.told = what;
+    remember();
+}
+
+std::vector<DiskMoment> RecordedDisk::moments() {
+    const std::lock_guard lock(mutex_);
+    return moments_;
+}
+
+void RecordedDisk::opened(const char* path, bool made, bool truncated) {
+    const std::lock_guard lock(mutex_);
+    struct stat is {};
+    ::stat(path, &is);
+    if (made || truncated) now_.synced[is.st_ino] = 0;
+    if (!made) return;
+    ::link(path, (kept_ / std::to_string(is.st_ino)).c_str());
+    now_.uncertain.push_back({NameChange::made, nameOf(path), {}, is.st_ino});
+    remember();
+}
+
+void RecordedDisk::renamed(const char* from, const char* to) {
+    const std::lock_guard lock(mutex_);
+    struct stat is {};
+    ::stat(to, &is);
+    now_.uncertain.push_back({NameChange::renamed, nameOf(to), nameOf(from), is.st_ino});
+    remember();
+}
+
+void RecordedDisk::removed(const char* path) {
+    const std::lock_guard lock(mutex_);
+    now_.uncertain.push_back({NameChange::removed, nameOf(path), {}, 0});
+    remember();
+}
+
+void RecordedDisk::madeFolder(const char* path) {
+    const std::lock_guard lock(mutex_);
+    now_.uncertain.push_back({NameChange::made, nameOf(path), {}, 0});
+    remember();
+}
+
+namespace {
+
+void apply(const NameChange& change, std::map<std::string, Inode>& names) {
+    if (change.kind == NameChange::removed) {
+        names.erase(change.name);
+        return;
+    }
+    if (change.kind == NameChange::renamed) names.erase(change.from);
+    names[change.name] = change.inode;
+}
+
+}  // namespace
+
+void RecordedDisk::synced(int descriptor) {
+    const std::lock_guard lock(mutex_);
+    struct stat is {};
+    if (::fstat(descriptor, &is) != 0) return;
+    if (!S_ISDIR(is.st_mode)) {
+        if (now_.synced.count(is.st_ino)) now_.synced[is.st_ino] = static_cast<uint64_t>(is.st_size);
+        return;
+    }
+    const fs::path folder = fs::read_symlink("/proc/self/fd/" + std::to_string(descriptor));
+    if (folder != folder_ && !holds(folder.c_str())) return;
+    const std::string name = folder == folder_ ? "" : nameOf(folder.c_str());
+    std::erase_if(now_.uncertain, [&](const NameChange& change) {
+        if (parentOf(change.name) != name) return false;
+        apply(change, now_.certain);
+        return true;
+    });
+}
+
+std::vector<PowerLoss> RecordedDisk::losses(const DiskMoment& moment, size_t most, std::mt19937& random) {
+    std::vector<PowerLoss> all;
+    const size_t changes = moment.uncertain.size();
+    const bool few = changes < 20 && (size_t{1} << changes) <= most;
+    for (size_t i = 0; i < (few ? size_t{1} << changes : most); ++i) {
+        PowerLoss loss;
+        for (size_t bit = 0; bit < changes; ++bit)
+            loss.kept.push_back(few ? (i >> bit & 1) != 0 : random() % 2 != 0);
+        loss.quarters = static_cast<unsigned>(random() % 5);
+        all.push_back(std::move(loss));
+    }
+    return all;
+}
+
+void RecordedDisk::leave(const DiskMoment& moment, const PowerLoss& loss, const fs::path& target) const {
+    std::map<std::string, Inode> names = moment.certain;
+    for (size_t i = 0; i < moment.uncertain.size(); ++i) {
+        if (loss.kept[i]) apply(moment.uncertain[i], names);
+    }
+    fs::remove_all(target);
+    fs::create_directories(target);
+    for (const auto& [name, inode] : names) {
+        const std::string parent = parentOf(name);
+        if (!parent.empty() && !names.count(parent)) continue;  // gone with its folder
+        if (inode == 0) {
+            fs::create_directories(target / name);
+            continue;
+        }
+        const auto synced = moment.synced.find(inode);
+        const auto written = moment.written.find(inode);
+        const uint64_t sure = synced == moment.synced.end() ? 0 : synced->second;
+        const uint64_t all = written == moment.written.end() ? sure : std::max(sure, written->second);
+        copyPart(kept_ / std::to_string(inode), target / name, sure + (all - sure) * loss.quarters / 4);
+    }
+}
+
+}  // namespace petrelpond::consensus
+
+// ---- the replaced calls
+
+using petrelpond::consensus::RecordedDisk;
+
+extern "C" {
+
+int open(const char* path, int flags, ...) {
+    va_list more;
+    va_start(more, flags);
+    const mode_t mode = (flags & O_CREAT) != 0 ? va_arg(more, mode_t) : 0;
+    va_end(more);
+    RecordedDisk* disk = RecordedDisk::active();
+    const bool ours = disk != nullptr && disk->holds(path);
+    struct stat before {};
+    const bool there = ours && ::stat(path, &before) == 0;
+    const int descriptor = static_cast<int>(::syscall(SYS_openat, AT_FDCWD, path, flags, mode));
+    if (ours && descriptor >= 0) disk->opened(path, !there, (flags & O_TRUNC) != 0);
+    return descriptor;
+}
+
+int rename(const char* from, const char* to) noexcept {
+    const int result = static_cast<int>(::syscall(SYS_renameat2, AT_FDCWD, from, AT_FDCWD, to, 0));
+    RecordedDisk* disk = RecordedDisk::active();
+    if (result == 0 && disk != nullptr && disk->holds(to)) disk->renamed(from, to);
+    return result;
+}
+
+int unlink(const char* path) noexcept {
+    const int result = static_cast<int>(::syscall(SYS_unlinkat, AT_FDCWD, path, 0));
+    RecordedDisk* disk = RecordedDisk::active();
+    if (result == 0 && disk != nullptr && disk->holds(path)) disk->removed(path);
+    return result;
+}
+
+int mkdir(const char* path, mode_t mode) noexcept {
+    const int result = static_cast<int>(::syscall(SYS_mkdirat, AT_FDCWD, path, mode));
+    RecordedDisk* disk = RecordedDisk::active();
+    if (result == 0 && disk != nullptr && disk->holds(path)) disk->madeFolder(path);
+    return result;
+}
+
+int fsync(int descriptor) {
+    RecordedDisk* disk = RecordedDisk::active();
+    if (disk == nullptr) return static_cast<int>(::syscall(SYS_fsync, descriptor));
+    disk->synced(descriptor);
+    return 0;
+}
+
+int fdatasync(int descriptor) { return fsync(descriptor); }
+
+}  // extern "C"
