State on disk: no record is certain before the names that lead to it, none is removed before

After each open the rename to CURRENT and the removal of the former manifest, and each new log's name, waited for the next memtable's flush, some 256 kB of records later. A loss of power could keep the removal and lose the rename; the database was called corrupt and the disk, whole and synced, counted as lost. Beside one disk that is really lost no majority is left to rebuild from: nothing is acknowledged or served any more (CONFIG, RECOVER). Ruled out: two lost disks (files were there), a circle of rebuilding cores (one whole disk of three, as counters show). Found beside it by reading: a folder that is begun anew was removed file by file; power lost midway left an older database whose promises had been given up. Change: an environment for LevelDB that syncs the folder before any file's sync and before any removal; a folder is emptied under a mark that is synced first and removed last.

--- /dev/null
+++ b/system/consensus/durable_names.hpp
@@ -0,0 +1,45 @@
+// A LevelDB environment for disks on which power takes back each change of a name that its folder's sync has
+// not covered, one by one and in any order.
+//
+// LevelDB syncs its files, and the folder only with the manifest. So after an open the rename to CURRENT
+// could be lost and the removal of the manifest that the former CURRENT names be kept, which makes the
+// database unreadable; and a record that was synced to a new log was gone where the log's name was (issue
+// 68). Here two orders hold: no file's contents are certain before the names made until then, and no file is
+// removed before. It harms by one sync of the folder after each open and for each new log, some 256 kB of
+// records.
+#pragma once
+
+#include <leveldb/env.h>
+
+#include <filesystem>
+#include <mutex>
+#include <string>
+
+namespace petrelpond::consensus {
+
+// Makes the names in a folder certain. False with errno where that failed.
+bool syncFolder(const std::filesystem::path& folder);
+
+// For one database; outlives it.
+class DurableNames final : public leveldb::EnvWrapper {
+  public:
+    explicit DurableNames(std::filesystem::path folder);
+
+    leveldb::Status NewWritableFile(const std::string& name, leveldb::WritableFile** file) override;
+    leveldb::Status NewAppendableFile(const std::string& name, leveldb::WritableFile** file) override;
+    leveldb::Status RenameFile(const std::string& from, const std::string& to) override;
+    leveldb::Status RemoveFile(const std::string& name) override;
+
+    // Returns once all names made until now are certain; at once where nothing changed.
+    leveldb::Status syncNames();
+
+  private:
+    leveldb::Status wrapped(const leveldb::Status& made, leveldb::WritableFile** file);
+    void noteChange();
+
+    const std::filesystem::path folder_;
+    std::mutex mutex_;  // held through a sync: who comes second must not go on before it is over
+    bool changed_ = false;
+};
+
+}  // namespace petrelpond::consensus
--- a/system/consensus/keeper.cpp
+++ b/system/consensus/keeper.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstring>
 
+#include "system/consensus/durable_names.hpp"
 #include "system/consensus/torn.hpp"
 
 #define MSGPACK_NO_BOOST
@@ -129,20 +130,42 @@
     }
 }
 
-// Against a new folder that a power loss removes again although what lies in it was synced.
-bool syncFolder(const std::filesystem::path& folder) {
-    const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (fd < 0) return false;
-    const bool ok = ::fsync(fd) == 0;
-    ::close(fd);
-    return ok;
+// In the folder while its files are being removed: what still stands there is of no use.
+const char* const discardMark = "DISCARDED";
+
+bool makeSynced(const std::filesystem::path& file) {
+    const int descriptor = ::open(file.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
+    if (descriptor < 0) return false;
+    const bool synced = ::fsync(descriptor) == 0;
+    ::close(descriptor);
+    return synced;
+}
+
+// Empties a folder that counts as lost. Against power lost midway: a part of the files is another, older
+// database to LevelDB, and its records would come back as if they had never been given up. So the mark is
+// certain before the first file goes, and goes last. Empty: done; else why not.
+std::string discard(const std::filesystem::path& folder) {
+    const auto failed = [&](const char* what) {
+        return std::string(what) + " " + folder.string() + ": " + std::strerror(errno);
+    };
+    const std::filesystem::path mark = folder / discardMark;
+    if (!makeSynced(mark) || !syncFolder(folder)) return failed("mark");
+    std::error_code error;
+    for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
+        if (entry.path() != mark) std::filesystem::remove_all(entry.path(), error);
+        if (error) return "empty " + folder.string() + ": " + error.message();
+    }
+    if (!syncFolder(folder)) return failed("empty");
+    std::filesystem::remove(mark, error);
+    if (error || !syncFolder(folder)) return failed("unmark");
+    return {};
 }
 
 }  // namespace
 
 Keeper::Keeper(std::filesystem::path dataDir, int wake, const std::function<void()>& pause)
     : parent_(std::move(dataDir)), folder_(parent_ / kFolder), wake_(wake), found_(std::optional<Durable>{}),
-      quiet_(std::make_unique<Quiet>()) {
+      quiet_(std::make_unique<Quiet>()), names_(std::make_unique<DurableNames>(folder_)) {
     found_ = load(pause);
     thread_ = std::thread([this] { work(); });
 }
@@ -161,8 +184,7 @@
 std::string Keeper::open() {
     std::error_code ec;
     if (anew_) {
-        std::filesystem::remove_all(folder_, ec);
-        if (ec) return "remove " + folder_.string() + ": " + ec.message();
+        if (std::string why = discard(folder_); !why.empty()) return why;
         anew_ = false;
         written_ = false;
     }
@@ -175,6 +197,7 @@
     options.max_open_files = 32;
     options.compression = leveldb::kNoCompression;
     options.info_log = quiet_.get();
+    options.env = names_.get();
     leveldb::DB* db = nullptr;
     leveldb::Status status = leveldb::DB::Open(options, folder_.string(), &db);
     // Against power lost in the midst of a write: the end of a log is torn, and LevelDB refuses the whole.
@@ -193,7 +216,8 @@
         return "open " + folder_.string() + ": " + status.ToString();
     }
     db_.reset(db);
-    // Each time: the life before may have died between making the folder and this.
+    // Against a new folder that a power loss removes again although what lies in it was synced. Each time:
+    // the life before may have died between making the folder and this.
     if (!syncFolder(parent_)) {
         db_.reset();
         return "sync " + parent_.string() + ": " + std::strerror(errno);
@@ -209,6 +233,7 @@
     };
     std::error_code ec;
     if (!std::filesystem::exists(folder_, ec)) return std::optional<Durable>{};
+    if (std::filesystem::exists(folder_ / discardMark, ec)) return damaged("was being discarded");
     std::string why = open();
     // Against a disk that is full or refuses writes as we start, as LevelDB can't open without writing:
     // what lies there is neither lost nor damaged, and taken for lost it would be removed. So we wait, and
--- a/system/consensus/keeper.hpp
+++ b/system/consensus/keeper.hpp
@@ -22,6 +22,8 @@
 
 namespace petrelpond::consensus {
 
+class DurableNames;
+
 class Keeper {
   public:
     struct Outcome {
@@ -63,6 +65,7 @@
     const int wake_;
     network::Result<std::optional<Durable>> found_;
     std::unique_ptr<leveldb::Logger> quiet_;
+    std::unique_ptr<DurableNames> names_;
     std::unique_ptr<leveldb::DB> db_;
     bool anew_ = false;     // what is there is of no use: remove it before the next write
     bool cut_ = false;      // a torn end, as it was opened
--- a/system/consensus/recorded_disk_for_test.hpp
+++ b/tests/power/recorded_disk.hpp
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-namespace petrelpond::consensus {
+namespace petrelpond {
 
 using Inode = uint64_t;
 
@@ -36,11 +36,12 @@
     uint64_t told = 0;                          // what was promised by then, as the test counts it
 };
 
-// What one loss of power leaves: which of the uncertain names hold, and how much of the bytes after the last
-// sync is there (in quarters).
+// What one loss of power leaves: which of the uncertain names hold, how much of the bytes after the last sync
+// is there (in quarters), and whether the first half of those is zeros.
 struct PowerLoss {
     std::vector<bool> kept;
     unsigned quarters = 0;
+    bool hole = false;
 };
 
 // One at a time; records from its construction to its end.
@@ -78,4 +79,4 @@
     std::vector<DiskMoment> moments_;
 };
 
-}  // namespace petrelpond::consensus
+}  // namespace petrelpond
