--- a/src/files/whole.cpp
+++ b/src/files/whole.cpp
@@ -27,6 +27,19 @@
     return problem;
 }
 
+// Against a power loss that takes the new name back after the caller has told others of it.
+bool syncFolderOf(const std::string& path) {
+    const size_t slash = path.rfind('/');
+    const std::string folder = slash == std::string::npos ? "." : path.substr(0, slash + 1);
+    const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (fd < 0) return false;
+    const bool synced = ::fsync(fd) == 0;
+    const int why = errno;
+    ::close(fd);
+    errno = why;
+    return synced;
+}
+
 }  // namespace
 
 bool readWhole(const std::string& path, std::string& into, size_t most) {
@@ -44,8 +57,16 @@
 std::string replaceWhole(const std::string& path, std::string_view bytes) {
     std::string fresh = path + ".new", problem = writeAll(fresh, bytes);
     if (problem.empty() && std::rename(fresh.c_str(), path.c_str()) != 0) problem = std::strerror(errno);
-    if (!problem.empty()) ::unlink(fresh.c_str());
-    return problem;
+    if (!problem.empty()) {
+        ::unlink(fresh.c_str());
+        return problem;
+    }
+    return syncFolderOf(path) ? std::string() : std::strerror(errno);
+}
+
+std::string removeWhole(const std::string& path) {
+    if (::unlink(path.c_str()) != 0) return std::strerror(errno);
+    return syncFolderOf(path) ? std::string() : std::strerror(errno);
 }
 
 }  // namespace petrelpond::files
--- a/src/replica/standby.cpp
+++ b/src/replica/standby.cpp
@@ -6,6 +6,8 @@
 #include <cstdio>
 #include <fstream>
 
+#include "src/files/whole.hpp"
+
 namespace petrelpond::replica {
 
 namespace {
@@ -16,13 +18,7 @@
 }  // namespace
 
 bool mark(const std::string& folder, bool whole) {
-    std::string path = folder + "/" + kMark, fresh = path + ".new";
-    int fd = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-    if (fd < 0) return false;
-    std::string word = whole ? "whole\n" : "filling\n";
-    bool fine = ::write(fd, word.data(), word.size()) == static_cast<ssize_t>(word.size()) && ::fsync(fd) == 0;
-    ::close(fd);
-    return fine && ::rename(fresh.c_str(), path.c_str()) == 0;
+    return files::replaceWhole(folder + "/" + kMark, whole ? "whole\n" : "filling\n").empty();
 }
 std::optional<bool> marked(const std::string& folder) {
     std::ifstream file(folder + "/" + kMark);
@@ -31,7 +27,7 @@
     file >> word;
     return word == "whole";
 }
-bool unmark(const std::string& folder) { return ::unlink((folder + "/" + kMark).c_str()) == 0; }
+bool unmark(const std::string& folder) { return files::removeWhole(folder + "/" + kMark).empty(); }
 
 Standby::Standby(Store& store, std::string folder, uint64_t leastEpoch, Say say)
     : store_(store), folder_(std::move(folder)), say_(std::move(say)),
