Range: after a loss of power each unsynced name is kept or lost by itself, made files too

The test of that model asserted the order: it is replaced by one that wants each of the eight combinations.

--- a/fleet/system/underlay/underlay.cpp
+++ b/fleet/system/underlay/underlay.cpp
@@ -244,7 +244,7 @@
     return stat(std::string(path, strrchr(path, '/')).c_str(), &is) == 0 ? std::to_string(is.st_ino) : "0";
 }
 
-// Keeps what stands under this name, as it may have to come back.
+// A link to what stands under this name, as it may have to come back, or to be put there again.
 std::string buried(const char* path) {
     static std::atomic<int> count{0};
     std::string grave =
@@ -366,6 +366,8 @@
     if (ours && known(fd)) {
         fds[fd].kind = kFile;
         if (fresh) note(fd, true);
+        if (!is && (flags & O_CREAT))
+            noteName("M " + folderOf(path) + " " + path + " " + buried(path) + "\n");
     }
     return fd;
 }
@@ -373,7 +375,7 @@
 int rename(const char* from, const char* to) noexcept {
     if (onDisk(to)) {
         awaitDisk();
-        noteName("R " + folderOf(to) + " " + from + " " + to + " " + buried(to) + "\n");
+        noteName("R " + folderOf(to) + " " + from + " " + to + " " + buried(to) + " " + buried(from) + "\n");
     }
     return static_cast<int>(syscall(SYS_renameat2, AT_FDCWD, from, AT_FDCWD, to, 0));
 }
--- a/fleet/system/underlay/weather.hpp
+++ b/fleet/system/underlay/weather.hpp
@@ -34,8 +34,9 @@
 // In a machine's folder.
 constexpr const char* kWeatherFile = "weather";
 constexpr const char* kSyncedFile = "synced";
-// Names that changed, a line each: "S FOLDER" it was synced; "R FOLDER FROM TO GRAVE" renamed, "U FOLDER PATH
-// GRAVE" removed, "D FOLDER PATH" made. FOLDER: its inode; GRAVE: what was there before, "-": nothing.
+// Names that changed, a line each: "S FOLDER" it was synced; "M FOLDER PATH AFTER" a file was made, "R FOLDER
+// FROM PATH BEFORE AFTER" renamed, "U FOLDER PATH BEFORE" removed, "D FOLDER PATH" a folder was made. FOLDER:
+// its inode; BEFORE, AFTER: links to what stood there and what stands there now, "-": nothing.
 constexpr const char* kNamesFile = "names";
 constexpr const char* kGraves = "graves";
 constexpr const char* kFolderVariable = "PETRELPOND_WEATHER";
--- a/fleet/system/weather.cpp
+++ b/fleet/system/weather.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <iterator>
 #include <map>
+#include <optional>
 #include <sstream>
 #include <utility>
 
@@ -86,31 +87,76 @@
 
 namespace {
 
-// Names whose folder has not been synced since: a journal keeps some of the first of them.
-void forgetNames(const std::string& folder, std::mt19937_64& chance) {
-    std::vector<std::vector<std::string>> pending;
-    std::ifstream in(folder + "/" + kNamesFile);
+// One line of kNamesFile.
+struct NameChange {
+    char kind = 0;
+    std::string folder;  // its inode
+    std::string path;    // of a rename the new one
+    std::string from;    // of a rename
+    std::string before;  // a link to what stood there; empty: nothing
+    std::string after;   // a link to what stands there now; empty: nothing, or a folder
+};
+
+std::optional<NameChange> readNameChange(const std::string& line) {
+    std::istringstream text(line);
+    std::vector<std::string> words{std::istream_iterator<std::string>(text), {}};
+    auto link = [](const std::string& word) { return word == "-" ? std::string() : word; };
+    if (words.size() < 2 || words[0].size() != 1) return {};
+    const char kind = words[0][0];
+    if (kind == 'S' && words.size() == 2) return NameChange{kind, words[1], {}, {}, {}, {}};
+    if (kind == 'D' && words.size() == 3) return NameChange{kind, words[1], words[2], {}, {}, {}};
+    if (kind == 'U' && words.size() == 4) return NameChange{kind, words[1], words[2], {}, link(words[3]), {}};
+    if (kind == 'M' && words.size() == 4) return NameChange{kind, words[1], words[2], {}, {}, link(words[3])};
+    if (kind == 'R' && words.size() == 6)
+        return NameChange{kind, words[1], words[3], words[2], link(words[4]), link(words[5])};
+    return {};
+}
+
+// The changes that no later sync of their folder covers. Those below a folder that was made anew since are of
+// another one that stood there before.
+std::vector<NameChange> uncertainNames(const std::string& file) {
+    std::vector<NameChange> uncertain;
+    std::ifstream in(file);
     for (std::string line; std::getline(in, line);) {
-        std::istringstream text(line);
-        std::vector<std::string> words{std::istream_iterator<std::string>(text), {}};
-        if (words.size() < 2) continue;
-        std::erase_if(pending, [&](const auto& each) {
-            if (words[0] == "D")
-                return each[2].rfind(words[2] + "/", 0) == 0;  // of a folder that went before it
-            return words[0] == "S" && each[1] == words[1];
+        const auto change = readNameChange(line);
+        if (!change) continue;
+        std::erase_if(uncertain, [&](const NameChange& each) {
+            if (change->kind == 'D') return each.path.rfind(change->path + "/", 0) == 0;
+            return change->kind == 'S' && each.folder == change->folder;
         });
-        if (words[0] != "S") pending.push_back(std::move(words));
+        if (change->kind != 'S') uncertain.push_back(*change);
     }
-    size_t kept = chance() % (pending.size() + 1);
+    return uncertain;
+}
+
+void putLink(const std::string& from, const std::string& to) {
+    std::error_code error;
+    fs::remove(to, error);
+    if (!from.empty()) fs::create_hard_link(from, to, error);
+}
+
+void takeBack(const NameChange& change) {
+    if (change.kind == 'D') return;
+    putLink(change.before, change.path);
+    if (change.kind == 'R') putLink(change.after, change.from);
+}
+
+void makeAgain(const NameChange& change) {
+    if (change.kind == 'D') return;
+    putLink(change.after, change.path);
+    if (change.kind == 'R') putLink({}, change.from);
+}
+
+// Each name that its folder's last sync does not cover is kept or lost by itself.
+void forgetNames(const std::string& folder, std::mt19937_64& chance) {
+    std::vector<NameChange> uncertain = uncertainNames(folder + "/" + kNamesFile);
+    std::for_each(uncertain.rbegin(), uncertain.rend(), takeBack);
     std::error_code error;
-    for (size_t i = pending.size(); i > kept; --i) {
-        const auto& words = pending[i - 1];
-        if (words[0] == "D") fs::remove_all(words[2], error);
-        if (words[0] == "U" && words[3] != "-") fs::rename(words[3], words[2], error);
-        if (words[0] == "R") fs::rename(words[3], words[2], error);
-        if (words[0] == "R" && words[4] != "-") fs::rename(words[4], words[3], error);
+    for (const NameChange& change : uncertain) {
+        const bool kept = chance() % 2 != 0;
+        if (kept) makeAgain(change);
+        if (!kept && change.kind == 'D') fs::remove_all(change.path, error);
     }
-    in.close();
     fs::remove(folder + "/" + kNamesFile, error), fs::remove_all(folder + "/" + kGraves, error);
 }
 
--- a/tests/system/weather_test.cpp
+++ b/tests/system/weather_test.cpp
@@ -71,24 +71,37 @@
     CHECK(left.size() > 5);  // tails and holes of many lengths
 }
 
-TEST_CASE("a loss of power takes back names whose folder was not synced, the last first") {
+TEST_CASE("a loss of power takes back names whose folder was not synced, each by itself") {
     std::set<std::string> left;
-    for (uint64_t seed = 1; seed < 40; ++seed) {
+    for (uint64_t seed = 1; seed < 400; ++seed) {
         Folder f;
         std::string in = std::to_string(f.inode(f.path + "/disk/consensus")), graves = f.path + "/" + kGraves;
         f.file("CURRENT", "two", -1), std::ofstream(graves + "/1") << "one";
         std::ofstream(graves + "/2") << "log one";
+        fs::create_hard_link(f.at("CURRENT"), graves + "/3");
+        f.file("log2", "log two", -1), fs::create_hard_link(f.at("log2"), graves + "/4");
         f.name("U " + in + " " + f.at("before") + " " + graves + "/1\nD 9 " + f.path +
                "/disk/consensus\nS 9\n");
-        f.name("R 7 " + f.at("gone") + " " + f.at("nowhere") + " -\nS 7\n");  // synced: stays
-        f.name("R " + in + " " + f.at("tmp") + " " + f.at("CURRENT") + " " + graves + "/1\n");
+        f.name("R 7 " + f.at("gone") + " " + f.at("nowhere") + " - -\nS 7\n");  // synced: stays
+        f.name("M " + in + " " + f.at("log2") + " " + graves + "/4\n");
+        f.name("M " + in + " " + f.at("tmp") + " " + graves + "/3\n");
+        f.name("R " + in + " " + f.at("tmp") + " " + f.at("CURRENT") + " " + graves + "/1 " + graves +
+               "/3\n");
         f.name("U " + in + " " + f.at("log1") + " " + graves + "/2\n");
         std::mt19937_64 chance(seed);
         forgetUnsynced(f.path, chance);
         CHECK(f.read("before") == "");  // of a folder of this name that is no more
-        left.insert(f.read("CURRENT") + "," + f.read("log1"));
+        const bool renamed = f.read("CURRENT") == "two";
+        CHECK((!renamed || f.read("tmp").empty()));
+        CHECK((renamed || f.read("CURRENT") == "one"));
+        CHECK((f.read("tmp").empty() || f.read("tmp") == "two"));
+        left.insert(f.read("CURRENT") + "," + f.read("log1") + "," + f.read("log2"));
     }
-    CHECK(left == std::set<std::string>{"two,", "two,log one", "one,log one"});
+    std::set<std::string> all;
+    for (const std::string current : {"one", "two"})
+        for (const std::string first : {"", "log one"})
+            for (const std::string second : {"", "log two"}) all.insert(current + "," + first + "," + second);
+    CHECK(left == all);
 }
 
 TEST_CASE("each machine is told of what is said to it, and only of that") {
