Sight: which files stood in a damaged folder, and when a disk waits to be rebuilt

Two disks that wait for each other and a cut said the same in the logs: no majority. A core now says when its disk counts as lost and when it counts again, how many saves and which version it found, and for a damaged folder the names and lengths of its files.

--- a/system/consensus/keeper.cpp
+++ b/system/consensus/keeper.cpp
@@ -161,6 +161,17 @@
     return {};
 }
 
+// The names and lengths of a folder's files, for whoever has to find out what became of a disk.
+std::string contentsOf(const std::filesystem::path& folder) {
+    std::string text = "files:";
+    std::error_code error;
+    for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
+        std::error_code gone;
+        text += " " + entry.path().filename().string() + "=" + std::to_string(entry.file_size(gone));
+    }
+    return text;
+}
+
 }  // namespace
 
 Keeper::Keeper(std::filesystem::path dataDir, int wake, const std::function<void()>& pause)
@@ -211,7 +222,7 @@
     }
     if (!status.ok()) {
         // Every Save is whole, so a database damaged while we run may be begun anew. Should we die in
-        // between, the disk is empty and counts as lost, which is true.
+        // between, the mark of discard() says so, and the disk counts as lost, which is true.
         if (status.IsCorruption()) anew_ = true;
         return "open " + folder_.string() + ": " + status.ToString();
     }
@@ -226,10 +237,10 @@
 }
 
 network::Result<std::optional<Durable>> Keeper::load(const std::function<void()>& pause) {
-    const auto damaged = [this](std::string what) {
+    const auto damaged = [this](const std::string& what) {
         db_.reset();
         anew_ = true;
-        return network::Problem{"read the kept state", folder_.string(), std::move(what)};
+        return network::Problem{"read the kept state", folder_.string(), what + "; " + contentsOf(folder_)};
     };
     std::error_code ec;
     if (!std::filesystem::exists(folder_, ec)) return std::optional<Durable>{};
--- a/system/control_plane/control.cpp
+++ b/system/control_plane/control.cpp
@@ -114,8 +114,9 @@
     o.machineLosses = settings_.tolerance.machineLosses;
     o.chance = chance_, o.defect = defect_;
     o.beat = kDutyBeat, o.leaseTime = kDutyLapse;
-    spdlog::info("state: {} bootstrap={} counted={}", found ? "found on disk" : "disk is empty", o.bootstrap,
-                 o.counted);
+    spdlog::info("state: {} bootstrap={} counted={} saves={} version={}",
+                 found ? "found on disk" : "disk is empty", o.bootstrap, o.counted, found ? found->saves : 0,
+                 found ? found->value.version : 0);
     core_ = std::make_unique<consensus::Core>(loop_.now(), o, std::move(found));
     loop_.watch(keeperFd_, EPOLLIN, this);
     control_ = network::Listener::open(
@@ -308,6 +309,7 @@
             duty(*d);
     }
     followContact();
+    followRebuilding();
     arm();
 }
 
@@ -568,6 +570,15 @@
     beatSoon();
 }
 
+// Two disks that wait for each other look like a cut otherwise: both only say that no majority is reached.
+void Control::followRebuilding() {
+    if (core_->recovering() == rebuilding_) return;
+    rebuilding_ = !rebuilding_;
+    spdlog::info("state: {}", rebuilding_
+                                  ? "this disk counts as lost and waits to be rebuilt by other members"
+                                  : "this disk counts again");
+}
+
 void Control::housekeep() {
     Instant now = loop_.now();
     std::vector<HttpVisit*> all;
--- a/system/control_plane/control.hpp
+++ b/system/control_plane/control.hpp
@@ -106,6 +106,7 @@
     std::vector<std::string> knownCores() const;  // by their ips, this one too
     void sendConfig(network::Link&, configuration::TextId base);
     void followContact();
+    void followRebuilding();
     void housekeep();
     void mayEnd();
 
@@ -137,7 +138,8 @@
     configuration::HeldText texts_;                                      // of value_ and those before it
     consensus::Duty duty_;
     uint64_t nextVisit_ = 1, nextTag_ = 1, nextTicket_ = 1;
-    bool pumping_ = false, beating_ = false, leaving_ = false, saveFailedLast_ = false, inContact_ = false;
+    bool pumping_ = false, beating_ = false, leaving_ = false, saveFailedLast_ = false, inContact_ = false,
+         rebuilding_ = false;
     Instant leavingSince_, beatAt_, logAt_;
     network::TimerId timer_ = 0;
     Instant armedFor_ = Instant::never();
