State on disk: a folder of no use is emptied on a full disk too

The mark that brought was a new file, which a full disk refuses: such a folder would have stayed until room came from elsewhere. CURRENT is now renamed to the mark where it is there.

--- a/system/consensus/keeper.cpp
+++ b/system/consensus/keeper.cpp
@@ -149,7 +149,10 @@
         return std::string(what) + " " + folder.string() + ": " + std::strerror(errno);
     };
     const std::filesystem::path mark = folder / discardMark;
-    if (!makeSynced(mark) || !syncFolder(folder)) return failed("mark");
+    // By a rename where it can be, which needs no room: else a full disk would stay full of what is of no
+    // use.
+    const bool renamed = ::rename((folder / "CURRENT").c_str(), mark.c_str()) == 0;
+    if ((!renamed && !makeSynced(mark)) || !syncFolder(folder)) return failed("mark");
     std::error_code error;
     for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
         if (entry.path() != mark) std::filesystem::remove_all(entry.path(), error);
--- a/system/consensus/power_loss_test.cpp
+++ b/system/consensus/power_loss_test.cpp
@@ -189,5 +189,25 @@
     EXPECT_EQ(tally.broken, 0u) << tally.first;
 }
 
+// Against a disk that is full of a database of no use: the mark needs no new file.
+TEST_F(PowerLossTest, AFolderIsEmptiedOnAFullDiskToo) {
+    const fs::path disk = root_ / "disk";
+    {
+        Keeper keeper(disk, wake_);
+        for (uint64_t saves = 1; saves <= 12; ++saves) ASSERT_TRUE(save(keeper, stateOf(saves)));
+    }
+    damage(disk / Keeper::kFolder);
+    RecordedDisk recorded(disk);
+    recorded.refuseNewFiles(true);
+    Keeper keeper(disk, wake_);
+    ASSERT_TRUE(std::holds_alternative<network::Problem>(keeper.takeFound()));
+    EXPECT_FALSE(save(keeper, stateOf(1)));
+    uint64_t left = 0;
+    for (const auto& entry : fs::directory_iterator(disk / Keeper::kFolder)) left += entry.file_size();
+    EXPECT_EQ(left, 0u);
+    recorded.refuseNewFiles(false);
+    EXPECT_TRUE(save(keeper, stateOf(2)));
+}
+
 }  // namespace
 }  // namespace petrelpond::consensus
--- a/tests/power/recorded_disk.cpp
+++ b/tests/power/recorded_disk.cpp
@@ -209,6 +209,10 @@
     const bool ours = disk != nullptr && disk->holds(path);
     struct stat before {};
     const bool there = ours && ::stat(path, &before) == 0;
+    if (ours && !there && (flags & O_CREAT) != 0 && disk->isFull()) {
+        errno = ENOSPC;
+        return -1;
+    }
     const int descriptor = static_cast<int>(::syscall(SYS_openat, AT_FDCWD, path, flags, mode));
     if (ours && descriptor >= 0) disk->opened(path, !there, (flags & O_TRUNC) != 0);
     return descriptor;
--- a/tests/power/recorded_disk.hpp
+++ b/tests/power/recorded_disk.hpp
@@ -7,6 +7,7 @@
 // last synced is kept or lost by itself, in any combination.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <filesystem>
 #include <map>
@@ -59,6 +60,9 @@
     // The losses to try at a moment: all combinations of names where there are few, else `most` drawn ones.
     static std::vector<PowerLoss> losses(const DiskMoment&, size_t most, std::mt19937& random);
 
+    void refuseNewFiles(bool refuse) { full_ = refuse; }  // as a full disk does
+    bool isFull() const { return full_; }
+
     // What the replaced calls report.
     bool holds(const char* path) const;
     void opened(const char* path, bool made, bool truncated);
@@ -74,6 +78,7 @@
 
     std::filesystem::path folder_,
         kept_;  // kept_: each file under its inode, so that none is lost to the test
+    std::atomic<bool> full_{false};
     std::mutex mutex_;
     DiskMoment now_;
     std::vector<DiskMoment> moments_;
