Keeper split: the records as bytes, and how a folder is emptied, have files of their own

The bytes on disk are unchanged; the tests of the keeper, of torn ends, of long histories and of power losses pass as before.

--- /dev/null
+++ b/system/consensus/discard.hpp
@@ -0,0 +1,16 @@
+// Emptying a database's folder so that no loss of power brings a part of it back.
+#pragma once
+
+#include <filesystem>
+#include <string>
+
+namespace petrelpond::consensus {
+
+// Whether a discard() of this folder was cut short: what still stands there is of no use.
+bool isBeingDiscarded(const std::filesystem::path& folder);
+
+// Removes all files of the folder and leaves it empty. What was done is certain on return. Empty: done; else
+// why not.
+std::string discard(const std::filesystem::path& folder);
+
+}  // namespace petrelpond::consensus
--- /dev/null
+++ b/system/consensus/durable_record.cpp
@@ -0,0 +1,129 @@
+#include "system/consensus/durable_record.hpp"
+
+#include <cstring>
+
+#define MSGPACK_NO_BOOST
+#include <msgpack.hpp>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace petrelpond::consensus {
+namespace {
+
+// Checksum, then the content. Against a disk that hands back other bytes than it got; LevelDB checks its
+// blocks, this also catches an older block in the place of a newer.
+std::string framed(std::string_view content) {
+    const uint64_t sum = XXH3_64bits(content.data(), content.size());
+    std::string s(sizeof sum + content.size(), '\0');
+    std::memcpy(s.data(), &sum, sizeof sum);
+    std::memcpy(s.data() + sizeof sum, content.data(), content.size());
+    return s;
+}
+
+std::optional<std::string_view> unframed(std::string_view s) {
+    uint64_t sum = 0;
+    if (s.size() < sizeof sum) return {};
+    std::memcpy(&sum, s.data(), sizeof sum);
+    s.remove_prefix(sizeof sum);
+    if (XXH3_64bits(s.data(), s.size()) != sum) return {};
+    return s;
+}
+
+constexpr size_t valueHead = sizeof(int64_t) + sizeof(uint64_t);
+
+constexpr uint32_t restFields = 21;
+constexpr uint32_t restFieldsBeforeBallots = 17;  // of disks written before versions were decided by ballots
+
+}  // namespace
+
+std::string packValue(const Value& value) {
+    std::string content(valueHead, '\0');
+    std::memcpy(content.data(), &value.version, sizeof value.version);
+    std::memcpy(content.data() + sizeof value.version, &value.digest, sizeof value.digest);
+    content += value.body;
+    return framed(content);
+}
+
+std::optional<Value> unpackValue(std::string_view record) {
+    const auto content = unframed(record);
+    if (!content || content->size() < valueHead) return {};
+    Value value;
+    std::memcpy(&value.version, content->data(), sizeof value.version);
+    std::memcpy(&value.digest, content->data() + sizeof value.version, sizeof value.digest);
+    value.body = content->substr(valueHead);
+    return value;
+}
+
+std::string packRest(const Durable& d) {
+    msgpack::sbuffer buffer(512);
+    msgpack::packer<msgpack::sbuffer> p(buffer);
+    p.pack_array(restFields);
+    p.pack(d.value.version);
+    p.pack(d.value.digest);
+    p.pack(d.voters);
+    p.pack(d.electors);
+    p.pack(d.votersBallot);
+    p.pack(d.votersAccepted);
+    p.pack(d.votersOffer);
+    p.pack(d.term);
+    p.pack(d.votedFor);
+    p.pack(d.recovering);
+    p.pack(d.elects);
+    p.pack(d.epoch);
+    p.pack(d.former);
+    p.pack(d.entering);
+    p.pack(d.joined);
+    p.pack(d.birth);
+    p.pack(d.promisedTo);
+    p.pack(d.value.ballot);
+    p.pack(d.claims);
+    p.pack(d.saves);
+    p.pack_map(static_cast<uint32_t>(d.seen.size()));
+    for (const auto& [node, age] : d.seen) {
+        p.pack(node);
+        p.pack(std::pair(age.birth, age.saves));
+    }
+    return framed({buffer.data(), buffer.size()});
+}
+
+std::optional<Durable> unpackRest(std::string_view record) {
+    const auto content = unframed(record);
+    if (!content) return {};
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(content->data(), content->size());
+        const msgpack::object& o = handle.get();
+        if (o.type != msgpack::type::ARRAY) return {};
+        const uint32_t size = o.via.array.size;
+        if (size != restFields && size != restFieldsBeforeBallots) return {};
+        const msgpack::object* f = o.via.array.ptr;
+        Durable d;
+        d.value.version = f[0].as<int64_t>();
+        d.value.digest = f[1].as<uint64_t>();
+        d.voters = f[2].as<std::vector<NodeId>>();
+        d.electors = f[3].as<std::vector<NodeId>>();
+        d.votersBallot = f[4].as<uint64_t>();
+        d.votersAccepted = f[5].as<uint64_t>();
+        d.votersOffer = f[6].as<std::vector<NodeId>>();
+        d.term = f[7].as<uint64_t>();
+        d.votedFor = f[8].as<NodeId>();
+        d.recovering = f[9].as<bool>();
+        d.elects = f[10].as<bool>();
+        d.epoch = f[11].as<uint64_t>();
+        d.former = f[12].as<std::vector<NodeId>>();
+        d.entering = f[13].as<uint8_t>();
+        d.joined = f[14].as<std::vector<std::string>>();
+        d.birth = f[15].as<uint64_t>();
+        d.promisedTo = f[16].as<NodeId>();
+        if (size == restFieldsBeforeBallots) return d;
+        d.value.ballot = f[17].as<uint64_t>();
+        d.claims = f[18].as<std::map<int64_t, uint64_t>>();
+        d.saves = f[19].as<uint64_t>();
+        for (const auto& [node, age] : f[20].as<std::map<NodeId, std::pair<uint64_t, uint64_t>>>())
+            d.seen[node] = {age.first, age.second};
+        return d;
+    } catch (const std::exception&) {
+        return {};
+    }
+}
+
+}  // namespace petrelpond::consensus
--- /dev/null
+++ b/system/consensus/durable_record.hpp
@@ -0,0 +1,23 @@
+// The two records in which a core's state lies on its disk, as bytes: the value, which is long and changes
+// rarely, and the rest, with the mark of the value that belongs to it. Each begins with an XXH3 checksum of
+// what follows.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "system/consensus/core.hpp"
+
+namespace petrelpond::consensus {
+
+std::string packValue(const Value&);
+// Nothing where the checksum or the length is wrong. The ballot stands with the rest.
+std::optional<Value> unpackValue(std::string_view record);
+
+// All but the value's body.
+std::string packRest(const Durable&);
+// Nothing where the checksum is wrong, or the record is of no form that was ever written.
+std::optional<Durable> unpackRest(std::string_view record);
+
+}  // namespace petrelpond::consensus
--- a/system/consensus/keeper.cpp
+++ b/system/consensus/keeper.cpp
@@ -1,22 +1,18 @@
 #include "system/consensus/keeper.hpp"
 
-#include <fcntl.h>
 #include <leveldb/db.h>
 #include <leveldb/env.h>
 #include <leveldb/write_batch.h>
-#include <unistd.h>
 
+#include <cerrno>
 #include <chrono>
 #include <cstring>
 
+#include "system/consensus/discard.hpp"
 #include "system/consensus/durable_names.hpp"
+#include "system/consensus/durable_record.hpp"
 #include "system/consensus/torn.hpp"
 
-#define MSGPACK_NO_BOOST
-#include <msgpack.hpp>
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 namespace petrelpond::consensus {
 namespace {
 
@@ -28,142 +24,6 @@
     void Logv(const char*, va_list) override {}
 };
 
-// Checksum, then the content. Against a disk that hands back other bytes than it got; LevelDB checks its
-// blocks, this also catches an older block in the place of a newer.
-std::string framed(std::string_view content) {
-    const uint64_t sum = XXH3_64bits(content.data(), content.size());
-    std::string s(sizeof sum + content.size(), '\0');
-    std::memcpy(s.data(), &sum, sizeof sum);
-    std::memcpy(s.data() + sizeof sum, content.data(), content.size());
-    return s;
-}
-
-std::optional<std::string_view> unframed(std::string_view s) {
-    uint64_t sum = 0;
-    if (s.size() < sizeof sum) return {};
-    std::memcpy(&sum, s.data(), sizeof sum);
-    s.remove_prefix(sizeof sum);
-    if (XXH3_64bits(s.data(), s.size()) != sum) return {};
-    return s;
-}
-
-constexpr size_t valueHead = sizeof(int64_t) + sizeof(uint64_t);
-
-std::string packValue(const Value& v) {
-    std::string s(valueHead, '\0');
-    std::memcpy(s.data(), &v.version, sizeof v.version);
-    std::memcpy(s.data() + sizeof v.version, &v.digest, sizeof v.digest);
-    s += v.body;
-    return s;
-}
-
-constexpr uint32_t restFields = 21;
-constexpr uint32_t restFieldsBeforeBallots = 17;  // of disks written before versions were decided by ballots
-
-std::string packRest(const Durable& d) {
-    msgpack::sbuffer buffer(512);
-    msgpack::packer<msgpack::sbuffer> p(buffer);
-    p.pack_array(restFields);
-    p.pack(d.value.version);
-    p.pack(d.value.digest);
-    p.pack(d.voters);
-    p.pack(d.electors);
-    p.pack(d.votersBallot);
-    p.pack(d.votersAccepted);
-    p.pack(d.votersOffer);
-    p.pack(d.term);
-    p.pack(d.votedFor);
-    p.pack(d.recovering);
-    p.pack(d.elects);
-    p.pack(d.epoch);
-    p.pack(d.former);
-    p.pack(d.entering);
-    p.pack(d.joined);
-    p.pack(d.birth);
-    p.pack(d.promisedTo);
-    p.pack(d.value.ballot);
-    p.pack(d.claims);
-    p.pack(d.saves);
-    p.pack_map(static_cast<uint32_t>(d.seen.size()));
-    for (const auto& [node, age] : d.seen) {
-        p.pack(node);
-        p.pack(std::pair(age.birth, age.saves));
-    }
-    return std::string(buffer.data(), buffer.size());
-}
-
-std::optional<Durable> unpackRest(std::string_view bytes) {
-    try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
-        const msgpack::object& o = handle.get();
-        if (o.type != msgpack::type::ARRAY) return {};
-        const uint32_t size = o.via.array.size;
-        if (size != restFields && size != restFieldsBeforeBallots) return {};
-        const msgpack::object* f = o.via.array.ptr;
-        Durable d;
-        d.value.version = f[0].as<int64_t>();
-        d.value.digest = f[1].as<uint64_t>();
-        d.voters = f[2].as<std::vector<NodeId>>();
-        d.electors = f[3].as<std::vector<NodeId>>();
-        d.votersBallot = f[4].as<uint64_t>();
-        d.votersAccepted = f[5].as<uint64_t>();
-        d.votersOffer = f[6].as<std::vector<NodeId>>();
-        d.term = f[7].as<uint64_t>();
-        d.votedFor = f[8].as<NodeId>();
-        d.recovering = f[9].as<bool>();
-        d.elects = f[10].as<bool>();
-        d.epoch = f[11].as<uint64_t>();
-        d.former = f[12].as<std::vector<NodeId>>();
-        d.entering = f[13].as<uint8_t>();
-        d.joined = f[14].as<std::vector<std::string>>();
-        d.birth = f[15].as<uint64_t>();
-        d.promisedTo = f[16].as<NodeId>();
-        if (size == restFieldsBeforeBallots) return d;
-        d.value.ballot = f[17].as<uint64_t>();
-        d.claims = f[18].as<std::map<int64_t, uint64_t>>();
-        d.saves = f[19].as<uint64_t>();
-        for (const auto& [node, age] : f[20].as<std::map<NodeId, std::pair<uint64_t, uint64_t>>>())
-            d.seen[node] = {age.first, age.second};
-        return d;
-    } catch (const std::exception&) {
-        return {};
-    }
-}
-
-// In the folder while its files are being removed: what still stands there is of no use.
-const char* const discardMark = "DISCARDED";
-
-bool makeSynced(const std::filesystem::path& file) {
-    const int descriptor = ::open(file.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
-    if (descriptor < 0) return false;
-    const bool synced = ::fsync(descriptor) == 0;
-    ::close(descriptor);
-    return synced;
-}
-
-// Empties a folder that counts as lost. Against power lost midway: a part of the files is another, older
-// database to LevelDB, and its records would come back as if they had never been given up. So the mark is
-// certain before the first file goes, and goes last. Empty: done; else why not.
-std::string discard(const std::filesystem::path& folder) {
-    const auto failed = [&](const char* what) {
-        return std::string(what) + " " + folder.string() + ": " + std::strerror(errno);
-    };
-    const std::filesystem::path mark = folder / discardMark;
-    // By a rename where it can be, which needs no room: else a full disk would stay full of what is of no
-    // use.
-    const bool renamed = ::rename((folder / "CURRENT").c_str(), mark.c_str()) == 0;
-    if ((!renamed && !makeSynced(mark)) || !syncFolder(folder)) return failed("mark");
-    std::error_code error;
-    for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
-        if (entry.path() != mark) std::filesystem::remove_all(entry.path(), error);
-        if (error) return "empty " + folder.string() + ": " + error.message();
-    }
-    if (!syncFolder(folder)) return failed("empty");
-    std::filesystem::remove(mark, error);
-    if (error || !syncFolder(folder)) return failed("unmark");
-    return {};
-}
-
 // The names and lengths of a folder's files, for whoever has to find out what became of a disk.
 std::string contentsOf(const std::filesystem::path& folder) {
     std::string text = "files:";
@@ -247,7 +107,7 @@
     };
     std::error_code ec;
     if (!std::filesystem::exists(folder_, ec)) return std::optional<Durable>{};
-    if (std::filesystem::exists(folder_ / discardMark, ec)) return damaged("was being discarded");
+    if (isBeingDiscarded(folder_)) return damaged("was being discarded");
     std::string why = open();
     // Against a disk that is full or refuses writes as we start, as LevelDB can't open without writing:
     // what lies there is neither lost nor damaged, and taken for lost it would be removed. So we wait, and
@@ -269,24 +129,20 @@
         return std::optional<Durable>{};
     }
     if (!restRead.ok()) return damaged("rest: " + restRead.ToString());
-    const auto restContent = unframed(rest);
-    if (!restContent) return damaged("rest: wrong checksum");
-    std::optional<Durable> d = unpackRest(*restContent);
-    if (!d) return damaged("rest: not of this form");
-    value_ = {d->value.version, 0, d->value.digest};
-    if (d->value.version > 0) {
+    std::optional<Durable> found = unpackRest(rest);
+    if (!found) return damaged("rest: wrong checksum or form");
+    value_ = {found->value.version, 0, found->value.digest};
+    if (value_.version > 0) {
         if (!valueRead.ok()) return damaged("value: " + valueRead.ToString());
-        const auto content = unframed(value);
-        if (!content || content->size() < valueHead) return damaged("value: wrong checksum");
-        Mark mark;
-        std::memcpy(&mark.version, content->data(), sizeof mark.version);
-        std::memcpy(&mark.digest, content->data() + sizeof mark.version, sizeof mark.digest);
-        if (mark != value_) return damaged("value: of another version than the rest");
-        d->value.body = content->substr(valueHead);
+        std::optional<Value> kept = unpackValue(value);
+        if (!kept) return damaged("value: wrong checksum or form");
+        if (Mark{kept->version, 0, kept->digest} != value_)
+            return damaged("value: of another version than the rest");
+        found->value.body = std::move(kept->body);
     }
-    rest_ = packRest(*d);
+    rest_ = packRest(*found);
     written_ = true;
-    return d;
+    return found;
 }
 
 std::string Keeper::write(const Save& save) {
@@ -299,9 +155,9 @@
     std::string rest = packRest(save.state);
     leveldb::WriteBatch batch;  // both parts or neither
     const bool newValue = mark.version > 0 && (!written_ || mark != value_);
-    if (newValue) batch.Put(valueKey, framed(packValue(save.state.value)));
+    if (newValue) batch.Put(valueKey, packValue(save.state.value));
     if (!written_ || rest != rest_) {
-        batch.Put(restKey, framed(rest));
+        batch.Put(restKey, rest);
     } else if (!newValue) {
         return {};  // it lies there already
     }
