Range: weather is written in place, and the judge does not hold its own lateness against a machine

A soak of 130 senders (265 processes) served nothing and broke FORGOTTEN and ACKS: the stage itself stood still for up to 19.6 s. Traced by perf: it waited for the host's disk, as each change of weather made and renamed a file for every machine. The stage now tells the judge when it looked, and time in which it did not is not counted; both sides of that are tested. Nothing else is judged more mildly.

--- a/fleet/system/judge.cpp
+++ b/fleet/system/judge.cpp
@@ -12,6 +12,8 @@
 // Real sockets do not tell whether a process has read what lies in the kernel. One that has lain there for so
 // long in a living process was read, or should have been.
 const Span kSurelyRead = Span::seconds(1);
+// Who reports says so at least this often, else it did not keep up.
+const Span kKeepsUp = Span::millis(150);
 const Span kLimitWindow = Span::seconds(5);
 constexpr long kMostKeptCut = 3;
 // A request sent so soon after the SIGTERM may be cut off once so much of the grace is over.
@@ -286,7 +288,25 @@
 }
 
 bool Judge::wasTakenOn(const Request& r, Instant now) const {
-    return r.runs > 0 || now - r.at > std::max(bounds_.lossSlack, kSurelyRead);
+    const Span lay = now - r.at - unwatched(r.at, now);
+    return r.runs > 0 || lay > std::max(bounds_.lossSlack, kSurelyRead);
+}
+
+void Judge::watching(Instant now) {
+    if (watchedAt_ != Instant::never() && now - watchedAt_ > kKeepsUp)
+        unwatched_.push_back({watchedAt_, now});
+    watchedAt_ = now;
+}
+
+Span Judge::unwatched(Instant from, Instant until) const {
+    Span sum;
+    const auto add = [&](Instant begin, Instant end) {
+        begin = std::max(begin, from), end = std::min(end, until);
+        if (end > begin) sum = sum + (end - begin);
+    };
+    for (const Trouble& span : unwatched_) add(span.from, span.until);
+    if (watchedAt_ != Instant::never() && until - watchedAt_ > kKeepsUp) add(watchedAt_, until);
+    return sum;
 }
 
 // Its connection ended without a whole answer.
--- a/fleet/system/judge.hpp
+++ b/fleet/system/judge.hpp
@@ -89,6 +89,9 @@
     void disturbed(Instant from, Instant until);            // of endpoints, links or clients
     void ownEnd(Instant, int machine, const std::string& words);
     void platformAway(Instant, bool away);  // down or slow
+    // Who reports has kept up until now. Said now and then; silence in between means that it could not look,
+    // and time in which it did not is not held against a machine. Never said: it always keeps up.
+    void watching(Instant);
 
     // ---- clients
     void sent(Instant, Sent);
@@ -164,6 +167,7 @@
     void ended(Request&, bool served);
     bool calmBut(Instant term, const Request&, Instant now) const;
     bool wasTakenOn(const Request&, Instant now) const;
+    Span unwatched(Instant from, Instant until) const;
     void judgeCut(Instant now, const Request&);
     void breach(Rule, Instant, std::string words);
     bool calm(const std::vector<Trouble>&, Instant from, Instant to) const;
@@ -185,7 +189,8 @@
     std::map<int64_t, Change> changes_;
     std::unordered_map<std::string, Instant> leaving_;
     std::map<std::string, Service> services_;
-    std::vector<Trouble> disturbances_, platform_;
+    std::vector<Trouble> disturbances_, platform_, unwatched_;
+    Instant watchedAt_ = Instant::never();
     std::vector<std::pair<Instant, bool>> outcomes_;  // of requests by when they were sent: served?
     long denied_ = 0, keptCut_ = 0;
     bool platformIsAway_ = false, readBack_ = false;
--- a/fleet/system/stage.cpp
+++ b/fleet/system/stage.cpp
@@ -230,6 +230,7 @@
         if (lookedAt_ > Instant())
             out_.stageLagMs = std::max(out_.stageLagMs, (now - lookedAt_ - kLook).inSeconds() * 1e3);
         lookedAt_ = now;
+        judge_.watching(now);
         machines_.look();
         loop_.at(now + kLook, [this] { look(); });
     }
--- a/fleet/system/weather.cpp
+++ b/fleet/system/weather.cpp
@@ -1,9 +1,11 @@
 #include "fleet/system/weather.hpp"
 
+#include <fcntl.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <filesystem>
 #include <fstream>
@@ -11,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <sstream>
+#include <stdexcept>
 #include <utility>
 
 #include "system/network/stream.hpp"
@@ -21,21 +24,27 @@
 
 Weather::Weather(std::vector<std::string> ips, std::vector<std::string> folders,
                  std::function<void(int)> changed)
-    : ips_(std::move(ips)), folders_(std::move(folders)), changed_(std::move(changed)),
-      silent_(ips_.size(), false), disks_(ips_.size()), published_(ips_.size()) {}
+    : folders_(std::move(folders)), changed_(std::move(changed)), silent_(ips.size(), false),
+      disks_(ips.size()), published_(ips.size()), files_(ips.size(), -1) {
+    for (const std::string& ip : ips) addresses_.push_back(network::Address::parse(ip, 1)->ip);
+}
+
+Weather::~Weather() {
+    for (int file : files_)
+        if (file >= 0) ::close(file);
+}
 
 MachineWeather Weather::of(int machine) const {
     MachineWeather w;
-    auto ip = [&](size_t i) { return network::Address::parse(ips_[i], 1)->ip; };
     auto among = [](const std::vector<int>& all, int n) {
         return std::find(all.begin(), all.end(), n) != all.end();
     };
     auto share = [](double loss) { return static_cast<uint32_t>(std::clamp(loss, 0.0, 1.0) * kCut); };
-    w.own = ip(static_cast<size_t>(machine)), w.disk = disks_[static_cast<size_t>(machine)];
-    for (size_t i = 0; i < ips_.size() && w.peers < kMostPeers; ++i) {
+    w.own = addresses_[static_cast<size_t>(machine)], w.disk = disks_[static_cast<size_t>(machine)];
+    for (size_t i = 0; i < addresses_.size() && w.peers < kMostPeers; ++i) {
         int other = static_cast<int>(i);
         if (other == machine) continue;
-        PeerWeather p{ip(i), silent_[i] ? kCut : 0, 0, 0};
+        PeerWeather p{addresses_[i], silent_[i] ? kCut : 0, 0, 0};
         for (const LinkTrouble& t : troubles_) {
             bool out = among(t.from, machine) && among(t.to, other);
             bool in = among(t.from, other) && among(t.to, machine);
@@ -51,14 +60,19 @@
     return w;
 }
 
-void Weather::write(int machine, const MachineWeather& w) const {
-    std::string path = folders_[static_cast<size_t>(machine)] + "/" + kWeatherFile;
-    std::ofstream(path + ".new", std::ios::binary).write(reinterpret_cast<const char*>(&w), sizeof w);
-    fs::rename(path + ".new", path);
+// In place and in one call. A process that reads meanwhile may see a part of it; it is told by a signal after
+// this and reads again. Made anew and renamed, the files of a hundred machines kept the stage waiting for the
+// host's disk.
+void Weather::write(int machine, const MachineWeather& w) {
+    int& file = files_[static_cast<size_t>(machine)];
+    const std::string path = folders_[static_cast<size_t>(machine)] + "/" + kWeatherFile;
+    if (file < 0) file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0644);
+    if (::pwrite(file, &w, sizeof w, 0) != static_cast<ssize_t>(sizeof w))
+        throw std::runtime_error(path + ": " + std::strerror(errno));
 }
 
 void Weather::writeAll() {
-    for (size_t i = 0; i < ips_.size(); ++i) write(static_cast<int>(i), of(static_cast<int>(i)));
+    for (size_t i = 0; i < addresses_.size(); ++i) write(static_cast<int>(i), of(static_cast<int>(i)));
 }
 
 void Weather::begin(const LinkTrouble& t) { troubles_.push_back(t), publish(); }
@@ -76,7 +90,7 @@
 }
 
 void Weather::publish() {
-    for (size_t i = 0; i < ips_.size(); ++i) {
+    for (size_t i = 0; i < addresses_.size(); ++i) {
         MachineWeather w = of(static_cast<int>(i));
         std::string bytes(reinterpret_cast<const char*>(&w), sizeof w);
         if (std::exchange(published_[i], bytes) == bytes) continue;
--- a/fleet/system/weather.hpp
+++ b/fleet/system/weather.hpp
@@ -26,6 +26,9 @@
     // changed: the weather of this machine's processes has just been written anew.
     Weather(std::vector<std::string> ips, std::vector<std::string> folders,
             std::function<void(int machine)> changed);
+    ~Weather();
+    Weather(const Weather&) = delete;
+    Weather& operator=(const Weather&) = delete;
     void writeAll();
     void begin(const LinkTrouble&);
     void end(const LinkTrouble&);
@@ -35,13 +38,15 @@
 
   private:
     MachineWeather of(int machine) const;
-    void write(int machine, const MachineWeather&) const;
-    std::vector<std::string> ips_, folders_;
+    void write(int machine, const MachineWeather&);
+    std::vector<uint32_t> addresses_;
+    std::vector<std::string> folders_;
     std::function<void(int)> changed_;
     std::vector<LinkTrouble> troubles_;
     std::vector<bool> silent_;
     std::vector<DiskWeather> disks_;
     std::vector<std::string> published_;
+    std::vector<int> files_;  // descriptors; -1: not open yet
 };
 
 // The processes are dead. Of each file in folder/disk stays what was synced; of what was written after that
--- a/tests/system/judge_test.cpp
+++ b/tests/system/judge_test.cpp
@@ -195,6 +195,19 @@
         p.judge.broken(ms(9950), id);
         CHECK(p.verdict() == "");
     }
+    SECTION("nobody looked for most of the time") {
+        const bool over = GENERATE(true, false);
+        for (int at = 9900; at <= 10200; at += 50) p.judge.watching(ms(at));
+        if (over) p.judge.watching(ms(11450));
+        p.judge.broken(ms(11500), id);
+        CHECK(p.verdict() == "");
+    }
+    SECTION("looked for long enough before and after a gap") {
+        for (int at = 9900; at <= 10600; at += 50) p.judge.watching(ms(at));
+        for (int at = 11100; at <= 11550; at += 50) p.judge.watching(ms(at));
+        p.judge.broken(ms(11550), id);
+        CHECK(p.verdict() == "LOST ");
+    }
     SECTION("the endpoint broke off") {
         p.run(9950, id), p.judge.answered(ms(10100), id, 0, "", 0), p.judge.broken(ms(10200), id);
         CHECK(p.verdict() == "");
