--- a/system/consensus/power_loss_test.cpp
+++ b/system/consensus/power_loss_test.cpp
@@ -102,7 +102,8 @@
         return keeper.takeFound();
     }
 
-    // In the newest log: what was synced is not there any more, and what lies before it still is.
+    // In the newest log, of several records: what was synced is not there any more, and what lies before it
+    // still is. In a log of one record it would pass for a torn end.
     static void damage(const fs::path& folder) {
         fs::path newest;
         for (const auto& entry : fs::directory_iterator(folder))
@@ -195,13 +196,13 @@
     const fs::path disk = root_ / "disk";
     {
         Keeper keeper(disk, wake_);
-        for (uint64_t saves = 1; saves <= 12; ++saves) ASSERT_TRUE(save(keeper, stateOf(saves)));
+        for (uint64_t saves = 1; saves <= 12; ++saves) ASSERT_TRUE(save(keeper, stateOf(saves, 40000)));
     }
     damage(disk / Keeper::kFolder);
     RecordedDisk recorded(disk);
-    recorded.refuseNewFiles(true);
     Keeper keeper(disk, wake_);
     ASSERT_TRUE(std::holds_alternative<network::Problem>(keeper.takeFound()));
+    recorded.refuseNewFiles(true);  // not before: a disk that is full at the start is waited for
     EXPECT_FALSE(save(keeper, stateOf(1)));
     uint64_t left = 0;
     for (const auto& entry : fs::directory_iterator(disk / Keeper::kFolder)) left += entry.file_size();
