--- a/system/consensus/durable_names.cpp
+++ b/system/consensus/durable_names.cpp
@@ -74,7 +74,7 @@
 // Not synced here: were the sync to fail, LevelDB would take the rename for undone and remove the manifest
 // that CURRENT may name by now.
 leveldb::Status DurableNames::RenameFile(const std::string& from, const std::string& to) {
-    const leveldb::Status renamed = target()->RenameFile(from, to);
+    leveldb::Status renamed = target()->RenameFile(from, to);
     if (renamed.ok()) noteChange();
     return renamed;
 }
