--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -435,6 +435,7 @@
 class Deployment {
   public:
     std::vector<std::unique_ptr<Machine>> machines;
+    std::vector<Machine*> seeds;  // at most three of the cores, as the settings files name them
     Ports ports{};
     std::string network, zone = "pdx-hall", programs, folder;
     int platformPort = 0;
@@ -469,6 +470,7 @@
             if ((std::string(program) == "petrel-control-plane") == core)
                 m->processes.emplace_back(program, -1);
         machines.push_back(std::move(m));
+        if (core && seeds.size() < 3) seeds.push_back(machines.back().get());
     }
     std::vector<Machine*> edges() {
         std::vector<Machine*> all;
@@ -494,7 +496,7 @@
         else
             y << "  front: " << at(ports.front) << "  readiness: " << at(ports.readiness);
         y << "internal_port_range:\n  - " << ports.first << "\n  - " << ports.first + 15 << "\nseed_nodes:\n";
-        for (Machine* core : cores()) y << "  - \"" << core->ip << ":" << ports.control << "\"\n";
+        for (Machine* core : seeds) y << "  - \"" << core->ip << ":" << ports.control << "\"\n";
         y << "bootstrap: " << (m.bootstrap ? "true" : "false")
           << "\nquorum_member: " << (m.core ? "true" : "false")
           << "\nlimits:\n  cpu_share: 0.5\n  cpu_cores: 1\n  memory_mb: 260\n  file_descriptors: 4100\n  "
