--- a/review/standin/play_replace.cpp
+++ b/review/standin/play_replace.cpp
@@ -1,5 +1,6 @@
 // Planned replacement of two of three core machines, new ones first, while the third loses power for 5.5 s.
 // Judges CONFIG: whether the acknowledged configuration can be read back at the end.
+// REVIEW_KEEP in the environment keeps the logs of the programs in /tmp.
 // usage: play_replace FOLDER-OF-PROGRAMS RECORD TROUBLE(0|1). Exit: 0 kept, 1 broken, 2 could not run.
 #include "world.hpp"
 
