--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -426,6 +426,7 @@
 struct Machine {
     std::string name, ip, folder;
     bool core = false, bootstrap = true;
+    int firstPort = 0;  // of its internal ports, where relays stand between machines; 0: as all machines
     std::vector<std::pair<std::string, pid_t>> processes;  // program, pid; -1: not running
     double terminatedAt = -1;                              // when it last got SIGTERM
     std::atomic<bool> counted{true};                       // among those that receive connections
@@ -495,7 +496,8 @@
             y << "  control: " << at(ports.control);
         else
             y << "  front: " << at(ports.front) << "  readiness: " << at(ports.readiness);
-        y << "internal_port_range:\n  - " << ports.first << "\n  - " << ports.first + 15 << "\nseed_nodes:\n";
+        const int first = m.firstPort ? m.firstPort : ports.first;
+        y << "internal_port_range:\n  - " << first << "\n  - " << first + 15 << "\nseed_nodes:\n";
         for (Machine* core : seeds) y << "  - \"" << core->ip << ":" << ports.control << "\"\n";
         y << "bootstrap: " << (m.bootstrap ? "true" : "false")
           << "\nquorum_member: " << (m.core ? "true" : "false")
