Proxy: log and count requests cut off at the exit, and clients that leave in flight

The logs could not tell whether a request that lost its connection around SIGTERM had been taken late, had waited in the queue, or had been given up by the instance, nor whether the proxy had noticed that a client was gone.

Change: at the exit each request in flight is logged (50 at most) with the times after SIGTERM at which it was received and sent; counters stopped_sending, gone_in_flight and interrupted. No decision changes.

--- a/system/proxy/proxy.cpp
+++ b/system/proxy/proxy.cpp
@@ -24,6 +24,7 @@
 const Span kRejectNewBeforeKill = Span::millis(1600);     // rejects new requests this long before the kill
 const Span kRejectQueuedBeforeKill = Span::millis(1300);  // rejects queued requests then
 const Span kMaxIdleNonIdempotent = Span::millis(900);     // longest idle time before a non-idempotent request
+constexpr size_t kMaxInterruptedLogged = 50;              // requests that are logged one by one at the exit
 
 bool isHopByHop(std::string_view name) {
     for (const char* each :
@@ -300,7 +301,7 @@
     a.deadline = loop_.now() + left, a.targetLatency = route->target, a.routeTimeout = route->timeout;
     Exchange& e = exchanges_[a.id];
     e.visit = visit.id(), e.attemptId = std::string(*id), e.deadline = a.deadline,
-    e.isIdempotent = a.isIdempotent;
+    e.isIdempotent = a.isIdempotent, e.receivedAt = loop_.now();
     e.request = std::move(request);
     updateBufferedBytes(e);
     visit.tag = a.id;
@@ -310,6 +311,7 @@
 
 void Proxy::hungUp(HttpVisit& visit) {
     if (visit.tag == 0) return;
+    ++clientsStoppedSending_;
     auto found = exchanges_.find(visit.tag);
     if (found == exchanges_.end() || !dispatch_.isQueued(visit.tag)) return;
     // The request has not been sent and is not needed any more.
@@ -328,6 +330,8 @@
             found->second.visit = 0;
             if (dispatch_.isQueued(visit.tag))
                 dispatch_.cancelRequest(loop_.now(), visit.tag), eraseExchange(found);
+            else
+                ++clientsGoneInFlight_;
         }
     }
     auto at = visits_.find(visit.id());
@@ -442,7 +446,7 @@
         connections_[made->id] = std::move(made);
     }
     connection->isIdle = false;
-    connection->requestId = s.id, e.connection = connection, e.response.reset();
+    connection->requestId = s.id, e.connection = connection, e.sentAt = now, e.response.reset();
     updateBufferedBytes(e);
     connection->connectBy = now + kConnectTimeout;
     connection->attemptTimeoutAt = s.attemptTimeout > Span() ? now + s.attemptTimeout : Instant::never();
@@ -700,11 +704,26 @@
     bool busy = std::any_of(visits_.begin(), visits_.end(), [](const auto& v) { return v.second->busy(); });
     if ((quiet && !busy && drainingTime > Span::millis(3200)) || (late && !busy && exchanges_.empty()) ||
         drainingTime > settings_.bounds.grace - Span::millis(250)) {
+        logInterruptedRequests();
         logCounters();
         loop_.stop();
     }
 }
 
+void Proxy::logInterruptedRequests() {
+    interruptedByExit_ += exchanges_.size();
+    size_t logged = 0;
+    for (const auto& [id, e] : exchanges_) {
+        if (++logged > kMaxInterruptedLogged) break;
+        auto millisSinceSignal = [this](Instant at) { return (at - drainingSince_).inMicros() / 1000; };
+        const bool isSent = e.sentAt != Instant::never();
+        spdlog::warn(
+            "leaving: request {} ({}) is interrupted: received {} ms after SIGTERM, {} {} ms after it",
+            e.attemptId, e.isIdempotent ? "idempotent" : "non-idempotent", millisSinceSignal(e.receivedAt),
+            isSent ? "sent" : "queued, now", millisSinceSignal(isSent ? e.sentAt : loop_.now()));
+    }
+}
+
 void Proxy::logCounters() const {
     const Counters& c = dispatch_.counters();
     spdlog::info(
@@ -712,12 +731,13 @@
         "misdirected={} broken={} silent={} unconnected={} probes={} reports={} no_route={} not_ready={} "
         "borrowed={} borrowed_full={} excess={} spoilt={} connects={} connects_spared={} parked={} "
         "whole_asked={} open={} waiting={} "
-        "turned_away={} too_much={} bytes={}",
+        "turned_away={} too_much={} bytes={} stopped_sending={} gone_in_flight={} interrupted={}",
         c.received, c.sent, c.forwarded, c.rejectedImmediately, c.rejectedAfterQueueing, c.retries, c.failed,
         c.notExecuted, c.misdirected, c.connectionBroken, c.timedOut, c.connectFailed, c.probes, c.reports,
         noRoute_, notReady_, c.borrowed, c.borrowedNotExecuted, excessResponses_, invalidResponses_,
         connects_, connectsSaved_, parkedCount_, fullConfigRequests_, visits_.size(), dispatch_.queuedCount(),
-        rejectedConnections_, rejectedForMemory_, bufferedBytes_);
+        rejectedConnections_, rejectedForMemory_, bufferedBytes_, clientsStoppedSending_,
+        clientsGoneInFlight_, interruptedByExit_);
 }
 
 }  // namespace petrelpond::proxy
--- a/system/proxy/proxy.hpp
+++ b/system/proxy/proxy.hpp
@@ -63,7 +63,8 @@
         uint64_t visit = 0;  // 0: the client has disconnected
         network::HttpRequest request;
         std::string attemptId;
-        Instant deadline;
+        Instant deadline, receivedAt;
+        Instant sentAt = Instant::never();  // of the latest attempt
         bool isIdempotent = false;
         InstanceConnection* connection = nullptr;
         std::unique_ptr<network::HttpAnswer> response;
@@ -96,6 +97,7 @@
     void eraseExchange(std::unordered_map<RequestId, Exchange>::iterator);
     void runPeriodicChecks();
     void stopIfDrained();
+    void logInterruptedRequests();
     ConnectionPool& poolOf(InstanceIndex);
 
     network::Loop& loop_;
@@ -123,6 +125,9 @@
     Instant armedFor_ = Instant::never();
     uint64_t noRoute_ = 0, notReady_ = 0, excessResponses_ = 0, invalidResponses_ = 0, connects_ = 0,
              rejectedConnections_ = 0, fullConfigRequests_ = 0, connectsSaved_ = 0, rejectedForMemory_ = 0;
+    uint64_t clientsStoppedSending_ = 0;  // while their request was queued or in flight
+    uint64_t clientsGoneInFlight_ = 0;    // disconnected while their request was in flight
+    uint64_t interruptedByExit_ = 0;      // requests in flight when this process ended
     size_t maxVisits_ = 1000;
     size_t bufferedBytes_ = 0, maxBufferedBytes_ = 0;  // of requests and responses in flight
 };
