--- a/system/proxy/dispatch.cpp
+++ b/system/proxy/dispatch.cpp
@@ -21,6 +21,13 @@
 const Span kFormerInstanceLifetime = Span::seconds(30);  // after the last slot was returned
 constexpr size_t kMaxFormerInstances = 8;                // per service
 constexpr double kMaxQueueTimeShare = 0.45;              // of the time to the deadline; then rejected
+constexpr int kMinLatencySamples = 8;                    // fewer say nothing about a request class
+const Span kShutdownRetryAfter = Span::millis(30);       // other proxies can take the request at once
+
+// A call that takes longer than this is far slower than others of its request class.
+Span outlierLatency(const policy::AnswerTimes& times) {
+    return Span::seconds(std::max({2.5 * times.highQuantile, 1.5 * times.slowestDelivered, 0.15}));
+}
 
 }  // namespace
 
@@ -273,6 +280,27 @@
     return Span::seconds(mean > 0 ? mean : kDefaultCallSeconds);
 }
 
+// Exceeded by a tenth of the calls; until enough are known, the expected time.
+Span Dispatch::usualCallTime(const Service& s, const Request& r) const {
+    const policy::AnswerTimes& times = requestClasses_[r.classIndex].latencies;
+    return times.count < kMinLatencySamples ? expectedCallTime(s, r) : Span::seconds(times.highQuantile);
+}
+
+// Hardly ever exceeded; until enough calls are known, the route's timeout.
+Span Dispatch::slowCallTime(const Request& r) const {
+    const policy::AnswerTimes& times = requestClasses_[r.classIndex].latencies;
+    return times.count < kMinLatencySamples ? r.incoming.routeTimeout : outlierLatency(times);
+}
+
+// The latest time at which an attempt may start so that it ends before this proxy exits. Against calls that
+// are cut off by the exit: their clients cannot know whether they ran. With few proxies left, clients are
+// sent here until the end of the grace period. Drawback: a request is rejected that would have been quick.
+Instant Dispatch::latestStart(const Service& s, const Request& r) const {
+    if (!drain_ || r.incoming.deadline <= drain_->completeBy) return Instant::never();
+    const bool isLate = r.receivedAt > drain_->lateFrom;
+    return drain_->completeBy - (isLate ? slowCallTime(r) : usualCallTime(s, r));
+}
+
 // Estimates the wait of a request that arrives now behind `ahead` others.
 Span Dispatch::expectedWait(Instant now, const Service& s, size_t ahead, bool slotMayTransfer) const {
     Instant first = Instant::never();
@@ -309,6 +337,9 @@
     s.retryBudget.recordRequest(now, options_.retryBudgetWindow);
     ++s.arrivals;
     if (!s.hasChanged) s.hasChanged = true, changedServices_.push_back(index);
+    const Instant startBy = latestStart(s, r);
+    if (now > startBy) return rejectRequest(now, r, true);
+    r.queueUntil = std::min(r.queueUntil, startBy);
     enqueue(r);
     dispatchQueued(now, index);
     auto still = requests_.find(a.id);
@@ -402,7 +433,7 @@
     Service& s = services_[index];
     while (!s.queue.empty()) {
         Request& r = requests_.at(s.queue.begin()->second);
-        if (now >= r.incoming.deadline) {
+        if (now >= r.incoming.deadline || now > latestStart(s, r)) {
             rejectRequest(now, r, false);
             continue;
         }
@@ -465,10 +496,9 @@
     // discarded once.
     Span attemptTimeout;
     const auto& times = requestClasses_[r.classIndex].latencies;
-    if (r.incoming.isIdempotent && r.attempts < r.incoming.maxAttempts && times.count >= 8 &&
+    if (r.incoming.isIdempotent && r.attempts < r.incoming.maxAttempts && times.count >= kMinLatencySamples &&
         r.lastOutcome != AttemptOutcome::timedOut) {
-        Span timeout =
-            Span::seconds(std::max({2.5 * times.highQuantile, 1.5 * times.slowestDelivered, 0.15}));
+        const Span timeout = outlierLatency(times);
         if (now + timeout + expectedCallTime(s, r) * 2 < r.incoming.deadline && mayRetry(now, s))
             attemptTimeout = timeout;
     }
@@ -613,14 +643,16 @@
         r.lastOutcome != AttemptOutcome::connectFailed && r.lastOutcome != AttemptOutcome::notSent;
     if (!reachedInstance) --r.attempts;  // no instance has received it
     bool mayExecuteAgain = r.incoming.isIdempotent || !r.mayHaveExecuted;
-    bool timeLeft = now + expectedCallTime(s, r) < r.incoming.deadline;
+    const Instant startBy = latestStart(s, r);
+    bool timeLeft = now + expectedCallTime(s, r) < r.incoming.deadline && now <= startBy;
     bool budgetAllows = !reachedInstance || (r.attempts < r.incoming.maxAttempts && mayRetry(now, s));
     if (mayExecuteAgain && timeLeft && budgetAllows) {
         if (r.attempts > 0) setPendingRetry(r, true);
         r.avoidInstance = r.instance;
         r.queueUntil = std::max(now, std::min(r.queueUntil, r.incoming.deadline));
         enqueue(r);
-        Instant until = std::min(std::max(r.queueUntil, now + Span::millis(200)), r.incoming.deadline);
+        Instant until =
+            std::min({std::max(r.queueUntil, now + Span::millis(200)), r.incoming.deadline, startBy});
         queueDeadlines_.emplace(until, r.incoming.id);
         scheduleWakeup(until);
         return;
@@ -658,13 +690,24 @@
     Span wait = expectedWait(now, s, s.queue.size() / 2, false);
     // A random delay, so that clients do not return together.
     wait = wait + Span::seconds(random_.uniform(0.05, 0.25));
+    if (now >= latestStart(s, r)) {
+        ++counters_.rejectedForShutdown;
+        wait = kShutdownRetryAfter * random_.uniform(1, 2);
+    }
     outputs_.push_back(RejectRequest{
         r.incoming.id, 503, std::min(wait, std::max((r.incoming.deadline - now) * 0.33, Span::millis(50)))});
     eraseRequest(r);
 }
 
-void Dispatch::startDraining(Instant now) {
-    isDraining_ = true;
+void Dispatch::startDraining(Instant now, const DrainSchedule& schedule) {
+    drain_ = schedule;
+    for (uint32_t index : queuedServices_)
+        for (const auto& [key, id] : services_[index].queue) {
+            const Instant startBy = latestStart(services_[index], requests_.at(id));
+            if (startBy == Instant::never()) continue;
+            queueDeadlines_.emplace(startBy, id);
+            scheduleWakeup(startBy);
+        }
     sendReport(now, true);
 }
 
@@ -682,7 +725,7 @@
         return;
     }
     scaler::Report out;
-    out.term = term_, out.isFull = whole, out.isLeaving = isDraining_;
+    out.term = term_, out.isFull = whole, out.isLeaving = drain_.has_value();
     out.intervalMs = static_cast<uint32_t>((now - reportedAt_).inMicros() / 1000);
     reportedAt_ = now;
     if (whole) {
--- a/system/proxy/dispatch.hpp
+++ b/system/proxy/dispatch.hpp
@@ -102,9 +102,16 @@
     std::string id, address, zone;
 };
 
+// By when a proxy that shuts down has to be done with its requests.
+struct DrainSchedule {
+    Instant lateFrom;    // a request received after this is sent only if even a slow call ends in time
+    Instant completeBy;  // attempts that have not ended by then are abandoned
+};
+
 struct Counters {
     uint64_t received = 0, sent = 0, forwarded = 0, rejectedImmediately = 0, rejectedAfterQueueing = 0,
              retries = 0, failed = 0;
+    uint64_t rejectedForShutdown = 0;  // as they may not have ended in time; also among the rejected
     uint64_t notExecuted = 0, misdirected = 0, connectionBroken = 0, timedOut = 0, connectFailed = 0,
              probes = 0, reports = 0;
     uint64_t borrowed = 0, borrowedNotExecuted = 0;  // sent without a slot; of these, rejected as full
@@ -142,9 +149,11 @@
     // Whether an attempt whose attemptTimeout has passed may be abandoned.
     bool mayAbandonAttempt(Instant now, RequestId);
     void onProbeResult(Instant now, InstanceIndex, bool up);
-    void startDraining(Instant now);  // tells the planner that this proxy is shutting down
-    void rejectQueued(Instant now);   // rejects all queued requests as not executed, before the process exits
-    void tick(Instant now);           // to be called at wakeAt()
+    // Tells the planner that this proxy is shutting down. From then on a request that may not end in time is
+    // rejected as not executed.
+    void startDraining(Instant now, const DrainSchedule&);
+    void rejectQueued(Instant now);  // rejects all queued requests as not executed, before the process exits
+    void tick(Instant now);          // to be called at wakeAt()
     Instant wakeAt() const { return wakeAt_; }
     std::optional<Output> next();  // the next output, if any
 
@@ -221,6 +230,9 @@
     // for Retry-After.
     Span expectedWait(Instant now, const Service&, size_t ahead, bool slotMayTransfer) const;
     Span expectedCallTime(const Service&, const Request&) const;
+    Span usualCallTime(const Service&, const Request&) const;
+    Span slowCallTime(const Request&) const;
+    Instant latestStart(const Service&, const Request&) const;
     void sendRequest(Instant now, Request&, InstanceIndex);
     void releaseSlot(Instant now, Instance&);
     void retryOrFinish(Instant now, Request&);
@@ -260,7 +272,8 @@
     std::set<uint32_t> queuedServices_;  // services with queued requests
     uint64_t term_ = 0, grantsTerm_ = 0, lastSequence_ = 0;
     bool isPlannerSilent_ = false;  // nothing has been heard from the planner
-    bool isLinked_ = false, isReportUrgent_ = false, isDraining_ = false;
+    bool isLinked_ = false, isReportUrgent_ = false;
+    std::optional<DrainSchedule> drain_;           // set while this proxy shuts down
     uint32_t proxyCount_ = 1, maxProxyCount_ = 1;  // as reported; the maximum within a window
     Instant fewerProxiesSince_ = Instant::never();
     Instant createdAt_;
--- a/system/proxy/dispatch_test.cpp
+++ b/system/proxy/dispatch_test.cpp
@@ -1,5 +1,3 @@
-#include "system/proxy/dispatch.hpp"
-
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -8,128 +6,11 @@
 #include <random>
 #include <set>
 
+#include "system/proxy/dispatch_for_test.hpp"
+
 namespace petrelpond::proxy {
 namespace {
 
-const Instant kStart = Instant::atMicros(1'000'000'000);
-
-constexpr AttemptOutcome kOutcomes[] = {AttemptOutcome::answered,         AttemptOutcome::serverError,
-                                        AttemptOutcome::notExecuted,      AttemptOutcome::misdirected,
-                                        AttemptOutcome::connectFailed,    AttemptOutcome::notSent,
-                                        AttemptOutcome::connectionBroken, AttemptOutcome::timedOut};
-
-// What an outcome means for the request, restated here so that mayHaveExecuted() is not used to check itself.
-bool expectedMayHaveExecuted(AttemptOutcome e) {
-    return e == AttemptOutcome::answered || e == AttemptOutcome::serverError ||
-           e == AttemptOutcome::connectionBroken || e == AttemptOutcome::timedOut;
-}
-bool reachedEndpoint(AttemptOutcome e) {
-    return e != AttemptOutcome::connectFailed && e != AttemptOutcome::notSent;
-}
-
-scaler::Grant grant(const std::string& instance, uint32_t slots, uint32_t upInMs = 0) {
-    return {instance, "s", "10.0.0.1:80", "here", slots, upInMs};
-}
-
-// A Dispatch with a manual clock, and all its outputs.
-struct DispatchHarness {
-    Instant now = kStart;
-    Dispatch dispatch;
-    std::vector<std::pair<Instant, Output>> outputs;
-    std::vector<Output> latestOutputs;  // of the last input
-    uint64_t nextId = 1;
-
-    explicit DispatchHarness(Dispatch::Options options = {1, "here"}, int boot = 1000)
-        : dispatch(now, options) {
-        dispatch.updateServices(now, {{"s", 8, Span::millis(boot)}});
-        dispatch.updatePlannerStatus(now, 1, true, 1);
-        collectOutputs();
-    }
-    void collectOutputs() {
-        latestOutputs.clear();
-        while (auto o = dispatch.next()) latestOutputs.push_back(*o), outputs.emplace_back(now, *o);
-    }
-    void applyGrants(std::vector<scaler::Grant> g, bool whole = false, uint64_t term = 1) {
-        dispatch.applyGrants(now, {term, whole, std::move(g)});
-        collectOutputs();
-    }
-    RequestId submit(int ms = 5000, int priority = 2, bool repeatable = false, int attempts = 3) {
-        IncomingRequest a{
-            nextId++,        "s", repeatable, priority, attempts, now + Span::millis(ms), Span::millis(400),
-            Span::millis(ms)};
-        dispatch.onRequest(now, a);
-        collectOutputs();
-        return a.id;
-    }
-    void endAttempt(RequestId id, AttemptOutcome how) {
-        dispatch.onAttemptEnded(now, id, how);
-        collectOutputs();
-    }
-    // Does what the proxy does: ticks at each wake-up until `until`, or until the condition holds.
-    template <class Done>
-    bool runUntil(Instant until, Done done) {
-        while (!done()) {
-            Instant at = std::max(dispatch.wakeAt(), now);
-            if (at > until) return now = until, done();
-            now = at;
-            dispatch.tick(now);
-            collectOutputs();
-        }
-        return true;
-    }
-    void advance(int ms) {
-        runUntil(now + Span::millis(ms), [] { return false; });
-    }
-    std::vector<SendRequest> sends() const {
-        std::vector<SendRequest> out;
-        for (auto& [at, o] : outputs)
-            if (auto* s = std::get_if<SendRequest>(&o)) out.push_back(*s);
-        return out;
-    }
-    bool wasSent(RequestId id) const {
-        auto s = sends();
-        return std::any_of(s.begin(), s.end(), [&](const SendRequest& x) { return x.id == id; });
-    }
-    template <class T>
-    std::optional<std::pair<Instant, T>> findOutput(RequestId id) const {
-        for (auto& [at, o] : outputs)
-            if (auto* t = std::get_if<T>(&o); t && t->id == id) return std::pair(at, *t);
-        return std::nullopt;
-    }
-    std::string instanceOf(RequestId id) const {
-        std::string name;
-        for (auto& s : sends())
-            if (s.id == id && dispatch.findInstance(s.instance)) name = dispatch.findInstance(s.instance)->id;
-        return name;
-    }
-    std::vector<scaler::Report> reports() const {
-        std::vector<scaler::Report> out;
-        for (auto& [at, o] : outputs)
-            if (auto* t = std::get_if<SendReport>(&o)) out.push_back(t->report);
-        return out;
-    }
-    // The planner's latest report entry for an instance.
-    std::optional<scaler::HeldSlots> lastHeld(const std::string& id) const {
-        std::optional<scaler::HeldSlots> last;
-        for (auto& r : reports()) {
-            if (r.isFull) last.reset();
-            for (auto& h : r.held)
-                if (h.instance == id) last = h;
-        }
-        return last;
-    }
-    template <class T>
-    int countOutputs() const {
-        auto is = [](auto& o) { return std::holds_alternative<T>(o.second); };
-        return static_cast<int>(std::count_if(outputs.begin(), outputs.end(), is));
-    }
-    int timesReported(const std::string& id, std::vector<std::string> scaler::Report::*list) const {
-        int n = 0;
-        for (auto& r : reports()) n += static_cast<int>(std::count((r.*list).begin(), (r.*list).end(), id));
-        return n;
-    }
-};
-
 TEST(MayHaveExecuted, UncertainOutcomesCountAsExecuted) {
     for (AttemptOutcome e : kOutcomes)
         EXPECT_EQ(mayHaveExecuted(e), expectedMayHaveExecuted(e)) << static_cast<int>(e);
@@ -739,7 +620,7 @@
     DispatchHarness p;
     p.applyGrants({grant("a", 2)});
     p.submit();
-    p.dispatch.startDraining(p.now);
+    p.dispatch.startDraining(p.now, {p.now + Span::seconds(3), p.now + Span::millis(5600)});
     p.collectOutputs();
     auto last = p.reports().back();
     EXPECT_TRUE(last.isLeaving);
@@ -941,16 +822,17 @@
     int repeatedAnswers = 0;      // two final outputs, or an output after the final one
     int unanswered = 0;           // no final output
     int slotsExceeded = 0, attemptsExceeded = 0, queuedTooLong = 0, missedWakeups = 0, sentAfterDeadline = 0,
-        unknown = 0;
+        sentAfterDrain = 0, unknown = 0;
     int sends = 0, rejections = 0, forwarded = 0, failed = 0, retries = 0;
     int total() const {
         return duplicateExecutions + falseRejections + repeatedAnswers + unanswered + slotsExceeded +
-               attemptsExceeded + queuedTooLong + missedWakeups + unknown;
+               attemptsExceeded + queuedTooLong + missedWakeups + sentAfterDrain + unknown;
     }
 };
 
+// drains: the proxy starts to shut down in the midst of the schedule.
 template <class Defect>
-void runRandomSchedule(uint32_t seed, Violations& f) {
+void runRandomSchedule(uint32_t seed, Violations& f, bool drains = false) {
     std::mt19937 random(seed);
     auto below = [&](uint32_t n) { return static_cast<uint32_t>(random() % n); };
     struct TrackedRequest {
@@ -982,6 +864,10 @@
     dispatch.updateServices(now, {{"s", 4, Span::millis(300 + below(1500))}, {"t", 2, Span::millis(500)}});
     dispatch.updatePlannerStatus(now, term, true, 1 + below(4));
 
+    Instant drainsAt =
+        drains ? now + Span::millis(200 + static_cast<int64_t>(seed % 1500)) : Instant::never();
+    Instant completeBy = Instant::never();
+
     auto drain = [&] {
         while (auto output = dispatch.next()) {
             if (auto* s = std::get_if<SendRequest>(&*output)) {
@@ -997,6 +883,7 @@
                 if (k.mayHaveExecuted && !k.incoming.isIdempotent) ++f.duplicateExecutions;
                 if (k.endpointOutcomes + 1 > k.incoming.maxAttempts) ++f.attemptsExceeded;
                 if (now > k.incoming.deadline) ++f.sentAfterDeadline;
+                if (now > completeBy) ++f.sentAfterDrain;
                 f.retries += k.wasSent;
                 k.isInFlight = k.wasSent = true, k.instance = view->id;
                 // While the planner is silent, one call may be sent to an instance without a slot.
@@ -1124,6 +1011,12 @@
             }
             drain();
         }
+        if (now >= drainsAt) {
+            drainsAt = Instant::never();
+            completeBy = now + Span::millis(2500);
+            dispatch.startDraining(now, {now + Span::millis(1200), completeBy});
+            drain();
+        }
         for (int n = 0; n < 3 && now >= dispatch.wakeAt(); ++n) dispatch.tick(now), drain();
         bool anyQueued = false;
         for (auto& [id, k] : known) {
@@ -1169,6 +1062,21 @@
     EXPECT_GT(f.retries, 1000);
 }
 
+// Guards against requests that a proxy sends on although it exits before they can end.
+TEST(RandomSchedules, DrainingAnswersEveryRequestAndSendsNothingOnceItsTimeIsOver) {
+    Violations f;
+    for (uint32_t seed = kFirstSeed; seed < kFirstSeed + kScheduleCount; ++seed) {
+        runRandomSchedule<NoDefect>(seed, f, true);
+        ASSERT_EQ(f.total(), 0) << "seed " << seed << ": sent after the drain " << f.sentAfterDrain
+                                << ", duplicate executions " << f.duplicateExecutions << ", false rejections "
+                                << f.falseRejections << ", unanswered " << f.unanswered
+                                << ", queued too long " << f.queuedTooLong << ", missed wakeups "
+                                << f.missedWakeups;
+    }
+    EXPECT_GT(f.sends, 10000);
+    EXPECT_GT(f.rejections, 1000);
+}
+
 TEST(RandomSchedules, NothingIsSentAfterItsDeadline) {
     Violations f;
     for (uint32_t seed = kFirstSeed; seed < kFirstSeed + kScheduleCount && f.sentAfterDeadline == 0; ++seed) {
--- a/system/proxy/proxy.cpp
+++ b/system/proxy/proxy.cpp
@@ -23,8 +23,11 @@
 const Span kMaxIdle = Span::seconds(8);                   // longest idle time of a kept connection
 const Span kRejectNewBeforeKill = Span::millis(1600);     // rejects new requests this long before the kill
 const Span kRejectQueuedBeforeKill = Span::millis(1300);  // rejects queued requests then
-const Span kMaxIdleNonIdempotent = Span::millis(900);     // longest idle time before a non-idempotent request
-constexpr size_t kMaxInterruptedLogged = 50;              // requests that are logged one by one at the exit
+const Span kLateAfterSignal = Span::seconds(3);        // see DrainSchedule; at most half of the grace period
+const Span kAbandonBeforeKill = Span::millis(400);     // answers what is still in flight then
+const Span kStopBeforeKill = Span::millis(250);        // the process ends by itself then
+const Span kMaxIdleNonIdempotent = Span::millis(900);  // longest idle time before a non-idempotent request
+constexpr size_t kMaxAbandonedLogged = 50;             // requests that are logged one by one at the exit
 
 bool isHopByHop(std::string_view name) {
     for (const char* each :
@@ -677,15 +680,17 @@
     if (isDraining_) return;
     isDraining_ = true, drainingSince_ = loop_.now();
     spdlog::info("leaving: {} connections, {} requests in flight", visits_.size(), exchanges_.size());
-    dispatch_.startDraining(loop_.now());
+    const Span grace = settings_.bounds.grace;
+    dispatch_.startDraining(drainingSince_, {drainingSince_ + std::min(kLateAfterSignal, grace * 0.5),
+                                             drainingSince_ + grace - kAbandonBeforeKill});
     scheduleOutputs();
     loop_.cancel(sweepTimer_);
     runPeriodicChecks();
 }
 
-// New connections arrive for two seconds and more after the readiness check starts to fail. They are served
-// until the end, each with Connection: close. The rest of the grace period is for requests still in flight at
-// instances.
+// New connections arrive for two seconds and more after the readiness check starts to fail. Requests are
+// served as long as they can end in time, each with Connection: close. The rest of the grace period is for
+// requests still in flight at instances.
 void Proxy::stopIfDrained() {
     Instant now = loop_.now();
     Span drainingTime = now - drainingSince_;
@@ -699,31 +704,41 @@
         dispatch_.rejectQueued(now);
         scheduleOutputs();
     }
+    if (drainingTime > settings_.bounds.grace - kAbandonBeforeKill) abandonAttempts();
     bool quiet = exchanges_.empty() && now - lastAcceptedAt_ > Span::millis(700);
     bool late = drainingTime > settings_.bounds.grace - kRejectQueuedBeforeKill + Span::millis(200);
     bool busy = std::any_of(visits_.begin(), visits_.end(), [](const auto& v) { return v.second->busy(); });
     if ((quiet && !busy && drainingTime > Span::millis(3200)) || (late && !busy && exchanges_.empty()) ||
-        drainingTime > settings_.bounds.grace - Span::millis(250)) {
-        logInterruptedRequests();
+        drainingTime > settings_.bounds.grace - kStopBeforeKill) {
         logCounters();
         loop_.stop();
     }
 }
 
-void Proxy::logInterruptedRequests() {
-    interruptedByExit_ += exchanges_.size();
-    size_t logged = 0;
-    for (const auto& [id, e] : exchanges_) {
-        if (++logged > kMaxInterruptedLogged) break;
-        auto millisSinceSignal = [this](Instant at) { return (at - drainingSince_).inMicros() / 1000; };
-        const bool isSent = e.sentAt != Instant::never();
-        spdlog::warn(
-            "leaving: request {} ({}) is interrupted: received {} ms after SIGTERM, {} {} ms after it",
-            e.attemptId, e.isIdempotent ? "idempotent" : "non-idempotent", millisSinceSignal(e.receivedAt),
-            isSent ? "sent" : "queued, now", millisSinceSignal(isSent ? e.sentAt : loop_.now()));
+// Ends the attempts that are still in flight at the end of the grace period, so that their clients get an
+// answer: a connection that closes without one looks like a crash, and a client may wait for nothing.
+void Proxy::abandonAttempts() {
+    std::vector<InstanceConnection*> busy;
+    for (auto& [id, connection] : connections_)
+        if (connection->requestId != 0) busy.push_back(connection.get());
+    for (InstanceConnection* connection : busy) {
+        logAbandoned(connection->requestId);
+        failConnection(*connection, connection->stream->anythingSent() ? AttemptOutcome::timedOut
+                                                                       : AttemptOutcome::notSent);
     }
 }
 
+void Proxy::logAbandoned(RequestId id) {
+    auto found = exchanges_.find(id);
+    if (found == exchanges_.end() || ++abandonedAtExit_ > kMaxAbandonedLogged) return;
+    const Exchange& e = found->second;
+    auto millisSinceSignal = [this](Instant at) { return (at - drainingSince_).inMicros() / 1000; };
+    spdlog::warn(
+        "leaving: request {} ({}) is abandoned at its instance: received {} ms after SIGTERM, sent {} ms",
+        e.attemptId, e.isIdempotent ? "idempotent" : "non-idempotent", millisSinceSignal(e.receivedAt),
+        millisSinceSignal(e.sentAt));
+}
+
 void Proxy::logCounters() const {
     const Counters& c = dispatch_.counters();
     spdlog::info(
@@ -731,13 +746,14 @@
         "misdirected={} broken={} silent={} unconnected={} probes={} reports={} no_route={} not_ready={} "
         "borrowed={} borrowed_full={} excess={} spoilt={} connects={} connects_spared={} parked={} "
         "whole_asked={} open={} waiting={} "
-        "turned_away={} too_much={} bytes={} stopped_sending={} gone_in_flight={} interrupted={}",
+        "turned_away={} too_much={} bytes={} refused_leaving={} stopped_sending={} gone_in_flight={} "
+        "abandoned={}",
         c.received, c.sent, c.forwarded, c.rejectedImmediately, c.rejectedAfterQueueing, c.retries, c.failed,
         c.notExecuted, c.misdirected, c.connectionBroken, c.timedOut, c.connectFailed, c.probes, c.reports,
         noRoute_, notReady_, c.borrowed, c.borrowedNotExecuted, excessResponses_, invalidResponses_,
         connects_, connectsSaved_, parkedCount_, fullConfigRequests_, visits_.size(), dispatch_.queuedCount(),
-        rejectedConnections_, rejectedForMemory_, bufferedBytes_, clientsStoppedSending_,
-        clientsGoneInFlight_, interruptedByExit_);
+        rejectedConnections_, rejectedForMemory_, bufferedBytes_, c.rejectedForShutdown,
+        clientsStoppedSending_, clientsGoneInFlight_, abandonedAtExit_);
 }
 
 }  // namespace petrelpond::proxy
--- a/system/proxy/proxy.hpp
+++ b/system/proxy/proxy.hpp
@@ -97,7 +97,8 @@
     void eraseExchange(std::unordered_map<RequestId, Exchange>::iterator);
     void runPeriodicChecks();
     void stopIfDrained();
-    void logInterruptedRequests();
+    void abandonAttempts();
+    void logAbandoned(RequestId);
     ConnectionPool& poolOf(InstanceIndex);
 
     network::Loop& loop_;
@@ -127,7 +128,7 @@
              rejectedConnections_ = 0, fullConfigRequests_ = 0, connectsSaved_ = 0, rejectedForMemory_ = 0;
     uint64_t clientsStoppedSending_ = 0;  // while their request was queued or in flight
     uint64_t clientsGoneInFlight_ = 0;    // disconnected while their request was in flight
-    uint64_t interruptedByExit_ = 0;      // requests in flight when this process ended
+    uint64_t abandonedAtExit_ = 0;        // requests still in flight at the end of the grace period
     size_t maxVisits_ = 1000;
     size_t bufferedBytes_ = 0, maxBufferedBytes_ = 0;  // of requests and responses in flight
 };
