Proxy: an answer that is still being written holds the exit up

A client that reads a long answer slowly would get a part of it when the proxy leaves.

Cause: the proxy ends once no request is under way; an answer of which the kernel had not taken all counted as over.

Evidence: DrainingProxy.LongAnswerIsSentWholeBeforeTheExit (15 MB, read on 3.5 s after the signal with a grace of 4 s) failed before and passes now.

Fix: HttpVisit::hasUnsentAnswer() counts like a request under way, up to 0.25 s before the kill as before.

--- a/system/network/http_server.hpp
+++ b/system/network/http_server.hpp
@@ -41,6 +41,8 @@
     HttpVisit(Loop&, HttpHost&, int fd, uint64_t id);
     uint64_t id() const { return id_; }
     bool busy() const { return busy_; }
+    // Whether bytes of an answer have not gone to the kernel yet: they are lost if the process ends.
+    bool hasUnsentAnswer() const { return stream_->unsent() > 0; }
     bool mayAnswer() const { return busy_ && !stream_->isClosed(); }
     // `fields` are whole lines, each with its CR LF. last: this connection ends after it.
     void answer(int status, std::string_view fields, std::string_view body, bool last = false);
--- a/system/proxy/draining_test.cpp
+++ b/system/proxy/draining_test.cpp
@@ -163,5 +163,22 @@
     EXPECT_TRUE(turning_.endsWithin(kReadTimeoutMs));
 }
 
+// Guards against a long answer that is cut off by the exit while its client reads it: it is more than the
+// kernel holds, and the client reads on just before the grace period ends.
+TEST_F(DrainingProxy, LongAnswerIsSentWholeBeforeTheExit) {
+    TestListener listener;
+    configureWithSlots({{&listener, 1}});
+    auto slow = client();
+    slow->send(request("/once/a", "id-1"));
+    auto e = listener.accept();
+    e->readMessage();
+    const std::string body(15u << 20, 'x');
+    e->send(answer("id-1", body));
+    startDraining();
+    sleepUntil(3500);
+    EXPECT_TRUE(bodyOf(slow->readMessage()) == body);
+    EXPECT_TRUE(turning_.endsWithin(kReadTimeoutMs));
+}
+
 }  // namespace
 }  // namespace petrelpond::proxy
--- a/system/proxy/proxy.cpp
+++ b/system/proxy/proxy.cpp
@@ -707,7 +707,9 @@
     if (drainingTime > settings_.bounds.grace - kAbandonBeforeKill) abandonAttempts();
     bool quiet = exchanges_.empty() && now - lastAcceptedAt_ > Span::millis(700);
     bool late = drainingTime > settings_.bounds.grace - kRejectQueuedBeforeKill + Span::millis(200);
-    bool busy = std::any_of(visits_.begin(), visits_.end(), [](const auto& v) { return v.second->busy(); });
+    // An answer that is still being written counts too: its client would get a part of it.
+    bool busy = std::any_of(visits_.begin(), visits_.end(),
+                            [](const auto& v) { return v.second->busy() || v.second->hasUnsentAnswer(); });
     if ((quiet && !busy && drainingTime > Span::millis(3200)) || (late && !busy && exchanges_.empty()) ||
         drainingTime > settings_.bounds.grace - kStopBeforeKill) {
         logCounters();
