Proxy: a request of a client that has left is cut off or dropped, never sent again (GONE)

Cause: a close and the end of sending alone look the same until something is written. The proxy took both for a client that still waits and wrote nothing. A request in flight only forgot its client in any case, resets included, and the decision on a further attempt did not ask for the client.

Fix: HttpVisit::checkPeer() sends the bytes with which every answer begins: a closed connection resets, a client that waits acknowledges and reads on; without either in 0.3 s it counts as gone. Dispatch::cancelRequest() decides in one place: repeatable requests, and those not sent whole, are cut off by closing the connection to the instance; once-only ones run to their end; a connect goes on and sends nothing; none is sent again. An instance that stays full after a cut-off is tried less and less often. A client that half-closes while its request waits is now served.

--- a/system/network/http_server.cpp
+++ b/system/network/http_server.cpp
@@ -1,12 +1,14 @@
 #include "system/network/http_server.hpp"
 
 #include <cerrno>
+#include <utility>
 
 namespace petrelpond::network {
 
 namespace {
 constexpr size_t kMostFields = 512;  // of a request; the bound on a head's bytes is the one that counts
-}
+constexpr std::string_view kAnswerStart = "HTTP/1.1 ";  // of every answer
+}  // namespace
 
 HttpVisit::HttpVisit(Loop& loop, HttpHost& host, int fd, uint64_t id)
     : loop_(loop), host_(host), id_(id), since_(loop.now()),
@@ -14,6 +16,8 @@
     stream_->keepAtEnd();
 }
 
+HttpVisit::~HttpVisit() { loop_.cancel(peerCheckTimer_); }
+
 void HttpVisit::data(Stream&) {
     if (closing_) {  // what nobody wants is read off, so that the close does not reset the answer away
         stream_->in().clear();
@@ -103,6 +107,8 @@
 
 void HttpVisit::answerAsIs(std::string_view head, std::string_view body, bool last) {
     if (stream_->isClosed()) return;
+    if (std::exchange(isAnswerBegun_, false)) head.remove_prefix(kAnswerStart.size());
+    loop_.cancel(peerCheckTimer_);
     std::string whole;
     whole.reserve(head.size() + body.size());
     whole.append(head).append(body);
@@ -110,6 +116,20 @@
     done(last || lastAsked_ || (hungUp_ && stream_->in().empty()));
 }
 
+void HttpVisit::checkPeer(Span patience) {
+    if (!busy_ || isAnswerBegun_ || stream_->isClosed()) return;
+    isAnswerBegun_ = true;
+    stream_->send(kAnswerStart);
+    peerCheckTimer_ = loop_.at(loop_.now() + patience, [this] { onPeerCheckTimeout(); });
+}
+
+void HttpVisit::onPeerCheckTimeout() {
+    peerCheckTimer_ = 0;
+    if (!busy_ || stream_->isClosed() || stream_->unacknowledged() == 0u) return;
+    stream_->close();
+    host_.left(*this);
+}
+
 void HttpVisit::done(bool last) {
     busy_ = false, since_ = loop_.now();
     if (last) {
--- a/system/network/http_test.cpp
+++ b/system/network/http_test.cpp
@@ -683,6 +683,51 @@
     }
 }
 
+// A host that asks at once whether a client that has ended its sending still reads.
+class CheckingHost final : public HttpHost {
+  public:
+    explicit CheckingHost(Span patience) : patience_(patience) {}
+    void asked(HttpVisit&, HttpRequest&&) override {}
+    void left(HttpVisit&) override { ++leftCount; }
+    void hungUp(HttpVisit& visit) override { visit.checkPeer(patience_); }
+    const HttpLimits& limits() const override { return limits_; }
+    int leftCount = 0;
+
+  private:
+    Span patience_;
+    HttpLimits limits_;
+};
+
+// Guards against work for clients whose connection is gone without a reset. On a pair of local sockets bytes
+// count as acknowledged once the peer has read them.
+TEST(CheckPeer, APeerThatAcknowledgesNothingCountsAsDisconnected) {
+    for (const bool reads : {false, true}) {
+        int pair[2];
+        ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, pair), 0);
+        Loop loop;
+        CheckingHost host(Span::millis(50));
+        HttpVisit visit(loop, host, pair[0], 1);
+        ASSERT_EQ(::send(pair[1], kGet.data(), kGet.size(), 0), static_cast<ssize_t>(kGet.size()));
+        ::shutdown(pair[1], SHUT_WR);
+        std::string got(64, ' ');
+        loop.at(loop.now() + Span::millis(20), [&] {
+            if (reads)
+                got.resize(static_cast<size_t>(std::max<ssize_t>(0, ::recv(pair[1], got.data(), 64, 0))));
+        });
+        loop.at(loop.now() + Span::millis(150), [&] { loop.stop(); });
+        loop.run();
+        EXPECT_EQ(host.leftCount, reads ? 0 : 1);
+        if (reads) {
+            EXPECT_EQ(got, "HTTP/1.1 ");
+            visit.answer(200, "", "body");
+            std::string rest(200, ' ');
+            rest.resize(static_cast<size_t>(std::max<ssize_t>(0, ::recv(pair[1], rest.data(), 200, 0))));
+            EXPECT_EQ(rest.substr(0, 6), "200 OK");
+        }
+        ::close(pair[1]);
+    }
+}
+
 TEST_F(Visits, CloseIsHonoured) {
     for (const char* first :
          {"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
--- a/system/network/stream.cpp
+++ b/system/network/stream.cpp
@@ -2,9 +2,11 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -163,6 +165,12 @@
     if (unsent() == 0) finished_ = true, ::shutdown(fd_, SHUT_WR);
 }
 
+std::optional<size_t> Stream::unacknowledged() const {
+    int inKernel = 0;
+    if (fd_ < 0 || ioctl(fd_, SIOCOUTQ, &inKernel) != 0 || inKernel < 0) return std::nullopt;
+    return unsent() + static_cast<size_t>(inKernel);
+}
+
 void Stream::pauseReading(bool paused) {
     paused_ = paused;
     rewatch();
--- a/system/network/stream.hpp
+++ b/system/network/stream.hpp
@@ -47,6 +47,9 @@
     bool isConnected() const { return up_; }
     bool isClosed() const { return fd_ < 0; }
     size_t unsent() const { return out_.size() - sent_; }
+    // Bytes that the peer has not acknowledged, those that the kernel holds included; nothing if the kernel
+    // does not tell.
+    std::optional<size_t> unacknowledged() const;
     size_t memory() const { return in_.capacity() + out_.capacity(); }
     void close();
     void finishWriting();  // half-closes once all has gone out
--- a/system/proxy/dispatch.cpp
+++ b/system/proxy/dispatch.cpp
@@ -22,13 +22,31 @@
 constexpr size_t kMaxFormerInstances = 8;                // per service
 constexpr double kMaxQueueTimeShare = 0.45;              // of the time to the deadline; then rejected
 constexpr int kMinLatencySamples = 8;                    // fewer say nothing about a request class
-const Span kShutdownRetryAfter = Span::millis(30);       // other proxies can take the request at once
+const Span kFullBackoff = Span::millis(40);              // after an instance may have been full
+constexpr int kMaxBackoffDoublings = 4;
+const Span kShutdownRetryAfter = Span::millis(30);  // other proxies can take the request at once
 
 // A call that takes longer than this is far slower than others of its request class.
 Span outlierLatency(const policy::AnswerTimes& times) {
     return Span::seconds(std::max({2.5 * times.highQuantile, 1.5 * times.slowestDelivered, 0.15}));
 }
 
+// Whether an attempt whose client has disconnected is cut off. An instance works for nobody otherwise. A
+// non-idempotent request that was sent whole may run, and cutting it off would leave it half done. A connect
+// goes on, as nothing has been sent and its outcome tells whether the instance lives.
+bool mayCutOff(const IncomingRequest& request, AttemptProgress progress) {
+    switch (progress) {
+        case AttemptProgress::none:
+        case AttemptProgress::sending:
+            return true;
+        case AttemptProgress::connecting:
+            return false;
+        case AttemptProgress::sent:
+            return request.isIdempotent;
+    }
+    return false;
+}
+
 }  // namespace
 
 // The only place that decides whether a request may have executed. Uncertain outcomes count as executed.
@@ -369,11 +387,58 @@
     if (s.queue.empty()) queuedServices_.erase(r.service);
 }
 
-void Dispatch::cancelRequest(Instant, RequestId id) {
+bool Dispatch::cancelRequest(Instant now, RequestId id, AttemptProgress progress) {
     auto found = requests_.find(id);
-    if (found == requests_.end() || found->second.isInFlight) return;
-    dequeue(found->second);
-    eraseRequest(found->second);
+    if (found == requests_.end()) return true;
+    Request& r = found->second;
+    if (r.isCancelled) return false;
+    ++counters_.cancelled;
+    if (r.isInFlight && !mayCutOff(r.incoming, progress)) {
+        r.isCancelled = true;
+        return false;
+    }
+    const uint32_t service = r.service;
+    const bool wasInFlight = r.isInFlight;
+    if (wasInFlight) {
+        if (progress != AttemptProgress::none) ++counters_.cutOff, recordCallTime(now, r);
+        endCancelledAttempt(now, r);
+    } else {
+        dequeue(r);
+    }
+    eraseRequest(r);
+    if (wasInFlight) dispatchQueued(now, service);
+    return true;
+}
+
+// The slot is free once the instance has seen the connection close.
+void Dispatch::endCancelledAttempt(Instant now, const Request& r) {
+    const InstanceIndex index = r.instance;
+    Instance* i = instances_[index].get();
+    if (!i) return;
+    releaseSlot(now, *i);
+    i->abandonedUntil = std::max(i->abandonedUntil, r.sentAt + slowCallTime(r));
+    i->backoffUntil = std::max(i->backoffUntil, now + kFullBackoff);
+    scheduleWakeup(i->backoffUntil);
+    if (i->slots == 0 && i->inFlight == 0) removeInstance(now, index);
+}
+
+// A call that was cut off took at least this long. Without it, the mean of a service whose clients leave
+// before its slow calls end would be that of its quick calls.
+void Dispatch::recordCallTime(Instant now, const Request& r) {
+    const double took = (now - r.sentAt).inSeconds();
+    double& ofClass = requestClasses_[r.classIndex].meanSeconds;
+    double& ofService = services_[r.service].meanSeconds;
+    if (took > ofClass) ofClass = ofClass == 0 ? took : 0.95 * ofClass + 0.05 * took;
+    if (took > ofService) ofService = ofService == 0 ? took : 0.9 * ofService + 0.1 * took;
+}
+
+// Another proxy has its slots, or a call that was cut off still runs there: not all instances notice that a
+// connection has closed. In that case the instance is tried less and less often, as each rejection costs the
+// request one of its attempts. Drawback: its other slots are idle in the meantime.
+void Dispatch::onInstanceFull(Instant now, Instance& i) {
+    i.rejectionsInRow = now < i.abandonedUntil ? std::min(i.rejectionsInRow + 1, kMaxBackoffDoublings) : 0;
+    i.backoffUntil = std::max(i.backoffUntil, now + kFullBackoff * (1 << i.rejectionsInRow));
+    scheduleWakeup(i.backoffUntil);
 }
 
 std::optional<InstanceIndex> Dispatch::pickInstance(Instant now, const Service& s, const Request& r) const {
@@ -560,16 +625,14 @@
         switch (outcome) {
             case AttemptOutcome::answered:
             case AttemptOutcome::serverError:
-                i->connectFailures = 0, i->isReportedDead = false;
+                i->connectFailures = 0, i->isReportedDead = false, i->rejectionsInRow = 0;
                 break;
             case AttemptOutcome::notExecuted:
-                // Another proxy has its slots, or a call that was abandoned still runs there.
                 if (i->slots == 0) {
                     ++counters_.borrowedNotExecuted;
                     s.nextBorrowAt = now + Span::seconds(random_.uniform(0.1, 0.3));
                 }
-                i->backoffUntil = std::max(i->backoffUntil, now + Span::millis(40));
-                scheduleWakeup(i->backoffUntil);
+                onInstanceFull(now, *i);
                 break;
             case AttemptOutcome::misdirected:
                 // Counts as two failures, so that the instance is reported dead immediately.
@@ -585,7 +648,8 @@
                 break;
             case AttemptOutcome::timedOut:
                 ++counters_.timedOut;
-                i->backoffUntil = std::max(i->backoffUntil, now + Span::millis(40));
+                i->abandonedUntil = std::max(i->abandonedUntil, r.sentAt + slowCallTime(r));
+                i->backoffUntil = std::max(i->backoffUntil, now + kFullBackoff);
                 scheduleWakeup(i->backoffUntil);
                 break;
             case AttemptOutcome::notSent:
@@ -593,8 +657,11 @@
         }
         if (i->slots == 0 && i->inFlight == 0) removeInstance(now, at);
     }
-    if (answered && (outcome == AttemptOutcome::answered || !r.incoming.isIdempotent ||
-                     r.attempts >= r.incoming.maxAttempts)) {
+    if (r.isCancelled) {
+        outputs_.push_back(DropRequest{id});
+        eraseRequest(r);
+    } else if (answered && (outcome == AttemptOutcome::answered || !r.incoming.isIdempotent ||
+                            r.attempts >= r.incoming.maxAttempts)) {
         ++counters_.forwarded;
         outputs_.push_back(ForwardResponse{id});
         requests_.erase(found);
--- a/system/proxy/dispatch.hpp
+++ b/system/proxy/dispatch.hpp
@@ -67,6 +67,14 @@
 };
 bool mayHaveExecuted(AttemptOutcome);
 
+// How far the attempt of a request has got on its connection.
+enum class AttemptProgress : uint8_t {
+    none,        // there is no attempt, or no connection is assigned to it yet
+    connecting,  // no byte of the request has been sent
+    sending,     // a part of the request has not been sent, so the instance cannot run it
+    sent,
+};
+
 struct SendRequest {
     RequestId id;
     InstanceIndex instance;
@@ -84,6 +92,9 @@
 struct ForwardResponse {  // forward the response that the proxy stored for this request
     RequestId id;
 };
+struct DropRequest {  // its client has disconnected: forget it
+    RequestId id;
+};
 struct ProbeInstance {  // check whether the instance accepts connections
     InstanceIndex instance;
 };
@@ -95,8 +106,8 @@
     scaler::Report report;
 };
 // What the caller has to do next.
-using Output = std::variant<SendRequest, RejectRequest, FailRequest, ForwardResponse, ProbeInstance,
-                            ReleaseInstance, SendReport>;
+using Output = std::variant<SendRequest, RejectRequest, FailRequest, ForwardResponse, DropRequest,
+                            ProbeInstance, ReleaseInstance, SendReport>;
 
 struct InstanceInfo {
     std::string id, address, zone;
@@ -111,6 +122,8 @@
 struct Counters {
     uint64_t received = 0, sent = 0, forwarded = 0, rejectedImmediately = 0, rejectedAfterQueueing = 0,
              retries = 0, failed = 0;
+    uint64_t cancelled = 0;            // their clients disconnected
+    uint64_t cutOff = 0;               // of these, in flight and ended by closing the connection
     uint64_t rejectedForShutdown = 0;  // as they may not have ended in time; also among the rejected
     uint64_t notExecuted = 0, misdirected = 0, connectionBroken = 0, timedOut = 0, connectFailed = 0,
              probes = 0, reports = 0;
@@ -144,7 +157,10 @@
     // Applies the planner's grants of slots unless they are of an older term.
     void applyGrants(Instant now, const scaler::Grants&);
     void onRequest(Instant now, const IncomingRequest&);
-    void cancelRequest(Instant now, RequestId);  // the client has disconnected; nothing is answered
+    // The client has disconnected: nothing is answered, and no further attempt is made. Returns true if the
+    // request is forgotten; the caller then closes the connection of its attempt, if any. Returns false if
+    // the attempt goes on; once it has ended, DropRequest follows.
+    bool cancelRequest(Instant now, RequestId, AttemptProgress progress = AttemptProgress::none);
     void onAttemptEnded(Instant now, RequestId, AttemptOutcome);
     // Whether an attempt whose attemptTimeout has passed may be abandoned.
     bool mayAbandonAttempt(Instant now, RequestId);
@@ -176,6 +192,9 @@
         Instant nextProbeAt = Instant::longAgo();
         Instant backoffUntil = Instant::longAgo();  // no request is sent before this, as it refused one
         Instant idleSince;
+        // Until when a call that was cut off here may still run, and the rejections since then.
+        Instant abandonedUntil = Instant::longAgo();
+        int rejectionsInRow = 0;
         int connectFailures = 0;  // failed and broken connections since its last response
         bool isReportedDead = false;
         bool isTerminating = false;  // announced by the planner
@@ -209,6 +228,7 @@
         uint64_t sequence = 0;
         int attempts = 0;
         bool isInFlight = false, mayHaveExecuted = false, hasPendingRetry = false;
+        bool isCancelled = false;  // in flight, and its client has disconnected
         InstanceIndex instance = 0, avoidInstance = UINT32_MAX;
         AttemptOutcome lastOutcome = AttemptOutcome::notExecuted;
     };
@@ -235,6 +255,9 @@
     Instant latestStart(const Service&, const Request&) const;
     void sendRequest(Instant now, Request&, InstanceIndex);
     void releaseSlot(Instant now, Instance&);
+    void endCancelledAttempt(Instant now, const Request&);
+    void recordCallTime(Instant now, const Request&);
+    void onInstanceFull(Instant now, Instance&);
     void retryOrFinish(Instant now, Request&);
     bool mayRetry(Instant now, Service&);
     void setPendingRetry(Request&, bool);
--- a/system/proxy/proxy.cpp
+++ b/system/proxy/proxy.cpp
@@ -20,8 +20,9 @@
 const Span kConnectTimeout = Span::millis(700);          // for connecting to an instance
 const Span kUnacknowledgedTimeout = Span::millis(2500);  // after which a peer is considered gone
 constexpr size_t kMaxResponseBodyBytes = 16u << 20;
-const Span kMaxIdle = Span::seconds(8);                   // longest idle time of a kept connection
-const Span kRejectNewBeforeKill = Span::millis(1600);     // rejects new requests this long before the kill
+const Span kPeerCheckPatience = Span::millis(300);     // more than a round trip and a delayed acknowledgement
+const Span kMaxIdle = Span::seconds(8);                // longest idle time of a kept connection
+const Span kRejectNewBeforeKill = Span::millis(1600);  // rejects new requests this long before the kill
 const Span kRejectQueuedBeforeKill = Span::millis(1300);  // rejects queued requests then
 const Span kLateAfterSignal = Span::seconds(3);        // see DrainSchedule; at most half of the grace period
 const Span kAbandonBeforeKill = Span::millis(400);     // answers what is still in flight then
@@ -116,6 +117,9 @@
     InstanceConnection(Proxy& p, uint64_t i, InstanceIndex a, std::string name)
         : proxy(p), id(i), instanceIndex(a), instanceId(std::move(name)) {}
     void connected(Stream&) override {
+        // Nothing is sent for a client that has disconnected in the meantime.
+        if (requestId != 0 && !proxy.hasClient(requestId))
+            return proxy.failConnection(*this, AttemptOutcome::notSent);
         if (!isProbe) return;
         isProbe = false;
         isIdle = true, idleSince = proxy.loop_.now();
@@ -312,37 +316,48 @@
     scheduleOutputs();
 }
 
+// The end of its sending alone does not tell that the client has disconnected. If it has, left() follows.
 void Proxy::hungUp(HttpVisit& visit) {
     if (visit.tag == 0) return;
     ++clientsStoppedSending_;
-    auto found = exchanges_.find(visit.tag);
-    if (found == exchanges_.end() || !dispatch_.isQueued(visit.tag)) return;
-    // The request has not been sent and is not needed any more.
-    dispatch_.cancelRequest(loop_.now(), visit.tag);
-    eraseExchange(found);
-    visit.tag = 0;
-    loop_.soon([this, id = visit.id()] {
-        if (auto v = visits_.find(id); v != visits_.end()) left(*v->second);
-    });
+    visit.checkPeer(kPeerCheckPatience);
 }
 
 void Proxy::left(HttpVisit& visit) {
-    if (visit.tag != 0) {
-        auto found = exchanges_.find(visit.tag);
-        if (found != exchanges_.end()) {
-            found->second.visit = 0;
-            if (dispatch_.isQueued(visit.tag))
-                dispatch_.cancelRequest(loop_.now(), visit.tag), eraseExchange(found);
-            else
-                ++clientsGoneInFlight_;
-        }
-    }
+    if (visit.tag != 0) cancelExchange(visit.tag);
     auto at = visits_.find(visit.id());
     if (at == visits_.end()) return;
     loop_.bury(std::move(at->second));
     visits_.erase(at);
 }
 
+// Ends what is under way for a client that has disconnected, as far as Dispatch allows.
+void Proxy::cancelExchange(RequestId id) {
+    auto found = exchanges_.find(id);
+    if (found == exchanges_.end()) return;
+    Exchange& e = found->second;
+    e.visit = 0;
+    if (!dispatch_.isQueued(id)) ++clientsGoneInFlight_;
+    scheduleOutputs();
+    if (!dispatch_.cancelRequest(loop_.now(), id, progressOf(e))) return;
+    // The instance sees the close and may drop the request.
+    if (InstanceConnection* connection = e.connection)
+        connection->requestId = 0, closeConnection(*connection);
+    eraseExchange(found);
+}
+
+AttemptProgress Proxy::progressOf(const Exchange& e) const {
+    if (!e.connection) return AttemptProgress::none;
+    const Stream& stream = *e.connection->stream;
+    if (!stream.isConnected()) return AttemptProgress::connecting;
+    return stream.unsent() > 0 ? AttemptProgress::sending : AttemptProgress::sent;
+}
+
+bool Proxy::hasClient(RequestId id) const {
+    auto found = exchanges_.find(id);
+    return found != exchanges_.end() && found->second.visit != 0;
+}
+
 void Proxy::updateBufferedBytes(Exchange& e) {
     bufferedBytes_ -= e.countedBytes;
     e.countedBytes = e.request.raw.size() + e.request.body.size();
@@ -373,6 +388,8 @@
             answerWithStatus(g->id, g->status, "");
         else if (auto* p = std::get_if<ForwardResponse>(&*output))
             forwardResponse(p->id);
+        else if (auto* x = std::get_if<DropRequest>(&*output))
+            dropRequest(x->id);
         else if (auto* b = std::get_if<ProbeInstance>(&*output))
             probeInstance(b->instance);
         else if (auto* d = std::get_if<ReleaseInstance>(&*output))
@@ -605,6 +622,10 @@
     eraseExchange(found);
 }
 
+void Proxy::dropRequest(RequestId id) {
+    if (auto found = exchanges_.find(id); found != exchanges_.end()) eraseExchange(found);
+}
+
 void Proxy::probeInstance(InstanceIndex at) {
     const InstanceInfo* info = dispatch_.findInstance(at);
     if (!info) return;
@@ -755,7 +776,7 @@
         noRoute_, notReady_, c.borrowed, c.borrowedNotExecuted, excessResponses_, invalidResponses_,
         connects_, connectsSaved_, parkedCount_, fullConfigRequests_, visits_.size(), dispatch_.queuedCount(),
         rejectedConnections_, rejectedForMemory_, bufferedBytes_, c.rejectedForShutdown,
-        clientsStoppedSending_, clientsGoneInFlight_, abandonedAtExit_);
+        clientsStoppedSending_, c.cancelled, clientsGoneInFlight_, c.cutOff, abandonedAtExit_);
 }
 
 }  // namespace petrelpond::proxy
--- a/system/proxy/proxy.hpp
+++ b/system/proxy/proxy.hpp
@@ -91,6 +91,10 @@
     void onResponseData(InstanceConnection&);
     void onConnectionTimer(InstanceConnection&);
     std::string serializeRequest(const Exchange&, const std::string& instance) const;
+    void cancelExchange(RequestId);
+    AttemptProgress progressOf(const Exchange&) const;
+    bool hasClient(RequestId) const;
+    void dropRequest(RequestId);
     void answerWithStatus(RequestId, int status, std::string_view fields);
     void connectAgent();
     void updateBufferedBytes(Exchange&);
