--- a/fleet/system/clients.cpp
+++ b/fleet/system/clients.cpp
@@ -165,7 +165,7 @@
     int function = draws_[group](chance_);
     a.host = host(plan_, f);
     a.path = prefix(plan_, f, function) + "x" + std::to_string(chance_() % 100000) +
-             "?work=" + std::to_string(flow.work.inMicros() / 1000) +
+             "?work=" + std::to_string(drawWork(flow).inMicros() / 1000) +
              "&size=" + std::to_string(flow.body + static_cast<int>(chance_() % 2));
     a.repeatable = flow.repeatable;
     a.method = chance_() % 2 ? "POST" : "GET";
@@ -174,10 +174,21 @@
     a.zone = zones_[static_cast<size_t>(a.client) % zones_.size()];
     a.keeps = between(0, 1) < plan_.keepAlive;
     a.cameAt = loop_.now(), a.deadline = a.cameAt + flow.deadline;
+    if (flow.leaves + flow.halfCloses > 0) {
+        const double chance = between(0, 1);
+        a.halfCloses = chance < flow.halfCloses;
+        if (!a.halfCloses && chance < flow.halfCloses + flow.leaves) a.leavesAt = a.cameAt + flow.leavesAfter;
+    }
     ++results_[f].asked;
     attempt(a);
 }
 
+Span Clients::drawWork(const FlowPlan& flow) {
+    if (flow.workSpread <= 0) return flow.work;
+    const double sigma = std::sqrt(std::log(1 + flow.workSpread * flow.workSpread));
+    return flow.work * std::lognormal_distribution<double>(-sigma * sigma / 2, sigma)(chance_);
+}
+
 void Clients::direct(int machine, const std::string& host, const std::string& path, Asked asked) {
     Ask& a = asks_[nextAsk_];
     a.number = nextAsk_++, a.host = host, a.path = path, a.method = "GET", a.machine = machine;
@@ -267,11 +278,12 @@
         out += "\r\n" + a.body;
     }
     a.line->stream->send(out);
+    if (a.halfCloses) a.line->stream->finishWriting();
 }
 
 void Clients::arm(Ask& a) {
     loop_.cancel(a.timer);
-    Instant now = loop_.now(), first = a.deadline;
+    Instant now = loop_.now(), first = std::min(a.deadline, a.leavesAt);
     if (a.line && !a.line->stream->isConnected()) first = std::min(first, a.sentAt + kToComeUp);
     // Whether a request was read can't be seen on real sockets, only that its sender stands still.
     if (a.line && a.repeatable)
@@ -285,6 +297,7 @@
     Ask& a = found->second;
     a.timer = 0;
     Instant now = loop_.now();
+    if (now >= a.leavesAt) return leave(a);
     bool up = a.line && a.line->stream->isConnected();
     bool unread = a.repeatable && machines_.all()[static_cast<size_t>(a.machine)].frozen &&
                   now - a.sentAt >= std::min(kToBeRead, (a.deadline - a.sentAt) * (1.0 / 3));
@@ -305,7 +318,7 @@
     a.line = nullptr, line.ask = 0;
     bool excess = !line.stream->in().empty();
     if (excess) judge_.stray(now, line.machine, 200);
-    if (a.keeps && !answer.closes && !excess && !line.stream->isClosed()) {
+    if (a.keeps && !a.halfCloses && !answer.closes && !excess && !line.stream->isClosed()) {
         line.idleSince = now;
         idle_[line.client][line.machine].push_back(&line);
     } else {
@@ -362,6 +375,17 @@
     if (asked) asked(status);
 }
 
+// Closes the connection of a request that is under way, and asks for it no more.
+void Clients::leave(Ask& a) {
+    loop_.cancel(a.timer);
+    if (Line* line = std::exchange(a.line, nullptr)) {
+        judge_.left(loop_.now(), a.attempt);
+        line->ask = 0, bury(*line);
+    }
+    ++results_[static_cast<size_t>(a.flow)].left;
+    asks_.erase(a.number);
+}
+
 void Clients::bury(Line& line) {
     std::erase(idle_[line.client][line.machine], &line);
     auto found = lines_.find(line.id);
--- a/fleet/system/clients.hpp
+++ b/fleet/system/clients.hpp
@@ -35,6 +35,7 @@
 
 struct FlowResult {
     long asked = 0, inAim = 0, late = 0, refused = 0, failed = 0, open = 0, tries = 0;
+    long left = 0;                   // closed their connection before the answer
     std::map<int, long> lastStatus;  // of what was not served; 0: no answer
     std::vector<double> millis;      // of what was served
 };
@@ -68,6 +69,8 @@
         int client = 0, tries = 0, machine = 0;
         bool refusedOnly = true;  // no try may have run
         Instant cameAt, deadline, sentAt;
+        Instant leavesAt = Instant::never();
+        bool halfCloses = false;
         std::string attempt;
         Line* line = nullptr;
         network::TimerId timer = 0;
@@ -84,6 +87,8 @@
     void unanswered(Ask&, bool connected);
     void again(Ask&, Span wait);
     void over(Ask&, int status);
+    void leave(Ask&);
+    Span drawWork(const FlowPlan&);
     void arm(Ask&);
     void bury(Line&);
     int drawFunction(const GroupPlan&, size_t group);
--- a/fleet/system/judge.cpp
+++ b/fleet/system/judge.cpp
@@ -19,6 +19,10 @@
 // A request sent so soon after the SIGTERM may be cut off once so much of the grace is over.
 const Span kTakesOnAfterTerm = Span::seconds(3);
 constexpr double kGraceUsed = 5.0 / 6;
+// Of a client that has left: work is dropped within this, and no request arrives after it but for a few.
+const Span kGoneSlack = Span::millis(500);
+constexpr long kMostGoneArrivals = 5;
+constexpr long kGoneWorkingShare = 4;  // one in so many may still be at work
 
 std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
@@ -30,9 +34,9 @@
 }  // namespace
 
 std::string_view nameOf(Rule rule) {
-    static constexpr std::string_view names[kRules] = {"MIXED", "UNASKED", "TWICE", "REFUSED", "DENIED",
-                                                       "ROUTE", "DRAIN",   "LOST",  "CONFIG",  "FORGOTTEN",
-                                                       "ACKS",  "BUDGET",  "LIMIT", "RECOVER", "ENDS"};
+    static constexpr std::string_view names[kRules] = {
+        "MIXED", "UNASKED", "TWICE",     "REFUSED", "DENIED", "ROUTE", "DRAIN",   "LOST",
+        "GONE",  "CONFIG",  "FORGOTTEN", "ACKS",    "BUDGET", "LIMIT", "RECOVER", "ENDS"};
     return names[static_cast<size_t>(rule)];
 }
 
@@ -276,6 +280,37 @@
     if (now < r.is.deadline && !r.endpointBroke) judgeCut(now, r);
 }
 
+void Judge::left(Instant now, const std::string& id) {
+    auto found = requests_.find(id);
+    if (found == requests_.end()) return;
+    found->second.leftAt = now;
+}
+
+// Whether its client left over half a second ago, at a machine in touch since then.
+bool Judge::isGone(Instant now, const Request& r) const {
+    return r.leftAt != Instant::never() && now > r.leftAt + kGoneSlack &&
+           inTouch(r.is.machine, r.leftAt, r.leftAt + kGoneSlack);
+}
+
+// A run has ended, by itself or dropped, that would have ended at `wouldEnd`.
+void Judge::judgeWorkForGone(Instant ended, Instant wouldEnd, const Request& r) {
+    if (!r.is.repeatable || !isGone(wouldEnd, r)) return;
+    ++goneLasting_;
+    goneWorking_ += isGone(ended, r);
+}
+
+void Judge::finishGone(Instant now) {
+    if (goneArrivals_ > kMostGoneArrivals)
+        breach(Rule::gone, now,
+               std::to_string(goneArrivals_) + " requests reached an endpoint over " + seconds(kGoneSlack) +
+                   " after their client had left");
+    if (goneWorking_ * kGoneWorkingShare > goneLasting_)
+        breach(Rule::gone, now,
+               "endpoints were at work on " + std::to_string(goneWorking_) + " of " +
+                   std::to_string(goneLasting_) + " requests " + seconds(kGoneSlack) +
+                   " after their client had left");
+}
+
 // Whether nothing but this SIGTERM troubled the machine, endpoints or clients from contact_ms before the
 // request on.
 bool Judge::calmBut(Instant term, const Request& r, Instant now) const {
@@ -358,6 +393,7 @@
         breach(Rule::drain, now,
                nameOf(r) + " reached " + endpoint + " " + seconds(now - leaves->second) +
                    " after the list had shown it as draining");
+    goneArrivals_ += isGone(now, r);
     Service& s = services_[service];
     if (++r.arrivals == 1) return;
     Span w = bounds_.budgetWindow;
@@ -427,20 +463,23 @@
     handled(now, r, allowing, true, "run by " + service);
 }
 
-void Judge::answered(Instant, const std::string& id, int status, const std::string& seal, uint64_t body) {
+void Judge::answered(Instant now, const std::string& id, int status, const std::string& seal, uint64_t body) {
     auto found = requests_.find(id);
     if (found == requests_.end()) return;
     Request& r = found->second;
     if (r.open > 0) --r.open;
+    judgeWorkForGone(now, now, r);
     if (status == 0)
         r.endpointBroke = true;
     else
         r.given.push_back({status, seal, body});
 }
 
-void Judge::abandoned(const std::string& id) {
+void Judge::abandoned(Instant now, const std::string& id, Instant wouldEnd) {
     auto found = requests_.find(id);
-    if (found != requests_.end() && found->second.open > 0) --found->second.open;
+    if (found == requests_.end()) return;
+    if (found->second.open > 0) --found->second.open;
+    judgeWorkForGone(now, wouldEnd, found->second);
 }
 
 void Judge::leaves(Instant shown, const std::string& endpoint) { leaving_.emplace(endpoint, shown); }
@@ -512,6 +551,7 @@
     for (const auto& [key, change] : changes_)
         if (change.is.valid && !change.down && change.ackedAt == Instant::never()) checkAck(now, change);
     if (!readBack_ && !changes_.empty()) breach(Rule::forgotten, now, "no configuration could be read back");
+    finishGone(now);
     double allowed = 5 + static_cast<double>(requests_.size()) / 500;
     if (static_cast<double>(denied_) > allowed)
         breach(Rule::denied, now,
--- a/fleet/system/judge.hpp
+++ b/fleet/system/judge.hpp
@@ -24,6 +24,7 @@
     route,
     drain,
     lost,
+    gone,
     config,
     forgotten,
     acks,
@@ -32,7 +33,7 @@
     recover,
     ends
 };
-constexpr size_t kRules = 15;
+constexpr size_t kRules = 16;
 std::string_view nameOf(Rule);
 
 struct Bounds {
@@ -101,6 +102,7 @@
     void stray(Instant, int machine, int status);  // an answer where no request waits; 0: bytes that are none
     void spoilt(Instant, const std::string& id);   // bytes that are no answer in the place of one
     void broken(Instant, const std::string& id);   // its connection ended without a whole answer
+    void left(Instant, const std::string& id);     // it closed its connection before the answer
 
     // ---- endpoints
     // misdirected: it named another endpoint and is told so.
@@ -111,7 +113,8 @@
              std::string_view target, uint64_t body);
     // As written whole to the system. status 0: it broke off, or what it wrote was no answer.
     void answered(Instant, const std::string& id, int status, const std::string& seal, uint64_t body);
-    void abandoned(const std::string& id);  // dropped at work, as the caller's connection ended
+    // Dropped at work, as the caller's connection ended; wouldEnd: when its work would have ended.
+    void abandoned(Instant, const std::string& id, Instant wouldEnd);
     void leaves(Instant shown, const std::string& endpoint);  // the list shows it as draining from then on
 
     // ---- operators
@@ -144,6 +147,7 @@
         Instant at;
         int life = 0, runs = 0, arrivals = 0, open = 0;  // open: runs without their end
         bool promised = false, endpointBroke = false;
+        Instant leftAt = Instant::never();  // when its client closed the connection
         std::vector<Given> given;
     };
     struct Machine {
@@ -169,6 +173,9 @@
     bool wasTakenOn(const Request&, Instant now) const;
     Span unwatched(Instant from, Instant until) const;
     void judgeCut(Instant now, const Request&);
+    bool isGone(Instant now, const Request&) const;
+    void judgeWorkForGone(Instant ended, Instant wouldEnd, const Request&);
+    void finishGone(Instant now);
     void breach(Rule, Instant, std::string words);
     bool calm(const std::vector<Trouble>&, Instant from, Instant to) const;
     bool settled(Instant from, Instant to) const;
@@ -193,6 +200,9 @@
     Instant watchedAt_ = Instant::never();
     std::vector<std::pair<Instant, bool>> outcomes_;  // of requests by when they were sent: served?
     long denied_ = 0, keptCut_ = 0;
+    // Of clients that had left: requests that reached an endpoint later than half a second after; repeatable
+    // ones that would have lasted so long, and of these those at which an endpoint was still at work then.
+    long goneArrivals_ = 0, goneLasting_ = 0, goneWorking_ = 0;
     bool platformIsAway_ = false, readBack_ = false;
     std::vector<Breach> breaches_;
     std::array<int, kRules> counts_{};
--- a/fleet/system/plan.cpp
+++ b/fleet/system/plan.cpp
@@ -284,6 +284,12 @@
         f.priority = p.whole("priority", 1, 0, 9),
         f.attempts = p.whole("attempts", f.repeatable ? 2 : 1, 1, 9);
         f.tries = p.whole("tries", 3, 1, 9), f.body = p.whole("body", 600, 0, 1000000);
+        f.workSpread = p.number("work_spread", f.workSpread, 0, 3);
+        f.leaves = p.number("leaves", f.leaves, 0, 1);
+        f.halfCloses = p.number("half_closes", f.halfCloses, 0, 1);
+        f.leavesAfter = p.millis("leaves_after_ms", f.leavesAfter);
+        if (f.leaves + f.halfCloses > 1)
+            p.wrong(p.find("half_closes"), "half_closes", "must be at most 1 together with leaves");
         plan.flows.push_back(f);
     });
     all.tables("fault", [&](Part& p) { plan.faults.push_back(readFault(p, plan, names)); });
--- a/fleet/system/plan.hpp
+++ b/fleet/system/plan.hpp
@@ -27,6 +27,11 @@
     double rate = 10;  // a second
     Span work = Span::millis(80), aim = Span::millis(400), deadline = Span::millis(4000);
     int priority = 1, attempts = 2, tries = 3, body = 600;  // tries: of a client; body: bytes of an answer
+    double workSpread = 0;  // standard deviation of the work, as a share of its mean; log-normal
+    // Shares of the clients that close their connection `leavesAfter` their request, and that end their
+    // sending with it and wait for the answer.
+    double leaves = 0, halfCloses = 0;
+    Span leavesAfter = Span::millis(300);
 };
 
 enum class Kind {
--- a/fleet/system/platform.cpp
+++ b/fleet/system/platform.cpp
@@ -373,7 +373,7 @@
         if (reset)
             of_.judge_.answered(of_.loop_.now(), v.attempt, 0, "", 0);
         else
-            of_.judge_.abandoned(v.attempt);
+            of_.judge_.abandoned(of_.loop_.now(), v.attempt, v.workEnds);
     }
     if (reset) {
         linger none{1, 0};
@@ -427,8 +427,8 @@
     work *= pace_ * of_.between(0.7, 1.3);
     bool late = work > ms;
     uint64_t pieces = std::strtoul(parameter(request.target(), "size").c_str(), nullptr, 10);
-    v.work = of_.loop_.at(now + Span::seconds(std::min(work, ms) / 1e3),
-                          [this, n = visit.id(), late, pieces] { finish(n, late, pieces); });
+    v.workEnds = now + Span::seconds(std::min(work, ms) / 1e3);
+    v.work = of_.loop_.at(v.workEnds, [this, n = visit.id(), late, pieces] { finish(n, late, pieces); });
 }
 
 void Endpoint::finish(uint64_t n, bool late, uint64_t size) {
--- a/fleet/system/platform.hpp
+++ b/fleet/system/platform.hpp
@@ -57,6 +57,7 @@
         std::unique_ptr<network::HttpVisit> http;
         int fd = -1;
         network::TimerId work = 0;
+        Instant workEnds;
         std::string attempt, before;  // before: the attempt whose answer went out last
     };
     void finish(uint64_t visit, bool late, uint64_t pieces);
--- a/fleet/system/soak_plan.cpp
+++ b/fleet/system/soak_plan.cpp
@@ -32,6 +32,7 @@
         begin_ = plan_.settle + Span::seconds(1);
         end_ = plan_.lasts - kCalmAtTheEnd;
         moves_ = asked.seed / 3 % 2 == 1;
+        addLongCalls();
     }
 
     Plan drawn() {
@@ -44,6 +45,22 @@
     }
 
   private:
+    // Calls that last longer than what is left of a grace period, and clients that leave before they end.
+    void addLongCalls() {
+        GroupPlan group;
+        group.name = "long", group.count = 2, group.slots = 2, group.boot = Span::millis(400);
+        plan_.groups.push_back(group);
+        FlowPlan once;
+        once.name = "long-once", once.group = static_cast<int>(plan_.groups.size()) - 1;
+        once.repeatable = false, once.attempts = 1, once.rate = 5;
+        once.work = Span::millis(1500), once.workSpread = 0.4;
+        once.aim = Span::seconds(5), once.deadline = Span::seconds(8);
+        FlowPlan often = once;
+        often.name = "long-often", often.repeatable = true, often.attempts = 2;
+        often.leaves = 0.5, often.halfCloses = 0.2;
+        plan_.flows.push_back(once), plan_.flows.push_back(often);
+    }
+
     void drawChanges() {
         const int gap = draw_.of(std::vector<int>{150, 300, 600});
         for (Span at = begin_; at < plan_.lasts - Span::seconds(4); at = at + draw_.millis(gap / 2, gap)) {
--- a/fleet/system/stage.cpp
+++ b/fleet/system/stage.cpp
@@ -339,6 +339,7 @@
         };
         say("  %-24s %7ld %8ld %6ld %8ld %7ld %6ld %8.0f %8.0f\n", o.flowNames[i].c_str(), f.asked, f.inAim,
             f.late, f.refused, f.failed + f.open, f.tries, at(0.5), at(0.99));
+        if (f.left > 0) say("      %ld clients left before their answer\n", f.left);
         if (f.lastStatus.empty()) continue;
         out += "      not served, by their last answer:";
         for (auto [status, n] : f.lastStatus)
--- a/tests/system/judge_test.cpp
+++ b/tests/system/judge_test.cpp
@@ -71,6 +71,54 @@
     CHECK(p.verdict() == "");
 }
 
+TEST_CASE("GONE: endpoints work for clients that have left") {
+    Play p;
+    const auto leave = [&p](int64_t at, bool repeatable = true) {
+        const std::string id = p.ask(at - 300, "/a/x", repeatable);
+        p.run(at - 290, id);
+        p.judge.left(ms(at), id);
+        return id;
+    };
+    for (int64_t at = 10000; at < 10400; at += 100) p.judge.abandoned(ms(at + 40), leave(at), ms(at + 900));
+    SECTION("dropped in time, or over by then") {
+        p.answer(10900, leave(10500));
+        CHECK(p.verdict() == "");
+    }
+    SECTION("a quarter of them at work") {
+        p.answer(11200, leave(10600));
+        CHECK(p.verdict() == "");
+    }
+    SECTION("over a quarter at work, to their end or dropped late") {
+        p.answer(11200, leave(10600)), p.judge.abandoned(ms(11300), leave(10700), ms(12000));
+        CHECK(p.verdict() == "GONE ");
+    }
+    SECTION("once-only requests may run to their end") {
+        for (int64_t at = 11000; at < 12000; at += 100) p.answer(at + 900, leave(at, false));
+        CHECK(p.verdict() == "");
+    }
+    SECTION("arrivals after they have left") {
+        for (int64_t at = 11000; at < 11600; at += 100) {
+            const std::string id = leave(at, false);
+            p.judge.answered(ms(at + 10), id, 0, "", 0);
+            p.judge.reached(ms(at + 501), id, "i-2", "a");
+        }
+        CHECK(p.verdict() == "GONE ");
+    }
+    SECTION("no more than a few of these") {
+        for (int64_t at = 11000; at < 11500; at += 100) {
+            const std::string id = leave(at, false);
+            p.judge.answered(ms(at + 10), id, 0, "", 0);
+            p.judge.reached(ms(at + 501), id, "i-2", "a");
+        }
+        CHECK(p.verdict() == "");
+    }
+    SECTION("not at a machine in trouble") {
+        p.judge.harmed(kEdge, ms(10550), ms(10580));
+        for (int64_t at = 10600; at < 11000; at += 100) p.answer(at + 900, leave(at));
+        CHECK(p.verdict() == "");
+    }
+}
+
 TEST_CASE("MIXED: a client gets what is not its endpoint's whole answer") {
     Play p;
     auto id = p.ask(10000);
