Control plane: an answer that is still being written holds the end of a leaving core up

Callers saw: nothing reported; the same cause as at the proxy, found on a related path. An operator that reads a large configuration slowly would get a part of it when the core leaves.

Cause: a core that leaves ended once no operation was pending; an answer of which the kernel had not taken all counted as over.

Evidence: ControlTest.ALongAnswerIsSentWholeBeforeTheCoreEnds (7 MB) failed before, 3,904,956 bytes came; it passes now.

Fix: HttpVisit::hasUnsentAnswer() is asked as at the proxy, up to 0.8 s before the kill as before.

--- a/system/control_plane/control.cpp
+++ b/system/control_plane/control.cpp
@@ -52,6 +52,8 @@
 const Span kMajorityLossDelay =
     Span::seconds(5);  // delay before the loss of a majority of disks is logged; a rebuild takes 1.2 s
 
+const Span kStopBeforeKill = Span::millis(800);  // a core that leaves ends by then
+
 constexpr const char* kJsonHeader = "Content-Type: application/json\r\n";
 
 // Parses {"gone":["10.0.0.4"],"come":["10.0.0.9"]}: ips, either may be omitted. Empty if malformed.
@@ -645,7 +647,11 @@
 void Control::stopWhenDone() {
     Span lasts = loop_.now() - leavingSince_;
     const bool dispensable = lasts > Span::millis(500) && core_->mayLeave(loop_.now());
-    if ((pendingOperations_.empty() && dispensable) || lasts > settings_.bounds.grace - Span::millis(800)) {
+    // An answer that is still being written would reach its caller in part.
+    const bool isWriting = std::any_of(visits_.begin(), visits_.end(),
+                                       [](const auto& each) { return each.second->hasUnsentAnswer(); });
+    const bool isIdle = pendingOperations_.empty() && !isWriting;
+    if ((isIdle && dispensable) || lasts > settings_.bounds.grace - kStopBeforeKill) {
         logCounters();
         loop_.stop();
     }
--- a/system/control_plane/control_test.cpp
+++ b/system/control_plane/control_test.cpp
@@ -118,8 +118,14 @@
     void woke(uint32_t) override {
         uint64_t count = 0;
         (void)!read(wake_, &count, sizeof count);
+        if (leavesNext_.exchange(false)) return control_->leave();
         loop_->stop();
     }
+    void leave() {
+        leavesNext_ = true;
+        uint64_t one = 1;
+        (void)!write(wake_, &one, sizeof one);
+    }
 
     Got raw(const std::string& bytes) { return rawAt(ip_, settings_.control->port, bytes); }
     // Retries after a 503, as operators do: the voters have to be agreed on first.
@@ -145,6 +151,7 @@
     }
 
     int wake_;
+    std::atomic<bool> leavesNext_ = false;
     std::string ip_;
     std::filesystem::path folder_;
     configuration::Settings settings_;
@@ -496,6 +503,36 @@
     call(1, "GET /status", "", 200, R"("in_contact":true)");
 }
 
+// Guards against a long answer that is cut off when its core leaves: the caller begins to read once the core
+// has nothing else to do.
+TEST_F(ControlTest, ALongAnswerIsSentWholeBeforeTheCoreEnds) {
+    const std::string text = configuration(7, std::string(7u << 20, ' '));
+    ASSERT_EQ(put(text).status, 200);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    timeval operationTimeout{5, 0};  // only a failing test waits this long
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &operationTimeout, sizeof operationTimeout);
+    const int smallBuffer = 65536;
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &smallBuffer, sizeof smallBuffer);
+    sockaddr_in at{};
+    at.sin_family = AF_INET, at.sin_port = htons(settings_.control->port);
+    at.sin_addr.s_addr = htonl(network::Address::parse(ip_, 1)->ip);
+    ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
+    const std::string line = "GET /configuration HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    ASSERT_EQ(send(fd, line.data(), line.size(), MSG_NOSIGNAL), static_cast<ssize_t>(line.size()));
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    leave();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    std::string in;
+    std::vector<char> some(65536);
+    for (ssize_t n; (n = recv(fd, some.data(), some.size(), 0)) > 0;)
+        in.append(some.data(), static_cast<size_t>(n));
+    close(fd);
+    network::HttpAnswer answer;
+    ASSERT_EQ(network::takeAnswer(in, true, network::kMostFrame, answer), network::Reading::whole)
+        << in.size() << " bytes came";
+    EXPECT_TRUE(answer.body == text);
+}
+
 TEST_F(ControlTest, OtherCallsAreToldApart) {
     EXPECT_EQ(call("GET", "/voters").status, 405);
     EXPECT_EQ(call("POST", "/configuration").status, 405);
