--- a/fleet/net.cpp
+++ b/fleet/net.cpp
@@ -103,7 +103,6 @@
 }
 
 void Loop::run() {
-    stopped_ = false;
     std::vector<epoll_event> events(512);
     while (!stopped_) {
         int wait = 1000;
@@ -127,6 +126,7 @@
             node.mapped()();
         }
     }
+    stopped_ = false;
 }
 
 double Loop::lateAt(double quantile) const {
--- a/fleet/net.hpp
+++ b/fleet/net.hpp
@@ -32,6 +32,7 @@
     Timer at(Instant when, std::function<void()> what);
     void cancel(const Timer& timer) { timers_.erase(timer); }
     void run();
+    // Ends run(), or the next one if none is under way.
     void stop() { stopped_ = true; }
 
     // Of the clock that does not jump, counted from the loop's start or from zeroNow().
--- a/system/proxy/proxy.hpp
+++ b/system/proxy/proxy.hpp
@@ -14,31 +14,11 @@
 #include "system/network/link.hpp"
 #include "system/network/loop.hpp"
 #include "system/proxy/dispatch.hpp"
+#include "system/proxy/readiness_server.hpp"
 #include "system/proxy/response_reader.hpp"
 
 namespace petrelpond::proxy {
 
-// Serves the platform's readiness check on a listener of its own.
-class ReadinessServer final : public network::HttpHost {
-  public:
-    ReadinessServer(network::Loop& loop, std::function<bool()> ready)
-        : loop_(loop), isReady_(std::move(ready)) {}
-    // Returns false with a message in `error` if the address cannot be opened.
-    bool listen(network::Address, std::string& error);
-    void asked(network::HttpVisit&, network::HttpRequest&&) override;
-    void left(network::HttpVisit&) override;
-    const network::HttpLimits& limits() const override { return limits_; }
-    void closeTimedOut();  // closes connections that are idle for too long; to be called periodically
-
-  private:
-    network::Loop& loop_;
-    std::function<bool()> isReady_;
-    network::HttpLimits limits_;
-    std::unique_ptr<network::Listener> listener_;
-    std::unordered_map<uint64_t, std::unique_ptr<network::HttpVisit>> visits_;
-    uint64_t nextVisitId_ = 1;
-};
-
 // Accepts requests from clients, asks Dispatch where to send them and forwards the responses.
 class Proxy final : public network::HttpHost, public network::LinkOwner {
   public:
--- a/tests/fleet/links_test.cpp
+++ b/tests/fleet/links_test.cpp
@@ -253,3 +253,15 @@
     ::close(late);
     for (int fd : taken) ::close(fd);
 }
+
+TEST_CASE("the loop: a stop before the run ends it at once, and the next run goes on") {
+    Loop loop;
+    bool waited = false;
+    loop.stop();
+    loop.at(loop.now() + Span::millis(200), [&] { waited = true, loop.stop(); });
+    loop.run();
+    CHECK_FALSE(waited);
+    loop.at(loop.now() + Span::millis(400), [&] { loop.stop(); });
+    loop.run();
+    CHECK(waited);
+}
