--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that review/4 to review/8 start. Needs the compiler alone.
+set -euo pipefail
+cd "$(dirname "$0")/standin-2"
+mkdir -p build
+c++ -std=c++20 -O1 -g -Wall -Wextra -pthread -c stage.cpp -o build/stage.o
+for case in second_answer long_answer; do
+    c++ -std=c++20 -O1 -g -Wall -Wextra -pthread "$case.cpp" build/stage.o -o "build/$case"
+done
