--- a/review/standin-2/first_start.cpp
+++ b/review/standin-2/lost_disks.cpp
@@ -1,7 +1,8 @@
-// All processes of the core are killed at the same moment while the system starts for the first time. They come
-// back within a second, with their disks.
+// Two of five core machines lose their disks at the same moment while the system starts for the first time, before
+// a configuration was sent. They come back a second later with empty disks.
 #include <signal.h>
 
+#include <filesystem>
 #include <string>
 
 #include "stage.hpp"
@@ -17,21 +18,18 @@
         sleepMs(80);
         return a.wire.write(answer200(a.endpoint, a.attempt, "in stock\n"));
     };
-    Stage all(1, 3, services, serve);
+    Stage all(1, 5, services, serve);
     stage = &all;
-    // All machines start within 0.3 s of each other, in any order.
-    all.start(all.edges[0]);
-    all.start(all.cores[0]);
-    sleepMs(250);
-    all.start(all.cores[1]);
-    all.start(all.cores[2]);
-    all.edges[0].bootstrap = false;
-    for (Machine& m : all.cores) m.bootstrap = false;  // of any later start
+    all.startAll();
+    sleepMs(700);
     if (trouble()) {
-        sleepMs(2);
-        for (Machine& m : all.cores) all.signal(m, SIGKILL);
-        sleepMs(500);
-        for (Machine& m : all.cores) all.start(m);
+        for (int i : {0, 1}) all.signal(all.cores[i], SIGKILL);
+        for (int i : {0, 1}) {
+            std::filesystem::remove_all(all.cores[i].folder + "/disk");
+            note("%s: its disk is lost", all.cores[i].name.c_str());
+        }
+        sleepMs(1000);
+        for (int i : {0, 1}) all.start(all.cores[i]);
     }
     const std::string order =
         configuration(1, {{"/stock-peek/", "floorcheck", true, 2, 2, 8000, 400}}, services);
