--- a/review/standin-2/second_answer.cpp
+++ b/review/standin-2/second_answer.cpp
@@ -24,10 +24,11 @@
         routes.push_back({"/restock-order-" + std::to_string(i) + "/", name, true, 2, 2, 8000, 1500});
     }
     Stage* stage = nullptr;
+    std::map<std::string, std::atomic<long>> heldUntil;  // the slot of a function's endpoint
+    for (const ServicePlan& s : services) heldUntil[s.name] = 0;
     auto serve = [&](Arrival& a) {
-        // A new connection holds the slot for a moment: what comes on it at once finds the endpoint full. So
-        // does what comes while a request is at work.
-        if (nowMs() - a.acceptedAt < 25 || a.endpoint.busy >= a.endpoint.slots) {
+        // Full: another caller's new connection holds the slot for a moment, or a request is at work.
+        if (nowMs() < heldUntil[a.endpoint.service] || a.endpoint.busy >= a.endpoint.slots) {
             note("endpoint %s is full, turns attempt %s away", a.endpoint.id.c_str(), a.attempt.c_str());
             a.kept["turned away"] = a.attempt;
             return a.wire.write(answerFull(a.attempt));
@@ -63,7 +64,14 @@
                 reads += ask(ip, all.front, request("GET", "shop.example", path, freshAttempt(), 8000), 9000).status ==
                          200;
             }
-            sleepMs(1000);
+            // Another caller opens a connection to the endpoint, which holds its slot for a moment.
+            std::unique_ptr<Wire> other;
+            for (auto& e : all.platform->endpoints())
+                if (e->service == services[i].name && !e->stopped && nowMs() > e->upAt) {
+                    other = dial(e->ip, e->port);
+                    heldUntil[e->service] = nowMs() + 25;
+                    note("another caller connects to endpoint %s", e->id.c_str());
+                }
             attempts[i] = freshAttempt();
             const std::string path = "/delivery-booking-" + std::to_string(i) + "/sofa";
             note("client sends POST %s, attempt %s", path.c_str(), attempts[i].c_str());
