--- a/review/standin-2/stage.cpp
+++ b/review/standin-2/stage.cpp
@@ -95,7 +95,7 @@
 
 void cannotRun(const std::string& why) {
     note("the case could not run: %s", why.c_str());
-    if (current) current->endAll();
+    if (current) current->cleanUp();
     std::_Exit(2);
 }
 
@@ -446,10 +446,14 @@
 }
 
 Stage::~Stage() {
+    cleanUp();
+    current = nullptr;
+}
+
+void Stage::cleanUp() {
     endAll();
     std::error_code ignored;
     if (!std::getenv("REVIEW_KEEP")) std::filesystem::remove_all(folder_, ignored);
-    current = nullptr;
 }
 
 void Stage::writeSettings(Machine& m) {
--- a/review/standin-2/stage.hpp
+++ b/review/standin-2/stage.hpp
@@ -142,6 +142,7 @@
     void signal(Machine&, const std::string& program, int number);
     bool waitEnded(Machine&, const std::string& program, long ms);
     void endAll();                                 // kills what still runs
+    void cleanUp();                                // the same, and removes the temporary folder
     // Every process that ended without having been told to is told of here.
     std::vector<std::string> unexpectedEnds();
     void put(const std::string& json, long forMs = 15000);  // until acknowledged by a core
