--- a/review/standin-2/stage.cpp
+++ b/review/standin-2/stage.cpp
@@ -93,10 +93,15 @@
     if (ms > 0) std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
+void finish(int verdict) {
+    if (current) current->cleanUp();
+    std::fflush(nullptr);
+    std::_Exit(verdict);  // threads of the stand-ins may still be at work
+}
+
 void cannotRun(const std::string& why) {
     note("the case could not run: %s", why.c_str());
-    if (current) current->cleanUp();
-    std::_Exit(2);
+    finish(2);
 }
 
 bool trouble() {
--- a/review/standin-2/stage.hpp
+++ b/review/standin-2/stage.hpp
@@ -27,6 +27,7 @@
 void note(const char* format, ...) __attribute__((format(printf, 1, 2)));
 long nowMs();
 void sleepMs(long ms);
+[[noreturn]] void finish(int verdict);               // ends all processes, then this one
 [[noreturn]] void cannotRun(const std::string& why);  // exit code 2, after all processes were ended
 bool trouble();                                       // TROUBLE=0 in the environment: false
 
