Control plane: how long a pass of the planner holds up the event loop is logged

A pass of 100 ms and more is now a line with the number of searches for a slot that it made; the counters of the duty and the status have the longest pass of the term.

--- a/system/control_plane/scaler_host.cpp
+++ b/system/control_plane/scaler_host.cpp
@@ -119,8 +119,19 @@
     });
 }
 
+// Against a core that stops answering while the planner computes, which looks from outside like a lost core.
+void ScalerHost::recordPass(Instant startedAt, uint64_t searchesBefore) {
+    const Span duration = network::Loop::clock() - startedAt;
+    if (!passMonitor_.record(duration)) return;
+    const scaler::Counters& counters = planner_.counters();
+    spdlog::warn("startup duty of term {}: a pass of the planner took {} ms, with {} searches for a slot",
+                 term_, duration.inMicros() / 1000, counters.slotSearches - searchesBefore);
+}
+
 void ScalerHost::pump() {
     isPumpScheduled_ = false;
+    const Instant startedAt = network::Loop::clock();
+    const uint64_t searchesBefore = planner_.counters().slotSearches;
     while (auto output = planner_.next()) {
         if (auto* t = std::get_if<scaler::GrantsMessage>(&*output))
             sendGrants_(t->to, t->grants);
@@ -129,6 +140,7 @@
         else if (auto* s = std::get_if<scaler::StopCall>(&*output))
             sendStop(*s);
     }
+    recordPass(startedAt, searchesBefore);
     if (!isReadyLogged_ && planner_.isReady()) {
         isReadyLogged_ = true;
         spdlog::info("startup duty of term {}: learning finished after {:.2f} s", term_,
@@ -144,7 +156,12 @@
 
 void ScalerHost::tick() {
     Instant now = loop_.now();
-    if (now >= planner_.wakeAt()) planner_.tick(now);
+    if (now >= planner_.wakeAt()) {
+        const Instant startedAt = network::Loop::clock();
+        const uint64_t searchesBefore = planner_.counters().slotSearches;
+        planner_.tick(now);
+        recordPass(startedAt, searchesBefore);
+    }
     requestLists();
     pump();
 }
@@ -268,10 +285,11 @@
         "drained={} "
         "wrong_term={} overheld={} lent={} searches={} instances={} booting={} slots={} waiting={} "
         "list_calls={} "
-        "list_failures={}",
+        "list_failures={} longest_pass_ms={} long_passes={}",
         term_, c.starts, c.startsFailed, c.stops, c.grantMessages, c.recalledSlots, c.adopted, c.lost,
         c.drained, c.wrongTerm, c.overcommitted, c.reassignedSlots, c.slotSearches, c.instances, c.booting,
-        c.slots, c.waiting, listCalls_, listFailures_);
+        c.slots, c.waiting, listCalls_, listFailures_, passMonitor_.longest().inMicros() / 1000,
+        passMonitor_.longPassCount());
 }
 
 }  // namespace petrelpond::control_plane
--- a/system/control_plane/scaler_host.hpp
+++ b/system/control_plane/scaler_host.hpp
@@ -7,6 +7,7 @@
 
 #include "system/configuration/configuration.hpp"
 #include "system/configuration/settings.hpp"
+#include "system/control_plane/pass_monitor.hpp"
 #include "system/network/http_caller.hpp"
 #include "system/network/loop.hpp"
 #include "system/scaler/planner.hpp"
@@ -29,12 +30,14 @@
     }  // unread reports are queued on this core
     uint64_t term() const { return term_; }
     const scaler::Planner& planner() const { return planner_; }
+    const PassMonitor& passMonitor() const { return passMonitor_; }
     void logCounters() const;
 
   private:
     void schedulePump();
     void pump();
     void tick();
+    void recordPass(Instant startedAt, uint64_t searchesBefore);
     void requestLists();
     void requestEndpoints(const std::string& page, std::vector<scaler::ListedInstance> collected);
     void requestWorkers();
@@ -47,6 +50,7 @@
     uint64_t term_;
     SendGrants sendGrants_;
     scaler::Planner planner_;
+    PassMonitor passMonitor_;
     std::unique_ptr<network::HttpCaller> listCaller_, startStopCaller_;
     bool isPumpScheduled_ = false, isListingEndpoints_ = false, isListingWorkers_ = false,
          isReadyLogged_ = false;
--- a/system/control_plane/status.cpp
+++ b/system/control_plane/status.cpp
@@ -145,6 +145,7 @@
 
     if (scalerHost_) {
         const scaler::Counters& counters = scalerHost_->planner().counters();
+        const Span longestPass = scalerHost_->passMonitor().longest();
         w.Key("planner"), w.StartObject();
         writeNumber(w, "term", scalerHost_->term());
         writeNumber(w, "starts", counters.starts), writeNumber(w, "starts_failed", counters.startsFailed);
@@ -152,6 +153,7 @@
             writeNumber(w, "lost", counters.lost);
         writeNumber(w, "drained", counters.drained), writeNumber(w, "overheld", counters.overcommitted);
         writeNumber(w, "wrong_term", counters.wrongTerm), writeNumber(w, "recalls", counters.recalledSlots);
+        writeNumber(w, "longest_pass_ms", longestPass.inMicros() / 1000);
         auto services = scalerHost_->planner().serviceStates();
         // If there are too many, services with waiting requests come first, then those with instances.
         std::sort(services.begin(), services.end(),
