--- a/system/control_plane/scaler_host.cpp
+++ b/system/control_plane/scaler_host.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <limits>
 #include <map>
 
 namespace petrelpond::control_plane {
@@ -16,9 +17,13 @@
     return at != v.MemberEnd() && at->value.IsString() ? at->value.GetString() : std::string();
 }
 
+// A number beyond the range of int counts as the nearest one in it: converting it as it is would be
+// undefined.
 int intField(const rapidjson::Value& v, const char* name, int otherwise) {
     auto at = v.FindMember(name);
-    return at != v.MemberEnd() && at->value.IsNumber() ? static_cast<int>(at->value.GetDouble()) : otherwise;
+    if (at == v.MemberEnd() || !at->value.IsNumber()) return otherwise;
+    constexpr double kLeast = std::numeric_limits<int>::min(), kMost = std::numeric_limits<int>::max();
+    return static_cast<int>(std::clamp(at->value.GetDouble(), kLeast, kMost));
 }
 
 std::string escapeJson(std::string_view s) {
--- a/system/scaler/planner.cpp
+++ b/system/scaler/planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <limits>
 #include <map>
 #include <random>
 #include <set>
@@ -10,6 +11,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "system/scaler/apportion.hpp"
 #include "system/scaler/tuning.hpp"
 
 namespace petrelpond::scaler {
@@ -18,6 +20,14 @@
 struct Service;
 struct Instance;
 
+// Sums of slots. A configuration may give one instance two thousand million, so that three instances exceed
+// 32 bits.
+using SlotCount = uint64_t;
+
+uint32_t saturate32(SlotCount n) {
+    return static_cast<uint32_t>(std::min<SlotCount>(n, std::numeric_limits<uint32_t>::max()));
+}
+
 // Orders pointers by creation number. Ordering by address would make decisions differ between runs of the
 // process, so a schedule found by the randomized test could not be replayed.
 struct CreationOrder {
@@ -48,7 +58,7 @@
     double rate = 0;  // calls per second, averaged with Tuning::fastTau
     Instant rateUpdatedAt;
     Instant lastGrantedAt = Instant::longAgo();
-    uint32_t upCover = 0, bootCover = 0, granted = 0;  // recomputed in each pass
+    SlotCount upCover = 0, bootCover = 0, granted = 0;  // recomputed in each pass
 };
 
 // The slots of one instance that one sender may use. Numbers are absolute, and only one direction of change
@@ -102,20 +112,20 @@
     Instant suspectedAt = Instant::longAgo();
 
     bool isUsable() const { return phase == Phase::booting || phase == Phase::up; }
-    uint32_t reservedSlots() const {
-        uint32_t n = 0;
+    SlotCount reservedSlots() const {
+        SlotCount n = 0;
         for (const auto& s : allocations) n += s.reservedSlots();
         for (const auto& g : reservations) n += g.slots;
         return n;
     }
-    uint32_t busySlots() const {
-        uint32_t n = 0;
+    SlotCount busySlots() const {
+        SlotCount n = 0;
         for (const auto& s : allocations) n += s.busy;
         return n;
     }
     uint32_t freeSlots() const {
-        uint32_t n = reservedSlots();
-        return isUsable() && n < slots ? slots - n : 0;
+        const SlotCount reserved = reservedSlots();
+        return isUsable() && reserved < slots ? static_cast<uint32_t>(slots - reserved) : 0;
     }
     Allocation* findAllocation(const Sender* sender) {
         for (auto& s : allocations)
@@ -340,7 +350,7 @@
                 Grant g;
                 g.instance = instance->id;
                 g.slots = s->granted;
-                g.fleetSlots = usableCapacity(instance->service).slots;
+                g.fleetSlots = saturate32(usableCapacity(instance->service).slots);
                 g.isEnding = !instance->isUsable();
                 // A sender knows the instance of a revoked grant by its id.
                 if (s->granted > 0)
@@ -348,7 +358,7 @@
                     g.zone = instance->zone;
                 if (instance->phase == Phase::booting) {
                     int64_t us = (instance->startedAt + instance->service->spec.bootTime - now).inMicros();
-                    g.upInMs = static_cast<uint32_t>(std::max<int64_t>(1, us / 1000));
+                    g.upInMs = saturate32(static_cast<uint64_t>(std::max<int64_t>(1, us / 1000)));
                 }
                 message.grants.grants.push_back(std::move(g));
             }
@@ -486,14 +496,14 @@
     // Recalls slots where more are reserved than the instance has: an earlier holder, or this one after 5 s
     // of a sender's silence, granted some twice.
     void recallOvercommitted(Instant now, Instance* instance) {
-        uint32_t used = instance->reservedSlots();
+        const SlotCount used = instance->reservedSlots();
         if (used <= instance->slots || !instance->isUsable() ||
             !(instance->wasListed || instance->service->isConfigured))
             return;
-        uint32_t promised = 0;
+        SlotCount promised = 0;
         for (const auto& s : instance->allocations) promised += s.granted;
         if (promised <= instance->slots) return;  // already recalled
-        uint32_t over = promised - instance->slots;
+        SlotCount over = promised - instance->slots;
         ++counters.overcommitted;
         std::vector<Allocation*> by;
         for (auto& s : instance->allocations)
@@ -502,7 +512,7 @@
             return int64_t(a->granted) - a->busy > int64_t(b->granted) - b->busy;
         });
         for (Allocation* s : by) {
-            uint32_t n = std::min(over, s->granted);
+            const auto n = static_cast<uint32_t>(std::min<SlotCount>(over, s->granted));
             if (n > 0) setGranted(now, instance, *s, s->granted - n);
             over -= n;
         }
@@ -539,8 +549,8 @@
     }
     // Slots that cannot be granted now: those reserved by senders that do not respond, less the reassigned
     // ones.
-    uint32_t unavailableSlots(const Service* service) const {
-        uint32_t n = 0;
+    SlotCount unavailableSlots(const Service* service) const {
+        SlotCount n = 0;
         for (const Instance* instance : service->instances) {
             if (!instance->isUsable()) continue;
             for (const auto& sh : instance->allocations)
@@ -607,6 +617,9 @@
 
     // --- slots for waiting requests ---
 
+    // Free slots beyond this number make an instance no better than another.
+    static constexpr uint32_t kScoredFreeSlots = 9;
+
     // Prefers the sender's zone, then instances that few senders hold, so that few have to return slots when
     // it is retired. Callers try running instances of any zone before booting ones: a boot takes a second,
     // another zone costs 1 to 20 ms.
@@ -620,29 +633,37 @@
             if (own && !own->canIncrease()) continue;
             int score = 1000 + (instance->zone == sender->zone ? 500 : 0) + (own ? 50 : 0);
             score -= 10 * int(instance->allocations.size());
-            if (phase == Phase::up) score += int(std::min(instance->freeSlots(), 9u));
+            if (phase == Phase::up) score += int(std::min(instance->freeSlots(), kScoredFreeSlots));
             if (score > bestScore) best = instance, bestScore = score;
         }
         return best;
     }
-    bool grantSlot(Instant now, Service* service, SenderDemand& u, Phase phase) {
+    // Grants slots of the best instance, at least one and at most `most`; returns how many, 0 if none is
+    // free. While an instance has more free slots than its score counts, it stays the best, so all of these
+    // are granted at once. Against a pass whose length grows with the slots of an instance: a function
+    // without a limit has two thousand million, and the holder answered nobody until each had been granted by
+    // itself.
+    SlotCount grantSlots(Instant now, Service* service, SenderDemand& u, Phase phase, SlotCount most) {
         Instance* instance = chooseFreeInstance(service, u.sender, phase);
-        if (!instance) return false;
+        if (!instance) return 0;
+        const uint32_t free = instance->freeSlots();
+        const uint32_t atOnce = free > kScoredFreeSlots ? free - kScoredFreeSlots : 1;
+        const auto n = static_cast<uint32_t>(std::min<SlotCount>(atOnce, most));
         Allocation* allocation = findOrAddAllocation(now, instance, u.sender);
-        setGranted(now, instance, *allocation, allocation->granted + 1);
+        setGranted(now, instance, *allocation, allocation->granted + n);
         u.lastGrantedAt = now;
-        ++u.granted;
-        return true;
+        u.granted += n;
+        return n;
     }
 
     void serveWaiting(Instant now, Service* service) {
         for (Instance* instance : service->instances) recallOvercommitted(now, instance);
         if (service->waiting == 0) return;
         std::vector<SenderDemand*> want;
-        uint32_t totalDemand = 0, slots = 0, coming = 0;
+        SlotCount totalDemand = 0, slots = 0, coming = 0;
         for (auto& [sender, u] : service->demands) {
             u.upCover = u.bootCover = u.granted = 0;
-            totalDemand += u.waiting + u.busy;
+            totalDemand += SlotCount(u.waiting) + u.busy;
             if (u.waiting > 0 && sender->isResponsive()) want.push_back(&u);
         }
         for (Instance* instance : service->instances) {
@@ -661,13 +682,14 @@
             if (instance->phase == Phase::up)
                 for (auto& g : instance->reservations) coming += g.slots;
         }
-        // The sender whose last grant is oldest goes first, one slot at a time.
+        // The sender whose last grant is oldest goes first. One slot at a time where slots are scarce,
+        // otherwise an equal part of the free ones.
         std::sort(want.begin(), want.end(), [](SenderDemand* a, SenderDemand* b) {
             return a->lastGrantedAt != b->lastGrantedAt ? a->lastGrantedAt < b->lastGrantedAt
                                                         : a->sender->id < b->sender->id;
         });
         auto grantInTurns = [&](auto unmetBy, Phase phase) {
-            uint32_t unmet = 0, spare = 0;
+            SlotCount unmet = 0, spare = 0;
             std::vector<SenderDemand*> open = want;
             // Counts the free slots once. When none was free, each waiting sender searched all allocations of
             // all instances, so the holder got slower the more waited, and after a loss of all cores it never
@@ -676,14 +698,18 @@
                 if (instance->phase == phase && !instance->suspectedBy) spare += instance->freeSlots();
             while (!open.empty()) {
                 std::vector<SenderDemand*> still;
+                const SlotCount turn = std::max<SlotCount>(1, spare / open.size());
                 for (SenderDemand* u : open) {
-                    if (unmetBy(*u) == 0) continue;
-                    if (spare == 0 || !grantSlot(now, service, *u, phase)) {
-                        unmet += unmetBy(*u);
+                    const SlotCount lacking = unmetBy(*u);
+                    if (lacking == 0) continue;
+                    const SlotCount most = std::min({lacking, turn, spare});
+                    const SlotCount granted = most > 0 ? grantSlots(now, service, *u, phase, most) : 0;
+                    if (granted == 0) {
+                        unmet += lacking;
                         continue;
                     }
-                    --spare;
-                    (phase == Phase::up ? u->upCover : u->bootCover) += 1;
+                    spare -= granted;
+                    (phase == Phase::up ? u->upCover : u->bootCover) += granted;
                     still.push_back(u);
                 }
                 open.swap(still);
@@ -691,19 +717,22 @@
             return unmet;
         };
         auto unmetByUp = [](const SenderDemand& u) {
-            return u.waiting > u.upCover ? u.waiting - u.upCover : 0;
+            return u.waiting > u.upCover ? u.waiting - u.upCover : SlotCount(0);
         };
         auto unmetByAny = [](const SenderDemand& u) {
-            uint32_t c = u.upCover + u.bootCover;
-            return u.waiting > c ? u.waiting - c : 0;
+            const SlotCount covered = u.upCover + u.bootCover;
+            return u.waiting > covered ? u.waiting - covered : SlotCount(0);
         };
-        uint32_t unmet = grantInTurns(unmetByUp, Phase::up);
+        const SlotCount unmet = grantInTurns(unmetByUp, Phase::up);
         if (unmet > coming) recallSlots(now, service, want, unmet - coming, slots, totalDemand);
         grantInTurns(unmetByAny, Phase::booting);
     }
 
-    void recallSlots(Instant now, Service* s, const std::vector<SenderDemand*>& want, uint32_t need,
-                     uint32_t slots, uint32_t totalDemand) {
+    // Each move searches all allocations of a service.
+    static constexpr SlotCount kMaxMovesPerPass = 1000;
+
+    void recallSlots(Instant now, Service* s, const std::vector<SenderDemand*>& want, SlotCount need,
+                     SlotCount slots, SlotCount totalDemand) {
         struct Idle {
             Instance* instance;
             Allocation* s;
@@ -724,20 +753,23 @@
         });
         for (auto& d : idle) {
             if (need == 0) return;
-            uint32_t n = std::min(need, d.n);
+            const auto n = static_cast<uint32_t>(std::min<SlotCount>(need, d.n));
             setGranted(now, d.instance, *d.s, d.s->granted - n);
-            d.s->demand->granted -= std::min(n, d.s->demand->granted);
+            d.s->demand->granted -= std::min<SlotCount>(n, d.s->demand->granted);
             counters.recalledSlots += n;
             need -= n;
         }
         // All slots are busy: a sender with few or none gets its share as calls end, so that one sender
         // cannot starve another. Drawback: a round trip per moved slot, so the number per pass is limited.
         if (totalDemand == 0 || slots == 0) return;
-        auto fair = [&](const SenderDemand& u) { return double(slots) * (u.waiting + u.busy) / totalDemand; };
-        uint32_t moves = std::min(need, slots / 4 + 1);
+        const auto demandOf = [](const SenderDemand& u) { return SlotCount(u.waiting) + u.busy; };
+        auto fair = [&](const SenderDemand& u) {
+            return double(slots) * double(demandOf(u)) / double(totalDemand);
+        };
+        SlotCount moves = std::min({need, slots / 4 + 1, kMaxMovesPerPass});
         for (SenderDemand* u : want) {
-            while (moves > 0 && u->waiting > u->upCover && u->granted < u->waiting + u->busy &&
-                   (u->granted == 0 || u->granted + 0.5 <= fair(*u))) {
+            while (moves > 0 && u->waiting > u->upCover && u->granted < demandOf(*u) &&
+                   (u->granted == 0 || double(u->granted) + 0.5 <= fair(*u))) {
                 Instance* from = nullptr;
                 Allocation* best = nullptr;
                 double most = u->granted == 0 ? 0.3 : 0.5;
@@ -747,7 +779,7 @@
                         if (sh.demand == u || sh.granted == 0 || !sh.canDecrease() ||
                             sh.sender->isUnresponsive)
                             continue;
-                        double over = sh.demand->granted - fair(*sh.demand);
+                        double over = double(sh.demand->granted) - fair(*sh.demand);
                         if (over > most) most = over, best = &sh, from = instance;
                     }
                 }
@@ -771,7 +803,7 @@
 
     // Slots needed for the requests that wait now. A start does not help a request that is served before the
     // boot ends, so what counts is the queue that cannot drain in time, not each request.
-    double slotsNeededNow(const Service* service, uint32_t upSlots) const {
+    double slotsNeededNow(const Service* service, SlotCount upSlots) const {
         double work = estimateCallSeconds(service), drain;
         if (missesTargetAfterBoot(service)) {
             drain = tuning.hotDrainTime.inSeconds();
@@ -793,7 +825,11 @@
     // How long a surplus instance is kept: as long as its memory costs less than starting it again.
     Span surplusKeepTime(const Service* service) const {
         double perS = std::max(0.01, service->spec.memoryMb / 1024.0);
-        return std::min(Span::seconds(coldStartCost(service) / perS), tuning.maxKeepTime);
+        return keepTime(coldStartCost(service) / perS);
+    }
+    // Limited as a number of seconds: with the longest boot times it may exceed the range of Span.
+    Span keepTime(double seconds) const {
+        return Span::seconds(std::min(seconds, tuning.maxKeepTime.inSeconds()));
     }
     // Idle time after which keeping an instance has cost as much as starting it again would; longer where
     // calls come so steadily that waiting for the next one pays off.
@@ -804,7 +840,7 @@
             cold += tuning.lateCallCostGbSeconds * service->longRate * service->spec.bootTime.inSeconds();
         double span = cold / perS;
         if (service->longRate * cold > perS) span = std::max(span, tuning.keepMeanGaps / service->longRate);
-        return std::min(Span::seconds(span), tuning.maxKeepTime);
+        return keepTime(span);
     }
     double wantedSlots(Instant now, const Service* service) const {
         if (!service->isConfigured) return 0;
@@ -828,7 +864,8 @@
     }
 
     struct Capacity {
-        uint32_t slots = 0, up = 0, count = 0;
+        SlotCount slots = 0, up = 0;
+        uint32_t count = 0;
     };
     Capacity usableCapacity(const Service* service) const {
         Capacity h;
@@ -839,7 +876,8 @@
             if (instance->phase == Phase::up) h.up += instance->slots;
         }
         h.count += service->pendingStartCount;
-        h.slots += service->pendingStartCount * uint32_t(std::max(1, service->spec.maxConcurrency));
+        h.slots +=
+            SlotCount(service->pendingStartCount) * uint32_t(std::max(1, service->spec.maxConcurrency));
         return h;
     }
 
@@ -847,7 +885,7 @@
         Capacity h = usableCapacity(service);
         // Retiring instances are reused first: they are already up.
         for (Instance* instance : service->instances) {
-            if (h.slots >= slots) return;
+            if (double(h.slots) >= slots) return;
             if (instance->phase != Phase::retiring) continue;
             instance->phase = Phase::up;
             closing.erase(instance);
@@ -855,7 +893,7 @@
         }
         if (!service->isConfigured || now < service->startsBlockedUntil) return;
         uint32_t each = uint32_t(std::max(1, service->spec.maxConcurrency));
-        while (h.slots < slots) {
+        while (double(h.slots) < slots) {
             WorkerState* node = chooseWorker(now, service);
             if (!node) {
                 service->startsBlockedUntil = now + tuning.startsBlockedTime;
@@ -919,7 +957,8 @@
         double want = wantedSlots(now, service);
         uint32_t each = uint32_t(std::max(1, service->spec.maxConcurrency));
         double hold = want > 0 ? std::max(want * tuning.surplusFactor, service->peakBusy) : 0;
-        auto least = uint32_t(std::ceil(hold / each));
+        // No more than there are: a number of slots may exceed the range of an integer.
+        auto least = uint32_t(std::min(std::ceil(hold / each), double(h.count)));
         // Where one instance suffices, the 15% more (tuning.surplusFactor) is left out: one is kept, not two.
         if (want > 0 && want <= each && service->peakBusy <= each) least = 1;
         if (h.count <= least) {
@@ -928,7 +967,7 @@
         }
         if (service->surplusSince == Instant::never()) service->surplusSince = now;
         if (want > 0 && now - service->surplusSince < surplusKeepTime(service)) return;
-        std::vector<std::pair<uint32_t, Instance*>> by;
+        std::vector<std::pair<SlotCount, Instance*>> by;
         for (Instance* instance : service->instances)
             if (instance->phase == Phase::up) by.emplace_back(instance->busySlots(), instance);
         std::sort(by.begin(), by.end(), [](const auto& a, const auto& b) {
@@ -942,46 +981,68 @@
         }
     }
 
+    // A sender's part of a service's slots, by call rate.
+    struct SlotShare {
+        SenderDemand* demand;
+        double fair;    // slots in proportion to its call rate; 0 while it does not respond or leaves
+        SlotCount due;  // slots still to be granted in this pass
+        double lack() const { return fair - double(demand->granted); }
+    };
+
     // Grants free slots ahead of demand in proportion to call rates, so that a burst needs no round trip to
     // the holder.
     void spreadFreeSlots(Instant now, Service* service) {
         if (service->demands.empty() || service->instances.empty()) return;
-        double total = 0;
-        uint32_t slots = 0, spare = 0;
+        std::vector<SlotShare> shares;
+        double totalRate = 0;
         for (auto& [sender, u] : service->demands) {
             u.granted = 0;
-            if (!sender->isResponsive() || sender->isLeaving) continue;
-            total += u.rate * decayFactor(u.rateUpdatedAt, now, tuning.fastTau);
+            const bool takesPart = sender->isResponsive() && !sender->isLeaving;
+            const double rate = takesPart ? u.rate * decayFactor(u.rateUpdatedAt, now, tuning.fastTau) : 0.0;
+            shares.push_back({&u, rate, 0});
+            totalRate += rate;
         }
+        SlotCount slots = 0, spare = 0;
         for (Instance* instance : service->instances) {
             if (instance->phase != Phase::up) continue;
             slots += instance->slots;
             spare += instance->freeSlots();
             for (auto& sh : instance->allocations) sh.demand->granted += sh.granted;
         }
-        if (total < 0.2 || slots == 0) return;
-        auto fair = [&](const SenderDemand& u) {
-            if (!u.sender->isResponsive() || u.sender->isLeaving) return 0.0;
-            return slots * u.rate * decayFactor(u.rateUpdatedAt, now, tuning.fastTau) / total;
-        };
+        if (totalRate < 0.2 || slots == 0) return;
+        for (SlotShare& share : shares) share.fair = double(slots) * share.fair / totalRate;
+        if (grantShares(now, service, shares, spare) > 0 || shares.size() < 2) return;
+        moveIdleSlot(now, service, shares);
+    }
+
+    // Grants each sender its part of the free slots. Returns how many stay free.
+    SlotCount grantShares(Instant now, Service* service, std::vector<SlotShare>& shares, SlotCount spare) {
+        std::vector<double> lacks;
+        for (const SlotShare& share : shares) lacks.push_back(share.lack());
+        const std::vector<uint64_t> due = apportionSlots(lacks, spare);
+        for (size_t i = 0; i < shares.size(); ++i) shares[i].due = due[i];
         while (spare > 0) {
-            SenderDemand* neediest = nullptr;
-            double most = 0.5;
-            for (auto& [sender, u] : service->demands) {
-                double lack = fair(u) - u.granted;
-                if (lack > most) most = lack, neediest = &u;
-            }
-            if (!neediest || !grantSlot(now, service, *neediest, Phase::up)) break;
-            --spare;
+            SlotShare* neediest = nullptr;
+            for (SlotShare& share : shares)
+                if (share.due > 0 && (!neediest || share.lack() > neediest->lack())) neediest = &share;
+            if (!neediest) break;
+            const SlotCount granted =
+                grantSlots(now, service, *neediest->demand, Phase::up, std::min(neediest->due, spare));
+            if (granted == 0) break;
+            neediest->due -= granted;
+            spare -= granted;
         }
-        if (spare > 0 || service->demands.size() < 2) return;
-        // Moves at most one idle slot per tick from the sender with most surplus, so that allocations do not
-        // oscillate.
-        double lack = 1;
-        bool needed = false;
-        for (auto& [sender, u] : service->demands)
-            if (fair(u) - u.granted >= lack) needed = true;
-        if (!needed) return;
+        return spare;
+    }
+
+    // Moves at most one idle slot per tick from the sender with most surplus, so that allocations do not
+    // oscillate.
+    void moveIdleSlot(Instant now, Service* service, const std::vector<SlotShare>& shares) {
+        const bool isNeeded =
+            std::any_of(shares.begin(), shares.end(), [](const SlotShare& s) { return s.lack() >= 1; });
+        if (!isNeeded) return;
+        std::unordered_map<const SenderDemand*, double> surplus;
+        for (const SlotShare& share : shares) surplus[share.demand] = -share.lack();
         Allocation* best = nullptr;
         Instance* from = nullptr;
         double most = 1;
@@ -989,14 +1050,13 @@
             if (instance->phase != Phase::up) continue;
             for (auto& sh : instance->allocations) {
                 if (!sh.canDecrease() || sh.granted <= sh.busy || sh.sender->isUnresponsive) continue;
-                double over = sh.demand->granted - fair(*sh.demand);
+                const double over = surplus[sh.demand];
                 if (over >= most) most = over, best = &sh, from = instance;
             }
         }
-        if (best) {
-            setGranted(now, from, *best, best->granted - 1);
-            ++counters.recalledSlots;
-        }
+        if (!best) return;
+        setGranted(now, from, *best, best->granted - 1);
+        ++counters.recalledSlots;
     }
 
     // --- pass after events ---
@@ -1030,13 +1090,13 @@
                 decayRates(now, service);
                 if (service->waiting > 0) {
                     Capacity h = usableCapacity(service);
-                    double need = slotsNeededNow(service, h.up) + unavailableSlots(service);
-                    if (need > h.slots) startUpTo(now, service, need, true);
+                    double need = slotsNeededNow(service, h.up) + double(unavailableSlots(service));
+                    if (need > double(h.slots)) startUpTo(now, service, need, true);
                 }
                 if (service->needsRefill) {
                     service->needsRefill = false;
                     double want = wantedSlots(now, service);
-                    if (want > usableCapacity(service).slots) startUpTo(now, service, want, true);
+                    if (want > double(usableCapacity(service).slots)) startUpTo(now, service, want, true);
                 }
                 serveWaiting(now, service);
             }
@@ -1069,7 +1129,7 @@
                 service->peakBusy = std::max(double(service->busy), peak);
                 service->peakUpdatedAt = now;
                 double want = wantedSlots(now, service);
-                if (want > usableCapacity(service).slots) startUpTo(now, service, want, false);
+                if (want > double(usableCapacity(service).slots)) startUpTo(now, service, want, false);
                 spreadFreeSlots(now, service);
                 retireSurplus(now, service);
             }
--- a/system/scaler/planner.hpp
+++ b/system/scaler/planner.hpp
@@ -67,7 +67,7 @@
     std::string name;
     uint32_t up = 0, booting = 0;    // instances; a start without a response counts as booting
     uint32_t draining = 0;           // instances being ended by the planner or the platform
-    uint32_t slots = 0;              // slots of the instances that are up
+    uint64_t slots = 0;              // slots of the instances that are up
     uint32_t waiting = 0, busy = 0;  // requests, as reported by the senders
 };
 
--- a/system/scaler/planner_test.cpp
+++ b/system/scaler/planner_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <map>
 #include <random>
 #include <set>
@@ -541,7 +542,7 @@
         bool first = true, heard = false;  // heard: the planner has received its full report
         Instant back = Instant::never(), silentAt = Instant::never(), suspendedUntil = Instant::longAgo();
     };
-    static constexpr uint32_t slots = 3;
+    uint32_t slots = 3;  // of each instance
     std::mt19937 random;
     Instant now = Instant::atMicros(0);
     uint64_t term = 1;
@@ -553,7 +554,7 @@
 
     bool suspendsSenders = false;  // also simulate senders that are suspended
 
-    explicit RandomSchedule(uint32_t seed) : random(seed) {
+    explicit RandomSchedule(uint32_t seed, uint32_t slotsEach = 3) : slots(slotsEach), random(seed) {
         newPlanner();
         for (int i = 0; i < 5; ++i) link("s" + std::to_string(i));
     }
@@ -621,7 +622,7 @@
     }
     bool isWithinSlots() const {
         for (auto& [id, up] : live) {
-            uint32_t n = 0;
+            uint64_t n = 0;
             for (auto& [who, a] : agents)  // a suspended sender starts no calls
                 if (auto h = a.has.find(id); h != a.has.end())
                     n += now < a.suspendedUntil ? h->second.second : h->second.first;
@@ -709,6 +710,121 @@
     }
 };
 
+constexpr uint32_t kUnlimitedSlots = std::numeric_limits<int32_t>::max();
+
+// A service with `instances` up, each with `slots`, on which s1 calls twice as often as s2 and nothing waits.
+struct SpreadingFixture : PlannerFixture {
+    std::vector<std::string> ids;
+    int slotsEach;
+    SpreadingFixture(int slots, int instances) : PlannerFixture(slots, 1500), slotsEach(slots) {
+        for (int i = 0; i < instances; ++i) ids.push_back("i" + std::to_string(i));
+        listAll();
+    }
+    void listAll() {
+        std::vector<std::pair<std::string, bool>> all;
+        for (const std::string& id : ids) all.emplace_back(id, false);
+        list(all, slotsEach);
+    }
+    // Both senders report as many calls as given, and that they hold what they were granted.
+    void reportBoth(uint32_t arrivedAtFirst, uint32_t waiting = 0) {
+        for (const SenderId s : {"s1", "s2"}) {
+            std::vector<HeldSlots> has;
+            for (const std::string& id : ids)
+                if (const auto at = told.find({s, id}); at != told.end())
+                    has.push_back(held(id, at->second, 0));
+            report(s, waiting, 0, s == "s1" ? arrivedAtFirst : arrivedAtFirst / 2, has);
+        }
+    }
+    uint64_t granted(const SenderId& s) const {
+        uint64_t sum = 0;
+        for (const auto& [key, slots] : told)
+            if (key.first == s) sum += slots;
+        return sum;
+    }
+};
+
+// Guards against a holder that answers nobody: the free slots of a function without a limit were granted
+// ahead one by one, each with a search (review/5). All numbers that a configuration can have must cost the
+// same.
+TEST(Planner, aPassDoesNotGrowWithTheSlotsOfAnInstance) {
+    for (const int slots : {8, 1'000, 1'000'000, 2'000'000'000, std::numeric_limits<int>::max()})
+        for (const int instances : {1, 3, 5}) {
+            SpreadingFixture b(slots, instances);
+            const uint64_t before = b.planner.counters().slotSearches;
+            b.reportBoth(20);
+            b.wait(200);
+            const uint64_t searches = b.planner.counters().slotSearches - before;
+            ASSERT_LE(searches, 2u + 10u * static_cast<uint64_t>(instances))
+                << slots << " slots at each of " << instances;
+            const double all = static_cast<double>(slots) * instances;
+            EXPECT_NEAR(static_cast<double>(b.granted("s1")), all * 2 / 3, all / 10 + 1) << slots;
+            EXPECT_NEAR(static_cast<double>(b.granted("s2")), all / 3, all / 10 + 1) << slots;
+        }
+}
+
+// Guards against sums of slots that go round: three instances without a limit counted as fewer slots than
+// one, so more were started and senders were told a wrong number for the whole fleet (review/5).
+TEST(Planner, sumsOfSlotsDoNotOverflow) {
+    SpreadingFixture b(static_cast<int>(kUnlimitedSlots), 3);
+    b.reportBoth(20);
+    b.wait(200);
+    ASSERT_FALSE(b.tells.empty());
+    EXPECT_EQ(b.tells.back().grants.grants.back().fleetSlots, std::numeric_limits<uint32_t>::max());
+    const std::vector<ServiceState> states = b.planner.serviceStates();
+    ASSERT_EQ(states.size(), 1u);
+    EXPECT_EQ(states[0].slots, uint64_t{3} * kUnlimitedSlots);
+    // The slots are granted. What waits for a moment nevertheless is served by recalls, and starts nothing.
+    b.reportBoth(20, 50);
+    b.wait(1000);
+    EXPECT_TRUE(b.starts.empty());
+}
+
+// Guards against the same for requests that wait: many of them for an instance with many slots are served in
+// few steps, and each sender gets what it waits for.
+TEST(Planner, manyWaitingAreGrantedTheirSlotsInFewSteps) {
+    SpreadingFixture b(1'000'000, 2);
+    const uint64_t before = b.planner.counters().slotSearches;
+    b.report("s1", 200'000, 0, 1);
+    b.report("s2", 300'000, 0, 1);
+    EXPECT_LE(b.planner.counters().slotSearches - before, 60u);
+    EXPECT_EQ(b.granted("s1"), 200'000u);
+    EXPECT_EQ(b.granted("s2"), 300'000u);
+}
+
+// Guards against the extremes of a service's other numbers: none may make the planner hang or compute a time
+// outside its range.
+TEST(Planner, extremesOfAServiceAreBorne) {
+    const Span longest = Span::millis(1'000'000'000'000);
+    for (const int memoryMb : {0, 1, 2'000'000'000})
+        for (const Span boot : {Span(), longest})
+            for (const Span target : {Span(), longest}) {
+                PlannerFixture b;
+                b.planner.onConfiguration(b.now, {{"f", memoryMb, boot, int(kUnlimitedSlots), target}});
+                for (int i = 0; i < 20; ++i) {
+                    b.report("s1", 3, 1, 10);
+                    b.wait(200);
+                    b.list({{"i1", false}, {"i2", false}, {"i3", false}}, int(kUnlimitedSlots));
+                }
+                b.report("s1", 0, 0, 0);
+                b.wait(60'000);
+                EXPECT_LE(b.planner.counters().slotSearches, 1000u);
+            }
+}
+
+TEST(Planner, noSlotOfAFunctionWithoutALimitIsUsedTwice) {
+    uint64_t granted = 0;
+    for (uint32_t seed = 1; seed <= 20; ++seed) {
+        RandomSchedule s(seed, seed % 2 == 0 ? kUnlimitedSlots : 2'000);
+        s.suspendsSenders = seed > 10;
+        for (int k = 0; k < 4000; ++k) {
+            s.step(k);
+            ASSERT_TRUE(s.isWithinSlots()) << "seed " << seed << " step " << k;
+        }
+        granted += s.granted;
+    }
+    EXPECT_GT(granted, 10'000u);
+}
+
 TEST(Planner, noSlotIsEverUsedTwice) {
     uint64_t granted = 0, lent = 0;
     int startedCount = 0;
