Planner: a long latency target no longer takes all workers' memory

What callers would see: after two calls to a function whose route has a target_latency_ms of 10^12 (a valid number), 96 instances of 128 MB are asked for, all that three workers of 4 GB hold, and other functions find no room.

Cause: until a call was measured, a quarter of the latency target counts as its duration, without a bound.

Fix: the duration assumed is 1.25 s at most, as for a target of 5 s. Shorter targets are treated as before. Drawback: a function with longer calls has too few instances until one call was measured; requests that wait start more.

--- a/system/scaler/planner.cpp
+++ b/system/scaler/planner.cpp
@@ -591,12 +591,17 @@
     // three made a rarely called function look busy, and twice the instances were kept for it.
     double estimateCallSeconds(const Service* service) const {
         const ServiceGroup* g = findGroup(service);
-        double like = g && g->callWeight >= 1
-                          ? g->meanCallSeconds
-                          : tuning.priorCallToTargetRatio * service->spec.targetLatency.inSeconds();
+        double like = g && g->callWeight >= 1 ? g->meanCallSeconds : priorCallSeconds(service);
         return (tuning.priorCallWeight * like + service->callWeight * service->meanCallSeconds) /
                (tuning.priorCallWeight + service->callWeight);
     }
+    // Limited, against a route without a latency target to speak of: its first call took all workers' memory
+    // for instances that nobody needed. Drawback: a function with longer calls has too few instances until
+    // one call was measured, and starts more as requests wait.
+    double priorCallSeconds(const Service* service) const {
+        return std::min(tuning.priorCallToTargetRatio * service->spec.targetLatency.inSeconds(),
+                        tuning.maxPriorCallTime.inSeconds());
+    }
     using GroupKey = std::tuple<int, int64_t, int, int64_t>;
     static GroupKey groupKey(const FunctionSpec& f) {
         return {f.memoryMb, f.bootTime.inMicros(), f.maxConcurrency, f.targetLatency.inMicros()};
--- a/system/scaler/planner_test.cpp
+++ b/system/scaler/planner_test.cpp
@@ -811,6 +811,25 @@
             }
 }
 
+// Guards against a function whose route has no latency target to speak of: until a call was measured, a
+// quarter of the target counted as its duration, and two calls took the memory of all workers.
+TEST(Planner, theFirstCallsOfAFunctionDoNotStartInstancesByTheLengthOfItsTarget) {
+    for (const Span boot : {ms(900), Span::millis(1'000'000'000'000)})
+        for (const int64_t targetMs : {5'000ll, 60'000ll, 3'600'000ll, 1'000'000'000'000ll}) {
+            PlannerFixture b(1, 1500);
+            b.planner.onConfiguration(b.now, {{"f", 128, boot, 1, ms(targetMs)}});
+            for (int i = 0; i < 10; ++i) {
+                Report r;
+                r.term = 7, r.intervalMs = 100;
+                r.demands = {{"f", 1, 0, 1, i % 5 == 0 ? 1u : 0u, 0}};
+                b.planner.onReport(b.now, "s1", r);
+                b.wait(200);
+            }
+            EXPECT_GE(b.starts.size(), 1u);
+            EXPECT_LE(b.starts.size(), 4u) << "target " << targetMs << " ms";  // two for each call
+        }
+}
+
 TEST(Planner, noSlotOfAFunctionWithoutALimitIsUsedTwice) {
     uint64_t granted = 0;
     for (uint32_t seed = 1; seed <= 20; ++seed) {
--- a/system/scaler/tuning.hpp
+++ b/system/scaler/tuning.hpp
@@ -66,6 +66,8 @@
     double priorCallToTargetRatio =
         0.25;  // call duration / target latency until a call was measured (real ratios: 0.05 to 0.3)
 
+    Span maxPriorCallTime = Span::millis(1250);  // the prior of a target latency of 5 s
+
     // Boot times vary by 30%: one that takes 3 times the mean has failed. Refused connections before that
     // mean nothing.
     double maxBootFactor = 3;
