--- a/system/proxy/proxy.cpp
+++ b/system/proxy/proxy.cpp
@@ -432,6 +432,8 @@
         connection = made.get();
         connections_[made->id] = std::move(made);
     }
+    spdlog::debug("request {}: sent to {} on connection {}{}", e.attemptId, connection->instanceId,
+                  connection->id, connection->isIdle ? ", reused" : "");
     connection->isIdle = false;
     connection->requestId = s.id, e.connection = connection, e.sentAt = now, e.response.reset();
     updateBufferedBytes(e);
@@ -527,6 +529,9 @@
     excessResponses_ += connection.reader.excessCount() - excessBefore;
     if (!result) return;
     invalidResponses_ += result->isInvalid;
+    spdlog::debug("request {}: connection {}: {} after {} ms", e.attemptId, connection.id,
+                  result->response ? std::to_string(result->response->status) : "no valid response",
+                  (loop_.now() - e.sentAt).inMicros() / 1000);
     if (!result->response) return failConnection(connection, result->outcome);
     if (result->keepAlive) connection.maxIdle = *result->keepAlive;
     const RequestId id = connection.requestId;
