--- a/system/proxy/proxy.cpp
+++ b/system/proxy/proxy.cpp
@@ -413,10 +413,11 @@
     ConnectionPool& p = poolOf(s.instance);
     InstanceConnection* connection = takeIdleConnection(p.idle, e);
     if (auto parked = parked_.find(info->id); !connection && parked != parked_.end()) {
-        p.idle = std::move(parked->second);
+        const std::vector<InstanceConnection*> returned = std::move(parked->second);
         parked_.erase(parked);
-        parkedCount_ -= p.idle.size();
-        for (InstanceConnection* each : p.idle) each->isParked = false, each->instanceIndex = s.instance;
+        parkedCount_ -= returned.size();
+        for (InstanceConnection* each : returned) each->isParked = false, each->instanceIndex = s.instance;
+        p.idle.insert(p.idle.begin(), returned.begin(), returned.end());  // idle for longer than the others
         connection = takeIdleConnection(p.idle, e);
         connectsSaved_ += connection != nullptr;
     }
@@ -424,6 +425,12 @@
         auto address = network::Address::parse(info->address);
         auto made = std::make_unique<InstanceConnection>(*this, nextConnectionId_++, s.instance, info->id);
         ++connects_;
+        if (!p.idle.empty()) {
+            // All of them have carried this request. One is replaced, so that retries do not use up the
+            // connections that the instance takes.
+            ++connectsForRetries_;
+            closeConnection(*p.idle.front());
+        }
         if (address) made->stream = Stream::connect(loop_, *made, *address, kUnacknowledgedTimeout);
         if (!made->stream) {
             dispatch_.onAttemptEnded(now, s.id, AttemptOutcome::connectFailed);
@@ -436,6 +443,7 @@
                   connection->id, connection->isIdle ? ", reused" : "");
     connection->isIdle = false;
     connection->requestId = s.id, e.connection = connection, e.sentAt = now, e.response.reset();
+    e.usedConnections.push_back(connection->id);
     updateBufferedBytes(e);
     connection->connectBy = now + kConnectTimeout;
     connection->attemptTimeoutAt = s.attemptTimeout > Span() ? now + s.attemptTimeout : Instant::never();
@@ -450,16 +458,20 @@
 // Prefers the connection used last, as it is the least likely to be closed soon. Non-idempotent requests
 // avoid connections that were idle for long: if a close crosses the request, it is unknown whether it was
 // executed.
+// A connection on which this request was sent before is left to other requests. Both answers would bear the
+// same attempt id, so a late copy of the first would pass for the second, and a request that is running would
+// be sent once more. Drawback: such a retry opens a connection unless another one is idle.
 Proxy::InstanceConnection* Proxy::takeIdleConnection(std::vector<InstanceConnection*>& idle,
                                                      const Exchange& e) {
-    while (!idle.empty()) {
-        InstanceConnection* last = idle.back();
-        idle.pop_back();
-        Span idleTime = loop_.now() - last->idleSince;
+    for (size_t left = idle.size(); left > 0; --left) {
+        InstanceConnection* candidate = idle[left - 1];
+        if (e.wasSentOn(candidate->id)) continue;
+        Span idleTime = loop_.now() - candidate->idleSince;
         Span maxIdleTime =
-            e.isIdempotent ? last->maxIdle : std::min(kMaxIdleNonIdempotent, last->maxIdle * 0.5);
-        if (idleTime < maxIdleTime && !last->reader.mustClose()) return last;
-        closeConnection(*last);
+            e.isIdempotent ? candidate->maxIdle : std::min(kMaxIdleNonIdempotent, candidate->maxIdle * 0.5);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(left - 1));
+        if (idleTime < maxIdleTime && !candidate->reader.mustClose()) return candidate;
+        closeConnection(*candidate);
     }
     return nullptr;
 }
@@ -739,16 +751,18 @@
     spdlog::info(
         "counters arrived={} sent={} passed={} refused={} refused_held={} again={} gave_up={} full={} "
         "misdirected={} broken={} silent={} unconnected={} probes={} reports={} no_route={} not_ready={} "
-        "borrowed={} borrowed_full={} excess={} spoilt={} connects={} connects_spared={} parked={} "
+        "borrowed={} borrowed_full={} excess={} spoilt={} connects={} connects_for_retries={} "
+        "connects_spared={} parked={} "
         "whole_asked={} open={} waiting={} "
         "turned_away={} too_much={} bytes={} refused_leaving={} stopped_sending={} gone_in_flight={} "
         "abandoned={}",
         c.received, c.sent, c.forwarded, c.rejectedImmediately, c.rejectedAfterQueueing, c.retries, c.failed,
         c.notExecuted, c.misdirected, c.connectionBroken, c.timedOut, c.connectFailed, c.probes, c.reports,
         noRoute_, notReady_, c.borrowed, c.borrowedNotExecuted, excessResponses_, invalidResponses_,
-        connects_, connectsSaved_, parkedCount_, fullConfigRequests_, visits_.size(), dispatch_.queuedCount(),
-        rejectedConnections_, rejectedForMemory_, bufferedBytes_, c.rejectedForShutdown,
-        clientsStoppedSending_, c.cancelled, clientsGoneInFlight_, c.cutOff, abandonedAtExit_);
+        connects_, connectsForRetries_, connectsSaved_, parkedCount_, fullConfigRequests_, visits_.size(),
+        dispatch_.queuedCount(), rejectedConnections_, rejectedForMemory_, bufferedBytes_,
+        c.rejectedForShutdown, clientsStoppedSending_, c.cancelled, clientsGoneInFlight_, c.cutOff,
+        abandonedAtExit_);
 }
 
 }  // namespace petrelpond::proxy
--- a/system/proxy/proxy.hpp
+++ b/system/proxy/proxy.hpp
@@ -1,6 +1,7 @@
 // The I/O around Dispatch: client connections, connections to instances, and the link to the agent.
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -48,7 +49,12 @@
         bool isIdempotent = false;
         InstanceConnection* connection = nullptr;
         std::unique_ptr<network::HttpAnswer> response;
-        size_t countedBytes = 0;  // its part of bufferedBytes_
+        size_t countedBytes = 0;                // its part of bufferedBytes_
+        std::vector<uint64_t> usedConnections;  // ids of those on which it was sent
+        bool wasSentOn(uint64_t connectionId) const {
+            return std::find(usedConnections.begin(), usedConnections.end(), connectionId) !=
+                   usedConnections.end();
+        }
     };
     struct ConnectionPool {  // of one instance
         network::Address address;
@@ -110,6 +116,7 @@
     Instant armedFor_ = Instant::never();
     uint64_t noRoute_ = 0, notReady_ = 0, excessResponses_ = 0, invalidResponses_ = 0, connects_ = 0,
              rejectedConnections_ = 0, fullConfigRequests_ = 0, connectsSaved_ = 0, rejectedForMemory_ = 0;
+    uint64_t connectsForRetries_ = 0;     // though connections were idle, as these had carried the request
     uint64_t clientsStoppedSending_ = 0;  // while their request was queued or in flight
     uint64_t clientsGoneInFlight_ = 0;    // disconnected while their request was in flight
     uint64_t abandonedAtExit_ = 0;        // requests still in flight at the end of the grace period
