petrelfleet: plays beside each other claim their range of addresses

Cause: the range was 16 + the process id modulo 200; two plays whose ids agree in that got the same one.

Fix: a play binds a socket in its range, which the kernel gives to one process at a time and frees at its end, and takes the next free range otherwise. With 200 plays under way it says so and ends.

--- a/fleet/system/stage.cpp
+++ b/fleet/system/stage.cpp
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <stdexcept>
 
+#include "fleet/system/network_claim.hpp"
 #include "fleet/system/replacements.hpp"
 
 namespace petrelpond::range {
@@ -27,9 +28,9 @@
 class Stage {
   public:
     Stage(const Plan& plan, const StageOptions& options)
-        : plan_(plan), options_(options), began_(loop_.now()),
-          network_(127u << 24 | (16u + static_cast<uint32_t>(getpid()) % 200) << 16), zones_(zoneNames(plan)),
-          services_(servicesOf(plan)), judge_(plan.bounds, coreFlags(plan), static_cast<size_t>(plan.cores)),
+        : plan_(plan), options_(options), began_(loop_.now()), claim_(static_cast<uint32_t>(getpid())),
+          network_(claim_.network()), zones_(zoneNames(plan)), services_(servicesOf(plan)),
+          judge_(plan.bounds, coreFlags(plan), static_cast<size_t>(plan.cores)),
           machines_(loop_, judge_, plan, options.programs, options.folder, network_, zones_),
           platform_(loop_, judge_, plan, services_, zones_, network_, plan.seed * 7 + 1),
           door_(loop_, machines_), clients_(loop_, judge_, plan, machines_, door_, zones_, plan.seed * 7 + 2),
@@ -279,6 +280,7 @@
     const StageOptions& options_;
     network::Loop loop_;
     Instant began_;
+    NetworkClaim claim_;
     uint32_t network_;
     std::vector<std::string> zones_;
     std::vector<ServicePlan> services_;
--- a/system/proxy/late_copy_test.cpp
+++ b/system/proxy/late_copy_test.cpp
@@ -32,8 +32,8 @@
     TestListener listener_;
 };
 
-// Guards against a request that runs twice, or is answered by its earlier attempt: the copy of the first answer
-// was taken for the answer to the retry on the same connection (review/4).
+// Guards against a request that runs twice, or is answered by its earlier attempt: the copy of the first
+// answer was taken for the answer to the retry on the same connection (review/4).
 TEST_F(LateCopy, RetryDoesNotUseAConnectionThatCarriedTheRequest) {
     configureWithSlots({{&listener_, 1}});
     int number = 0;
@@ -56,7 +56,8 @@
     }
 }
 
-// Guards against the same by way of a connection that is parked while the slot moves to another proxy and back.
+// Guards against the same by way of a connection that is parked while the slot moves to another proxy and
+// back.
 TEST_F(LateCopy, RetryDoesNotUseAParkedConnectionThatCarriedTheRequest) {
     configureWithSlots({{&listener_, 1}});
     auto c = client();
