--- a/fleet/system/plan.cpp
+++ b/fleet/system/plan.cpp
@@ -26,9 +26,9 @@
                                              "worker_crash",  "worker_drain",    "platform_down",
                                              "platform_slow", "answer_lost",     "cut",
                                              "noise",         "excess",          "excess_late",
-                                             "reset",         "burst",           "config_change",
-                                             "config_race",   "bad_config",      "config_old",
-                                             "config_read"};
+                                             "refused_twice", "reset",           "burst",
+                                             "config_change", "config_race",     "bad_config",
+                                             "config_old",    "config_read"};
 
 // One table: each key is asked for once, and what nobody asked for is a mistake.
 class Part {
@@ -264,7 +264,7 @@
         g.name = p.text("name", true);
         if (std::find(names.begin(), names.end(), g.name) != names.end())
             p.wrong(p.find("name"), "name", "is the name of two groups");
-        g.count = p.whole("count", 1, 1, 2000), g.slots = p.whole("slots", 1, 1, 1000);
+        g.count = p.whole("count", 1, 1, 2000), g.slots = p.whole("slots", 1, 1, kUnlimitedSlots);
         g.memoryMb = p.whole("memory_mb", g.memoryMb, 1, 1000000);
         g.connections = p.whole("connections", 64, 1, 100000);
         g.boot = p.millis("boot_ms", g.boot), g.skew = p.number("skew", 1, 0, 5);
--- a/fleet/system/plan.hpp
+++ b/fleet/system/plan.hpp
@@ -11,6 +11,8 @@
 
 namespace petrelpond::range {
 
+constexpr int kUnlimitedSlots = 2147483647;  // the most that an endpoint may be configured to hold at once
+
 // Functions that are alike: each has a service and, per flow, a route of its own.
 struct GroupPlan {
     std::string name;
@@ -62,6 +64,7 @@
     noise,
     excess,
     excessLate,
+    refusedTwice,  // turned away as full, and told so again where the connection's next answer is due
     reset,
     burst,
     configChange,
@@ -70,7 +73,7 @@
     oldConfig,
     readConfig
 };
-constexpr size_t kKinds = 34;
+constexpr size_t kKinds = 35;
 constexpr int kMostSpares = 60;
 std::string_view wordOf(Kind);
 bool atMachines(Kind);
--- a/fleet/system/platform.cpp
+++ b/fleet/system/platform.cpp
@@ -98,13 +98,25 @@
 
 std::optional<Kind> Platform::struck(const ServicePlan& s) {
     for (const auto& [f, until] : strikes_) {
-        if (loop_.now() > until || (f.group >= 0 && f.group != s.group) || between(0, 1) >= f.share) continue;
+        if (f.kind == Kind::refusedTwice || !strikes(f, until, s)) continue;
         ++counts_.struck;
         return f.kind;
     }
     return std::nullopt;
 }
 
+bool Platform::refusesTwice(const ServicePlan& s) {
+    const bool refuses = std::any_of(strikes_.begin(), strikes_.end(), [&](const auto& each) {
+        return each.first.kind == Kind::refusedTwice && strikes(each.first, each.second, s);
+    });
+    counts_.struck += refuses;
+    return refuses;
+}
+
+bool Platform::strikes(const FaultPlan& f, Instant until, const ServicePlan& s) {
+    return loop_.now() <= until && (f.group < 0 || f.group == s.group) && between(0, 1) < f.share;
+}
+
 void Platform::sweep() {
     std::vector<HttpVisit*> all;
     for (auto& [id, visit] : visits_) all.push_back(visit.get());
@@ -407,6 +419,10 @@
     };
     if (!attempt || attempt->empty()) return notRun(400);
     std::string name(*attempt);
+    if (!v.refusalCopy.empty()) {
+        (void)!::send(v.fd, v.refusalCopy.data(), v.refusalCopy.size(), MSG_NOSIGNAL);
+        v.refusalCopy.clear();
+    }
     auto target = request.head.field("X-Target-Endpoint");
     bool stranger = target && *target != id;
     of_.judge_.reached(now, name, id, service.name, stranger);
@@ -414,7 +430,11 @@
     auto left = request.head.field("X-Time-Remaining");
     double ms = left ? http::decimal(*left).value_or(0) : 10000;
     if (over_ || ms <= 0) return notRun(503);
-    if (busy_ >= service.slots) {
+    const bool refusesTwice = of_.refusesTwice(service);
+    if (refusesTwice)
+        v.refusalCopy = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: true\r\nX-Attempt-Id: " + name +
+                        "\r\nContent-Length: 0\r\n\r\n";
+    if (refusesTwice || busy_ >= service.slots) {
         ++of_.counts_.full;
         of_.judge_.turnedAway(now, name, service.name);
         return notRun(503);
--- a/fleet/system/platform.hpp
+++ b/fleet/system/platform.hpp
@@ -59,6 +59,7 @@
         network::TimerId work = 0;
         Instant workEnds;
         std::string attempt, before;  // before: the attempt whose answer went out last
+        std::string refusalCopy;      // sent once more before the next answer
     };
     void finish(uint64_t visit, bool late, uint64_t pieces);
     void drop(std::map<uint64_t, Visit>::iterator, bool reset);
@@ -103,7 +104,9 @@
         Instant at;
         bool take(Instant now);
     };
-    std::optional<Kind> struck(const ServicePlan&);
+    std::optional<Kind> struck(const ServicePlan&);  // what is done to an answer, if anything
+    bool refusesTwice(const ServicePlan&);           // whether a request is turned away, and told so twice
+    bool strikes(const FaultPlan&, Instant until, const ServicePlan&);
     void answer(network::HttpVisit&, int status, std::string body);
     void endpoints(network::HttpVisit&, std::string_view query);
     void workers(network::HttpVisit&);
--- a/fleet/system/soak_plan.cpp
+++ b/fleet/system/soak_plan.cpp
@@ -14,6 +14,9 @@
 // In which the disks of the same cores are lost, where these change.
 const Span kStretch = Span::seconds(9);
 
+// Sets the seeds of the refusals apart from those of everything else.
+constexpr uint64_t kRefusalSeed = 1000000007;
+
 // Which series a play has.
 enum class Shape {
     senders,  // none at the cores: all rules hold throughout
@@ -33,10 +36,12 @@
         end_ = plan_.lasts - kCalmAtTheEnd;
         moves_ = asked.seed / 3 % 2 == 1;
         addLongCalls();
+        addUnlimitedFunction();
     }
 
     Plan drawn() {
         drawChanges();
+        drawRefusals();
         if (shape_ != Shape::cores)
             for (int edge = 1; edge <= plan_.edges; ++edge) drawSender("edge-" + std::to_string(edge));
         if (shape_ != Shape::senders) drawStretches();
@@ -61,6 +66,31 @@
         plan_.flows.push_back(once), plan_.flows.push_back(often);
     }
 
+    // A function without a limit, beside those with one. Its once-only requests may be tried at three
+    // endpoints.
+    void addUnlimitedFunction() {
+        GroupPlan group;
+        group.name = "unlimited", group.count = 2, group.slots = kUnlimitedSlots,
+        group.boot = Span::millis(400);
+        plan_.groups.push_back(group);
+        unlimited_ = static_cast<int>(plan_.groups.size()) - 1;
+        FlowPlan once;
+        once.name = "unlimited-once", once.group = unlimited_, once.repeatable = false;
+        once.attempts = 3, once.rate = 8, once.work = Span::millis(300), once.workSpread = 0.4;
+        once.aim = Span::seconds(2), once.deadline = Span::seconds(6);
+        plan_.flows.push_back(once);
+    }
+
+    // Its endpoints turn requests away and say so twice. Its own chance: the rest of a seed's play stays as
+    // it is.
+    void drawRefusals() {
+        Draw draw(plan_.seed + kRefusalSeed);
+        for (Span at = begin_ + draw.millis(0, 4000); at < end_; at = at + draw.millis(5000, 6000)) {
+            FaultPlan& fault = add(plan_, Kind::refusedTwice, at, draw.millis(300, 1200), {});
+            fault.group = unlimited_, fault.share = 0.5;
+        }
+    }
+
     void drawChanges() {
         const int gap = draw_.of(std::vector<int>{150, 300, 600});
         for (Span at = begin_; at < plan_.lasts - Span::seconds(4); at = at + draw_.millis(gap / 2, gap)) {
@@ -195,6 +225,7 @@
     std::vector<std::string> cores_, forgetful_;
     Shape shape_;
     bool moves_ = false;  // whose disks are lost
+    int unlimited_ = 0;   // index of the group of functions without a limit
     Span begin_, end_;
 };
 
--- a/tests/system/network_claim_test.cpp
+++ b/tests/system/network_claim_test.cpp
@@ -18,8 +18,8 @@
 
 }  // namespace
 
-// Guards against two plays at the same addresses: the range was the process id modulo 200, so that the later of
-// two plays whose ids agreed ended with "Address already in use".
+// Guards against two plays at the same addresses: the range was the process id modulo 200, so that the later
+// of two plays whose ids agreed ended with "Address already in use".
 TEST_CASE("plays whose process ids agree modulo 200 get different ranges of addresses") {
     const NetworkClaim first(1234, testPort()), second(1234, testPort()), third(1434, testPort());
     CHECK(std::set<uint32_t>{first.network(), second.network(), third.network()}.size() == 3);
