Planner: its records stand in a file of their own, names spelled out

Change: the records of senders, services, instances and workers move to planner_records.hpp as they were; FunctionSpec::slotsPerInstance() replaces the repeated expression; one-letter names in four functions are spelled out.

--- a/system/scaler/planner.cpp
+++ b/system/scaler/planner.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <limits>
 #include <map>
 #include <random>
 #include <set>
@@ -12,172 +11,12 @@
 #include <unordered_set>
 
 #include "system/scaler/apportion.hpp"
+#include "system/scaler/planner_records.hpp"
 #include "system/scaler/tuning.hpp"
 
 namespace petrelpond::scaler {
 namespace {
 
-struct Service;
-struct Instance;
-
-// Sums of slots. A configuration may give one instance two thousand million, so that three instances exceed
-// 32 bits.
-using SlotCount = uint64_t;
-
-uint32_t saturate32(SlotCount n) {
-    return static_cast<uint32_t>(std::min<SlotCount>(n, std::numeric_limits<uint32_t>::max()));
-}
-
-// Orders pointers by creation number. Ordering by address would make decisions differ between runs of the
-// process, so a schedule found by the randomized test could not be replayed.
-struct CreationOrder {
-    template <class T>
-    bool operator()(const T* a, const T* b) const {
-        return a->creationNumber < b->creationNumber;
-    }
-};
-
-struct Sender {
-    SenderId id;
-    uint64_t creationNumber = 0;
-    std::string zone;
-    bool isLinked = false, isSynced = false, isLeaving = false;
-    Instant slotsFreeAt = Instant::never();      // while unlinked: when its slots are released
-    Instant unansweredSince = Instant::never();  // since when a grant message has had no report in return
-    bool isUnresponsive = false;                 // linked, but a grant message went unanswered for too long
-    std::set<Instance*, CreationOrder> heldInstances;
-    std::set<Service*, CreationOrder> services;
-    std::vector<Instance*> grantsDue;  // instances whose granted slots must be sent to it
-    bool isResponsive() const { return isLinked && isSynced && !isUnresponsive; }
-};
-
-// Demand of one sender for one service.
-struct SenderDemand {
-    Sender* sender = nullptr;
-    uint32_t waiting = 0, busy = 0;
-    double rate = 0;  // calls per second, averaged with Tuning::fastTau
-    Instant rateUpdatedAt;
-    Instant lastGrantedAt = Instant::longAgo();
-    SlotCount upCover = 0, bootCover = 0, granted = 0;  // recomputed in each pass
-};
-
-// The slots of one instance that one sender may use. Numbers are absolute, and only one direction of change
-// is unconfirmed at a time: a HeldSlots equal to the granted number then proves that the sender has read the
-// grant. Otherwise an old HeldSlots of the same number (granted 0, 2, 0: the first 0) would free slots that
-// are in use.
-struct Allocation {
-    Sender* sender = nullptr;
-    SenderDemand* demand = nullptr;
-    uint32_t granted = 0, held = 0, busy = 0;
-    bool isUnconfirmed = false, isIncrease = false, isGrantDue = false;
-    Instant changedAt, sentAt, idleSince;
-    uint32_t reservedSlots() const {
-#ifdef SCALER_DEFECT_FREE_AT_GRANT
-        return granted;  // deliberate defect that the randomized test must find
-#else
-        return std::max(granted, held);
-#endif
-    }
-    // Slots that were recalled and, as far as known, are not in use.
-    uint32_t reassignableSlots() const {
-        uint32_t keeps = std::max(granted, busy);
-        return isUnconfirmed && !isIncrease && held > keeps ? held - keeps : 0;
-    }
-    bool canIncrease() const { return !isUnconfirmed || isIncrease; }
-    bool canDecrease() const {
-        return (!isUnconfirmed || !isIncrease) && sender->isLinked && sender->isSynced;
-    }
-};
-
-struct SlotReservation {
-    uint32_t slots;
-    Instant until;
-};
-
-enum class Phase { booting, up, retiring, stopping, draining, gone };
-
-struct Instance {
-    std::string id, address, zone, worker;
-    uint64_t creationNumber = 0;
-    Service* service = nullptr;
-    Phase phase = Phase::booting;
-    uint32_t slots = 1;
-    Instant startedAt, goneAt, nextStopAt;
-    Instant upSince;  // when it was first known to be up; the platform lists it soon after
-    bool wasListed = false, isStopSent = false;
-    int missedLists = 0;
-    std::vector<Allocation> allocations;
-    std::vector<SlotReservation> reservations;  // slots of ended senders
-    Sender* suspectedBy = nullptr;
-    Instant suspectedAt = Instant::longAgo();
-
-    bool isUsable() const { return phase == Phase::booting || phase == Phase::up; }
-    SlotCount reservedSlots() const {
-        SlotCount n = 0;
-        for (const auto& s : allocations) n += s.reservedSlots();
-        for (const auto& g : reservations) n += g.slots;
-        return n;
-    }
-    SlotCount busySlots() const {
-        SlotCount n = 0;
-        for (const auto& s : allocations) n += s.busy;
-        return n;
-    }
-    uint32_t freeSlots() const {
-        const SlotCount reserved = reservedSlots();
-        return isUsable() && reserved < slots ? static_cast<uint32_t>(slots - reserved) : 0;
-    }
-    Allocation* findAllocation(const Sender* sender) {
-        for (auto& s : allocations)
-            if (s.sender == sender) return &s;
-        return nullptr;
-    }
-};
-
-// Mean call duration shared by all services with the same configuration.
-struct ServiceGroup {
-    double callWeight = 0, meanCallSeconds = 0;
-};
-
-struct Service {
-    FunctionSpec spec;
-    uint64_t creationNumber = 0;
-    ServiceGroup* group = nullptr;  // set by the first measured call
-    double callWeight = 0;          // weight of meanCallSeconds, in calls
-    bool isConfigured = false;      // the current configuration names it
-    std::vector<Instance*> instances;
-    std::map<Sender*, SenderDemand, CreationOrder> demands;
-    uint32_t pendingStartCount = 0;  // starts without a response
-    uint32_t waiting = 0, busy = 0;
-    double shortRate = 0, fastRate = 0, slowRate = 0, longRate = 0, meanCallSeconds = 0, peakBusy = 0;
-    Instant rateUpdatedAt, peakUpdatedAt;
-    Instant lastCallAt = Instant::longAgo(), startsBlockedUntil = Instant::longAgo();
-    Instant surplusSince = Instant::never();
-    Instant warmUntil = Instant::longAgo();     // one instance is kept until then even without calls
-    bool isDirty = false, needsRefill = false;  // needsRefill: instances were lost, replace them at once
-};
-
-struct PendingStart {
-    Service* service = nullptr;
-    std::string worker;
-    Instant at, retryAt = Instant::never();
-    int attempts = 0;
-    bool isCounted = true;  // included in the service's pendingStartCount
-};
-
-struct WorkerState {
-    Worker reported;
-    Instant fullUntil = Instant::longAgo();
-    std::vector<std::pair<Instant, int>>
-        reservedMemory;  // start time and MB of starts that the worker list does not show yet
-    int missedLists = 0;
-    int freeMemoryMb() const {
-        int mb = reported.freeMb;
-        for (const auto& t : reservedMemory) mb -= t.second;
-        return mb;
-    }
-};
-
 double decayFactor(Instant from, Instant to, double tau) {
     double dt = (to - from).inSeconds();
     return dt <= 0 ? 1 : std::exp(-dt / tau);
@@ -291,7 +130,7 @@
         p->id = id;
         p->address = address;
         p->service = findOrAddService(now, service);
-        p->slots = static_cast<uint32_t>(std::max(1, p->service->spec.maxConcurrency));
+        p->slots = p->service->spec.slotsPerInstance();
         p->startedAt = now;
         p->service->instances.push_back(p.get());
         p->service->lastCallAt = std::max(p->service->lastCallAt,
@@ -873,49 +712,48 @@
         uint32_t count = 0;
     };
     Capacity usableCapacity(const Service* service) const {
-        Capacity h;
+        Capacity capacity;
         for (Instance* instance : service->instances) {
             if (!instance->isUsable()) continue;
-            ++h.count;
-            h.slots += instance->slots;
-            if (instance->phase == Phase::up) h.up += instance->slots;
+            ++capacity.count;
+            capacity.slots += instance->slots;
+            if (instance->phase == Phase::up) capacity.up += instance->slots;
         }
-        h.count += service->pendingStartCount;
-        h.slots +=
-            SlotCount(service->pendingStartCount) * uint32_t(std::max(1, service->spec.maxConcurrency));
-        return h;
+        capacity.count += service->pendingStartCount;
+        capacity.slots += SlotCount(service->pendingStartCount) * service->spec.slotsPerInstance();
+        return capacity;
     }
 
     void startUpTo(Instant now, Service* service, double slots, bool urgent) {
-        Capacity h = usableCapacity(service);
+        Capacity capacity = usableCapacity(service);
         // Retiring instances are reused first: they are already up.
         for (Instance* instance : service->instances) {
-            if (double(h.slots) >= slots) return;
+            if (double(capacity.slots) >= slots) return;
             if (instance->phase != Phase::retiring) continue;
             instance->phase = Phase::up;
             closing.erase(instance);
-            h.slots += instance->slots;
+            capacity.slots += instance->slots;
         }
         if (!service->isConfigured || now < service->startsBlockedUntil) return;
-        uint32_t each = uint32_t(std::max(1, service->spec.maxConcurrency));
-        while (double(h.slots) < slots) {
-            WorkerState* node = chooseWorker(now, service);
-            if (!node) {
+        const uint32_t slotsEach = service->spec.slotsPerInstance();
+        while (double(capacity.slots) < slots) {
+            WorkerState* worker = chooseWorker(now, service);
+            if (!worker) {
                 service->startsBlockedUntil = now + tuning.startsBlockedTime;
                 return;
             }
             if (!takeToken(now, urgent)) return;
             PendingStart start;
             start.service = service;
-            start.worker = node->reported.name;
+            start.worker = worker->reported.name;
             start.at = now;
-            node->reservedMemory.emplace_back(now, service->spec.memoryMb);
+            worker->reservedMemory.emplace_back(now, service->spec.memoryMb);
             std::string nonce = noncePrefix + std::to_string(++nonceCount);
             outputs.emplace_back(StartCall{service->spec.name, start.worker, nonce});
             pendingStarts.emplace(nonce, std::move(start));
             ++service->pendingStartCount;
             ++counters.starts;
-            h.slots += each;
+            capacity.slots += slotsEach;
         }
     }
 
@@ -958,31 +796,31 @@
     }
 
     void retireSurplus(Instant now, Service* service) {
-        Capacity h = usableCapacity(service);
+        Capacity capacity = usableCapacity(service);
         double want = wantedSlots(now, service);
-        uint32_t each = uint32_t(std::max(1, service->spec.maxConcurrency));
-        double hold = want > 0 ? std::max(want * tuning.surplusFactor, service->peakBusy) : 0;
+        const uint32_t slotsEach = service->spec.slotsPerInstance();
+        double keep = want > 0 ? std::max(want * tuning.surplusFactor, service->peakBusy) : 0;
         // No more than there are: a number of slots may exceed the range of an integer.
-        auto least = uint32_t(std::min(std::ceil(hold / each), double(h.count)));
+        auto least = uint32_t(std::min(std::ceil(keep / slotsEach), double(capacity.count)));
         // Where one instance suffices, the 15% more (tuning.surplusFactor) is left out: one is kept, not two.
-        if (want > 0 && want <= each && service->peakBusy <= each) least = 1;
-        if (h.count <= least) {
+        if (want > 0 && want <= slotsEach && service->peakBusy <= slotsEach) least = 1;
+        if (capacity.count <= least) {
             service->surplusSince = Instant::never();
             return;
         }
         if (service->surplusSince == Instant::never()) service->surplusSince = now;
         if (want > 0 && now - service->surplusSince < surplusKeepTime(service)) return;
-        std::vector<std::pair<SlotCount, Instance*>> by;
+        std::vector<std::pair<SlotCount, Instance*>> byLoad;
         for (Instance* instance : service->instances)
-            if (instance->phase == Phase::up) by.emplace_back(instance->busySlots(), instance);
-        std::sort(by.begin(), by.end(), [](const auto& a, const auto& b) {
+            if (instance->phase == Phase::up) byLoad.emplace_back(instance->busySlots(), instance);
+        std::sort(byLoad.begin(), byLoad.end(), [](const auto& a, const auto& b) {
             return a.first != b.first ? a.first < b.first : a.second->id < b.second->id;
         });
-        uint32_t over = h.count - least;
-        for (auto& [busy, instance] : by) {
-            if (over == 0) break;
+        uint32_t surplus = capacity.count - least;
+        for (auto& [busy, instance] : byLoad) {
+            if (surplus == 0) break;
             retire(now, instance);
-            --over;
+            --surplus;
         }
     }
 
@@ -1094,9 +932,9 @@
                 service->isDirty = false;
                 decayRates(now, service);
                 if (service->waiting > 0) {
-                    Capacity h = usableCapacity(service);
-                    double need = slotsNeededNow(service, h.up) + double(unavailableSlots(service));
-                    if (need > double(h.slots)) startUpTo(now, service, need, true);
+                    Capacity capacity = usableCapacity(service);
+                    double need = slotsNeededNow(service, capacity.up) + double(unavailableSlots(service));
+                    if (need > double(capacity.slots)) startUpTo(now, service, need, true);
                 }
                 if (service->needsRefill) {
                     service->needsRefill = false;
@@ -1260,7 +1098,7 @@
         service->spec = f;
         named.insert(f.name);
         for (Instance* instance : service->instances)
-            if (!instance->wasListed) instance->slots = uint32_t(std::max(1, f.maxConcurrency));
+            if (!instance->wasListed) instance->slots = f.slotsPerInstance();
         st.markDirty(service);
     }
     for (auto& [name, s] : st.services) {
--- a/system/scaler/planner.hpp
+++ b/system/scaler/planner.hpp
@@ -10,6 +10,7 @@
 // slots not known to be in use are released after 0.6 s, and all slots of an unlinked one after 5 s.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -30,6 +31,7 @@
     Span bootTime;           // mean boot time of an instance
     int maxConcurrency = 1;  // slots of one instance
     Span targetLatency;      // lowest target latency of its routes
+    uint32_t slotsPerInstance() const { return static_cast<uint32_t>(std::max(1, maxConcurrency)); }
 };
 struct ListedInstance {
     std::string instance, service, address, zone, worker;
