Proxy: a split by very large weights reaches every service of the route

What callers would see: a route that is split by two weights of 1.7e308 each (valid numbers) sends all of its requests to the last service.

Cause: the sum of the weights exceeds the range of a double, and what is left of infinity never falls below 0.

Fix: configuration::pickService() counts weights as parts of the largest one.

--- a/system/configuration/configuration.cpp
+++ b/system/configuration/configuration.cpp
@@ -441,6 +441,24 @@
 
 uint64_t digest(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
 
+const std::string& pickService(const Route& route, double point) {
+    // Weights count as parts of the largest: their own sum may exceed the range of a double, and then every
+    // request went to the last service.
+    double largest = 0;
+    for (const auto& [name, weight] : route.to) largest = std::max(largest, weight);
+    double sum = 0;
+    for (const auto& [name, weight] : route.to) sum += weight / largest;
+    const std::string* picked = &route.to.front().first;
+    double left = point * sum;
+    for (const auto& [name, weight] : route.to) {
+        if (weight <= 0) continue;
+        picked = &name;
+        left -= weight / largest;
+        if (left < 0) break;
+    }
+    return *picked;
+}
+
 RouteTable::RouteTable(std::shared_ptr<const Configuration> configuration)
     : configuration_(std::move(configuration)) {
     if (!configuration_) return;
--- a/system/configuration/configuration.hpp
+++ b/system/configuration/configuration.hpp
@@ -29,6 +29,10 @@
     std::vector<std::pair<std::string, double>> to;
 };
 
+// The service that a request on the route goes to. `point`, at least 0 and below 1, is drawn at random: each
+// service gets the part of the requests that its weight is of the sum.
+const std::string& pickService(const Route&, double point);
+
 struct Service {
     std::string name;
     std::optional<std::string> healthPath;
--- a/system/configuration/configuration_test.cpp
+++ b/system/configuration/configuration_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 namespace petrelpond::configuration {
 namespace {
 
@@ -284,6 +286,24 @@
     }
 }
 
+// Guards against a split by weights whose sum exceeds the range of a double: it went to the last service
+// alone.
+TEST(PickService, EachServiceGetsItsPartWhateverTheSizeOfTheWeights) {
+    for (const double unit : {5e-324, 1e-300, 1.0, 1e300, 1.7e308}) {
+        Route route;
+        route.to = {{"none", 0}, {"half", unit}, {"other half", unit}, {"none either", 0}};
+        std::map<std::string, int> picked;
+        for (int i = 0; i < 1000; ++i) ++picked[pickService(route, i / 1000.0)];
+        EXPECT_EQ(picked["half"], 500) << unit;
+        EXPECT_EQ(picked["other half"], 500) << unit;
+    }
+    Route uneven;
+    uneven.to = {{"a", 3e307}, {"b", 9e307}};
+    EXPECT_EQ(pickService(uneven, 0.24), "a");
+    EXPECT_EQ(pickService(uneven, 0.26), "b");
+    EXPECT_EQ(pickService(uneven, 0.999999), "b");
+}
+
 TEST(RouteTable, ServicesByName) {
     const RouteTable t(good(kExample));
     ASSERT_TRUE(t.service("wuno96b"));
--- a/system/proxy/proxy.cpp
+++ b/system/proxy/proxy.cpp
@@ -259,18 +259,7 @@
     }
     IncomingRequest a;
     a.id = nextRequestId_++;
-    const auto& to = route->to;
-    a.service = to.front().first;
-    if (to.size() > 1) {
-        double sum = 0;
-        for (const auto& [name, weight] : to) sum += weight;
-        double at = random_.uniform(0, sum);
-        for (const auto& [name, weight] : to) {
-            if (weight <= 0) continue;
-            a.service = name;
-            if ((at -= weight) < 0) break;
-        }
-    }
+    a.service = configuration::pickService(*route, route->to.size() > 1 ? random_.uniform(0, 1) : 0);
     a.isIdempotent = route->repeatable, a.priority = route->priority, a.maxAttempts = route->maxAttempts;
     a.deadline = loop_.now() + left, a.targetLatency = route->target, a.routeTimeout = route->timeout;
     Exchange& e = exchanges_[a.id];
