Planner: no more requests at an instance than half of the connections it takes

Cause: max_concurrency alone sized an instance. A request occupies a connection while it runs, all went to one instance, and it reset the connections beyond its number.

Fix: usableSlots() bounds the slots of an instance, configured or listed, by half of max_connections; the other half is for connections idle at senders whose slots moved. Proxies keep fewer idle connections to an instance by what its slots need. Drawback: an instance that takes hardly more connections than it has slots is used by half.

Tests, seen to fail without the bound: noMoreSlotsAreUsedThanAnInstanceTakesConnections (4,294,967,294 slots granted, 16 allowed), IdleConnectionsLeaveThoseThatTheSlotsNeed (by the former expression 9, 5 and 4 expected).

--- a/system/control_plane/scaler_host.cpp
+++ b/system/control_plane/scaler_host.cpp
@@ -89,7 +89,7 @@
     for (const auto& s : c.services) {
         auto target = targets.find(s.name);
         specs.push_back({s.name, s.memoryMb, s.boot, s.maxConcurrency,
-                         target != targets.end() ? target->second : Span::seconds(1)});
+                         target != targets.end() ? target->second : Span::seconds(1), s.maxConnections});
     }
     planner_.onConfiguration(loop_.now(), std::move(specs));
     schedulePump();
--- a/system/proxy/dispatch.cpp
+++ b/system/proxy/dispatch.cpp
@@ -266,11 +266,15 @@
 // Number of idle connections to keep to an instance after its last slot is returned. Slots move between
 // proxies and return within seconds, and an open connection saves the next call a round trip and a small
 // instance another connection. The idle connections of all proxies together must not exhaust the instance's
-// connection limit, so each proxy keeps only an even share of it.
+// connection limit, so each proxy keeps only an even share of what its
+// slots leave of it.
 size_t Dispatch::maxIdleConnections(const Instance& i) const {
     constexpr double kIdleConnectionShare = 0.9;
     if (i.connectFailures > 0 || i.isReportedDead) return 0;
-    return static_cast<size_t>(kIdleConnectionShare * services_[i.service].spec.maxConnections / proxyCount_);
+    const ServiceSpec& spec = services_[i.service].spec;
+    const double inUse = scaler::usableSlots(spec.maxConcurrency, spec.maxConnections);
+    const double idle = kIdleConnectionShare * spec.maxConnections - inUse;
+    return static_cast<size_t>(std::max(0.0, idle) / proxyCount_);
 }
 
 const InstanceInfo* Dispatch::findInstance(InstanceIndex index) const {
--- a/system/proxy/dispatch.hpp
+++ b/system/proxy/dispatch.hpp
@@ -29,6 +29,7 @@
 #include "src/policy/token_bucket.hpp"
 #include "system/proxy/retry_budget.hpp"
 #include "system/scaler/messages.hpp"
+#include "system/scaler/usable_slots.hpp"
 
 namespace petrelpond::proxy {
 
--- a/system/proxy/dispatch_test.cpp
+++ b/system/proxy/dispatch_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <limits>
 #include <map>
 #include <random>
 #include <set>
@@ -91,6 +92,23 @@
     p.endAttempt(one, AttemptOutcome::answered);
 }
 
+// Guards against resets by an instance that takes few connections: what its slots need is not kept idle.
+TEST(Dispatch, IdleConnectionsLeaveThoseThatTheSlotsNeed) {
+    for (const auto& [maxConcurrency, expected] :
+         std::vector<std::pair<int, size_t>>{{8, 5}, {10, 4}, {std::numeric_limits<int>::max(), 4}}) {
+        DispatchHarness p;
+        p.dispatch.updateServices(p.now, {{"s", maxConcurrency, Span::millis(1000), 20}});
+        p.dispatch.updatePlannerStatus(p.now, 1, true, 2);
+        p.applyGrants({grant("a", 1)});
+        p.applyGrants({grant("a", 0)});
+        ASSERT_EQ(p.countOutputs<ReleaseInstance>(), 1);
+        for (const auto& [at, output] : p.outputs)
+            if (const auto* release = std::get_if<ReleaseInstance>(&output)) {
+                EXPECT_EQ(release->maxIdleConnections, expected) << maxConcurrency;
+            }
+    }
+}
+
 TEST(Dispatch, GrantsOfALowerTermAreIgnored) {
     DispatchHarness p;
     p.applyGrants({grant("a", 1)});
--- a/system/scaler/planner.cpp
+++ b/system/scaler/planner.cpp
@@ -1259,7 +1259,7 @@
             continue;  // instance ids are never reused: ignore the contradiction
         instance->zone = l.zone;
         instance->worker = l.worker;
-        if (l.slots > 0) instance->slots = uint32_t(l.slots);
+        if (l.slots > 0) instance->slots = usableSlots(l.slots, instance->service->spec.maxConnections);
         instance->wasListed = true;
         instance->missedLists = 0;
         if (instance->phase == Phase::gone) {
--- a/system/scaler/planner.hpp
+++ b/system/scaler/planner.hpp
@@ -10,7 +10,6 @@
 // slots not known to be in use are released after 0.6 s, and all slots of an unlinked one after 5 s.
 #pragma once
 
-#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -20,6 +19,7 @@
 
 #include "petrelpond/time.hpp"
 #include "system/scaler/messages.hpp"
+#include "system/scaler/usable_slots.hpp"
 
 namespace petrelpond::scaler {
 
@@ -31,7 +31,8 @@
     Span bootTime;           // mean boot time of an instance
     int maxConcurrency = 1;  // slots of one instance
     Span targetLatency;      // lowest target latency of its routes
-    uint32_t slotsPerInstance() const { return static_cast<uint32_t>(std::max(1, maxConcurrency)); }
+    int maxConnections = 0;  // that one instance takes from all callers together; 0: unknown
+    uint32_t slotsPerInstance() const { return usableSlots(maxConcurrency, maxConnections); }
 };
 struct ListedInstance {
     std::string instance, service, address, zone, worker;
--- a/system/scaler/planner_test.cpp
+++ b/system/scaler/planner_test.cpp
@@ -779,6 +779,37 @@
     EXPECT_TRUE(b.starts.empty());
 }
 
+// Guards against more requests at an instance than it takes connections: the others were reset, and a
+// function without a limit was served 327 times of 1,825.
+TEST(Planner, noMoreSlotsAreUsedThanAnInstanceTakesConnections) {
+    const int unlimited = static_cast<int>(kUnlimitedSlots);
+    SpreadingFixture b(unlimited, 2);
+    b.planner.onConfiguration(b.now, {{"f", 128, ms(900), unlimited, ms(1500), 16}});
+    b.listAll();
+    EXPECT_EQ(b.planner.serviceStates()[0].slots, 16u);
+    b.reportBoth(20, 500);
+    b.wait(200);
+    EXPECT_GT(b.granted("s1") + b.granted("s2"), 0u);
+    EXPECT_LE(b.granted("s1") + b.granted("s2"), 16u);
+    ASSERT_FALSE(
+        b.starts.empty());  // the other requests need further instances, also before these are listed
+    b.planner.onStarted(b.now, b.starts[0].nonce, "new", "x:new");
+    b.pull();
+    EXPECT_LE((b.told[{"s1", "new"}] + b.told[{"s2", "new"}]), 8u);
+}
+
+TEST(UsableSlots, AreAtLeastOneAndAtMostHalfOfTheConnections) {
+    constexpr int most = std::numeric_limits<int>::max();
+    EXPECT_EQ(usableSlots(8, 137), 8u);
+    EXPECT_EQ(usableSlots(2, 25), 2u);
+    EXPECT_EQ(usableSlots(most, 25), 12u);
+    EXPECT_EQ(usableSlots(most, 1), 1u);
+    EXPECT_EQ(usableSlots(most, 0), uint32_t{most});
+    EXPECT_EQ(usableSlots(most, most), uint32_t{most / 2});
+    EXPECT_EQ(usableSlots(0, 25), 1u);
+    EXPECT_EQ(usableSlots(-5, 25), 1u);
+}
+
 // Guards against the same for requests that wait: many of them for an instance with many slots are served in
 // few steps, and each sender gets what it waits for.
 TEST(Planner, manyWaitingAreGrantedTheirSlotsInFewSteps) {
