--- a/system/scaler/planner.cpp
+++ b/system/scaler/planner.cpp
@@ -861,6 +861,7 @@
     // Grants each sender its part of the free slots. Returns how many stay free.
     SlotCount grantShares(Instant now, Service* service, std::vector<SlotShare>& shares, SlotCount spare) {
         std::vector<double> lacks;
+        lacks.reserve(shares.size());
         for (const SlotShare& share : shares) lacks.push_back(share.lack());
         const std::vector<uint64_t> due = apportionSlots(lacks, spare);
         for (size_t i = 0; i < shares.size(); ++i) shares[i].due = due[i];
