Planner: split by concern into tables, instances, slots and demand

Change: its state stands in planner_state.hpp; events, tables and passes, instances, slots, and demand each have a source. serveWaiting(), recallSlots(), expire() and startUpTo() are taken apart into steps with names. No decision changes.

--- a/system/scaler/planner_records.hpp
+++ b/system/scaler/planner_records.hpp
@@ -1,4 +1,4 @@
-// What the planner keeps of senders, services, instances and workers. Only planner.cpp includes this.
+// What the planner keeps of senders, services, instances and workers. Only its own sources include this.
 #pragma once
 
 #include <algorithm>
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -16,6 +17,7 @@
 
 struct Service;
 struct Instance;
+enum class Phase { booting, up, retiring, stopping, draining, gone };
 
 // Sums of slots. A configuration may give one instance two thousand million, so that three instances exceed
 // 32 bits.
@@ -55,7 +57,31 @@
     double rate = 0;  // calls per second, averaged with Tuning::fastTau
     Instant rateUpdatedAt;
     Instant lastGrantedAt = Instant::longAgo();
-    SlotCount upCover = 0, bootCover = 0, granted = 0;  // recomputed in each pass
+    // Slots of instances that are up and not in use; slots of booting instances; all slots. Recomputed in
+    // each pass.
+    SlotCount upCover = 0, bootCover = 0, granted = 0;
+    SlotCount requests() const { return SlotCount(waiting) + busy; }
+    // Waiting requests for which there is no slot at an instance that is up, or none at a booting one either.
+    SlotCount uncovered(Phase phase) const {
+        const SlotCount covered = phase == Phase::up ? upCover : upCover + bootCover;
+        return waiting > covered ? waiting - covered : 0;
+    }
+};
+
+// A sender's part of a service's slots, by call rate.
+struct SlotShare {
+    SenderDemand* demand;
+    double fair;    // slots in proportion to its call rate; 0 while it does not respond or leaves
+    SlotCount due;  // slots still to be granted in this pass
+    double lack() const { return fair - double(demand->granted); }
+};
+
+// The requests that wait for a service and the slots that they may get.
+struct QueueState {
+    std::vector<SenderDemand*> waitingSenders;  // the one whose last grant is oldest goes first
+    SlotCount requests = 0;                     // waiting and running
+    SlotCount upSlots = 0;                      // of the instances that are up
+    SlotCount returning = 0;                    // of these, recalled or reserved, and free before long
 };
 
 // The slots of one instance that one sender may use. Numbers are absolute, and only one direction of change
@@ -91,8 +117,6 @@
     Instant until;
 };
 
-enum class Phase { booting, up, retiring, stopping, draining, gone };
-
 struct Instance {
     std::string id, address, zone, worker;
     uint64_t creationNumber = 0;
@@ -135,6 +159,17 @@
 struct ServiceGroup {
     double callWeight = 0, meanCallSeconds = 0;
 };
+using ServiceGroupKey = std::tuple<int, int64_t, int, int64_t>;
+
+inline ServiceGroupKey serviceGroupKey(const FunctionSpec& f) {
+    return {f.memoryMb, f.bootTime.inMicros(), f.maxConcurrency, f.targetLatency.inMicros()};
+}
+
+// Instances of a service that may be used, starts without a response included.
+struct ServiceCapacity {
+    SlotCount slots = 0, up = 0;  // slots of all of them; of those that are up
+    uint32_t count = 0;
+};
 
 struct Service {
     FunctionSpec spec;
