Planner: no search for a worker while no start can be made

Cause: each function that lacked an instance searched for a worker (over all workers and all starts under way) before the planner asked whether the platform's rate allowed a start, in each tick, and ticks come four times as often while it does not. The search stood first in a profile of the model. The same happened while all workers were full.

Fix: the rate is asked first; a worker without room is left out before anything is counted. The same starts are made. Counter worker_searches.

--- a/system/control_plane/scaler_host.cpp
+++ b/system/control_plane/scaler_host.cpp
@@ -288,13 +288,14 @@
     spdlog::info(
         "counters duty term={} starts={} starts_failed={} stops={} tells={} recalls={} adopted={} lost={} "
         "drained={} "
-        "wrong_term={} overheld={} lent={} searches={} instances={} booting={} slots={} waiting={} "
+        "wrong_term={} overheld={} lent={} searches={} worker_searches={} instances={} booting={} slots={} "
+        "waiting={} "
         "list_calls={} "
         "list_failures={} longest_pass_ms={} long_passes={}",
         term_, c.starts, c.startsFailed, c.stops, c.grantMessages, c.recalledSlots, c.adopted, c.lost,
-        c.drained, c.wrongTerm, c.overcommitted, c.reassignedSlots, c.slotSearches, c.instances, c.booting,
-        c.slots, c.waiting, listCalls_, listFailures_, passMonitor_.longest().inMicros() / 1000,
-        passMonitor_.longPassCount());
+        c.drained, c.wrongTerm, c.overcommitted, c.reassignedSlots, c.slotSearches, c.workerSearches,
+        c.instances, c.booting, c.slots, c.waiting, listCalls_, listFailures_,
+        passMonitor_.longest().inMicros() / 1000, passMonitor_.longPassCount());
 }
 
 }  // namespace petrelpond::control_plane
--- a/system/scaler/planner.hpp
+++ b/system/scaler/planner.hpp
@@ -61,7 +61,8 @@
 struct Counters {
     uint64_t starts = 0, startsFailed = 0, stops = 0, grantMessages = 0, recalledSlots = 0;
     uint64_t adopted = 0, lost = 0, drained = 0, wrongTerm = 0, overcommitted = 0, reassignedSlots = 0;
-    uint64_t slotSearches = 0;  // searches for a free slot, each over all allocations of a service
+    uint64_t slotSearches = 0;    // searches for a free slot, each over all allocations of a service
+    uint64_t workerSearches = 0;  // searches for a worker, each over all workers and starts under way
     uint64_t instances = 0, booting = 0, slots = 0, waiting = 0;  // current values, as of the last tick
 };
 
--- a/system/scaler/planner_instances.cpp
+++ b/system/scaler/planner_instances.cpp
@@ -99,12 +99,15 @@
     if (!service->isConfigured || now < service->startsBlockedUntil) return;
     const uint32_t slotsEach = service->spec.slotsPerInstance();
     while (double(capacity.slots) < slots) {
+        // Before the search for a worker. Against passes in which thousands of functions that lack an
+        // instance searched for one while the platform's rate was used up: the holder answered nobody.
+        if (!hasToken(now, urgent)) return;
         WorkerState* worker = chooseWorker(now, service);
         if (!worker) {
             service->startsBlockedUntil = now + tuning.startsBlockedTime;
             return;
         }
-        if (!takeToken(now, urgent)) return;
+        takeToken(now, urgent);
         requestStart(now, service, *worker);
         capacity.slots += slotsEach;
     }
@@ -124,8 +127,16 @@
 }
 
 // Chooses a worker for a new instance: spreads a service over workers and zones (a crash takes a whole
-// worker), prefers zones with demand, then free memory.
+// worker), prefers zones with demand, then free memory. Returns null if none has room.
 WorkerState* Planner::State::chooseWorker(Instant now, Service* service) {
+    std::vector<WorkerState*> withRoom;
+    for (auto& [name, worker] : workers)
+        if (worker.takesStarts(now) && worker.freeMemoryMb() >= service->spec.memoryMb)
+            withRoom.push_back(&worker);
+    // Before anything is counted for the scores: while all workers are full, each function that lacks an
+    // instance comes here.
+    if (withRoom.empty()) return nullptr;
+    ++counters.workerSearches;
     std::unordered_map<std::string, double> onWorker, inZone, demandInZone;
     double total = 0, count = 0;
     auto add = [&](const std::string& worker, const std::string& zone) {
@@ -136,27 +147,25 @@
     for (Instance* instance : service->instances)
         if (instance->isUsable()) add(instance->worker, instance->zone);
     if (service->pendingStartCount > 0)
-        for (auto& [nonce, st] : pendingStarts)
-            if (st.service == service && st.isCounted) {
-                auto n = workers.find(st.worker);
-                add(st.worker, n == workers.end() ? "" : n->second.reported.zone);
+        for (auto& [nonce, start] : pendingStarts)
+            if (start.service == service && start.isCounted) {
+                auto worker = workers.find(start.worker);
+                add(start.worker, worker == workers.end() ? "" : worker->second.reported.zone);
             }
     for (auto& [sender, u] : service->demands) {
-        double d = u.rate * decayFactor(u.rateUpdatedAt, now, tuning.fastTau) + u.waiting;
-        demandInZone[sender->zone] += d;
-        total += d;
+        double demand = u.rate * decayFactor(u.rateUpdatedAt, now, tuning.fastTau) + u.waiting;
+        demandInZone[sender->zone] += demand;
+        total += demand;
     }
     WorkerState* best = nullptr;
     double bestScore = 0;
-    for (auto& [name, n] : workers) {
-        if (n.reported.draining || n.missedLists > 0 || n.fullUntil > now ||
-            n.freeMemoryMb() < service->spec.memoryMb)
-            continue;
-        double share = total > 0 ? demandInZone[n.reported.zone] / total : 0;
-        double score = 2 * (share * (count + 1) - inZone[n.reported.zone]) - 1.5 * onWorker[name] +
-                       double(n.freeMemoryMb()) / std::max(1, n.reported.memoryMb);
-        if (!best || score > bestScore || (score == bestScore && name < best->reported.name))
-            best = &n, bestScore = score;
+    for (WorkerState* worker : withRoom) {
+        const Worker& reported = worker->reported;
+        double share = total > 0 ? demandInZone[reported.zone] / total : 0;
+        double score = 2 * (share * (count + 1) - inZone[reported.zone]) - 1.5 * onWorker[reported.name] +
+                       double(worker->freeMemoryMb()) / std::max(1, reported.memoryMb);
+        if (!best || score > bestScore || (score == bestScore && reported.name < best->reported.name))
+            best = worker, bestScore = score;
     }
     return best;
 }
--- a/system/scaler/planner_records.hpp
+++ b/system/scaler/planner_records.hpp
@@ -203,6 +203,7 @@
     std::vector<std::pair<Instant, int>>
         reservedMemory;  // start time and MB of starts that the worker list does not show yet
     int missedLists = 0;
+    bool takesStarts(Instant now) const { return !reported.draining && missedLists == 0 && fullUntil <= now; }
     int freeMemoryMb() const {
         int mb = reported.freeMb;
         for (const auto& t : reservedMemory) mb -= t.second;
--- a/system/scaler/planner_state.cpp
+++ b/system/scaler/planner_state.cpp
@@ -9,9 +9,9 @@
     return std::max(1.0, tuning.bucketDepthFactor * maxCallsPerSecond);
 }
 
-// Takes a token for one start or stop. Calls that are not urgent leave a part of the bucket for starts
-// that waiting requests need.
-bool Planner::State::takeToken(Instant now, bool urgent) {
+// Whether there is a token for one start or stop. Calls that are not urgent leave a part of the bucket for
+// starts that waiting requests need.
+bool Planner::State::hasToken(Instant now, bool urgent) {
     double dt = std::max(0.0, (now - tokensUpdatedAt).inSeconds());
     tokens = std::min(bucketDepth(), tokens + dt * tuning.bucketRateFactor * maxCallsPerSecond);
     tokensUpdatedAt = std::max(tokensUpdatedAt, now);
@@ -20,6 +20,11 @@
         isOutOfTokens = true;
         return false;
     }
+    return true;
+}
+
+bool Planner::State::takeToken(Instant now, bool urgent) {
+    if (!hasToken(now, urgent)) return false;
     tokens -= 1;
     return true;
 }
--- a/system/scaler/planner_state.hpp
+++ b/system/scaler/planner_state.hpp
@@ -68,6 +68,7 @@
 
     // --- planner_state.cpp: call rate of the platform, tables, messages to senders, passes ---
     double bucketDepth() const;
+    bool hasToken(Instant now, bool urgent);
     bool takeToken(Instant now, bool urgent);
 
     void markDirty(Service* service);
--- a/system/scaler/planner_test.cpp
+++ b/system/scaler/planner_test.cpp
@@ -743,6 +743,42 @@
     }
 };
 
+// `count` functions that each lack an instance for a request that waits at "s1".
+void lackInstances(PlannerFixture& b, int count, int memoryMb) {
+    std::vector<FunctionSpec> functions;
+    Report report = b.whole();
+    for (int i = 0; i < count; ++i) {
+        const std::string name = "function" + std::to_string(i);
+        functions.push_back({name, memoryMb, ms(900), 1, ms(400)});
+        report.demands.push_back({name, 1, 0, 1, 1, 80'000});
+    }
+    b.planner.onConfiguration(b.now, functions);
+    b.planner.onReport(b.now, "s1", report);
+    b.pull();
+}
+
+// Guards against a holder that answers nobody while thousands of functions lack an instance and the
+// platform's rate is used up: each of them searched for a worker in each pass (related to review/5).
+TEST(Planner, noWorkerIsSearchedForWhileThePlatformsRateIsUsedUp) {
+    PlannerFixture b;
+    lackInstances(b, 500, 1);
+    b.wait(1000);
+    EXPECT_GT(b.starts.size(), 40u);
+    EXPECT_LT(b.starts.size(), 200u);
+    EXPECT_EQ(b.planner.counters().workerSearches, b.starts.size());
+}
+
+// Guards against the same while no worker has room.
+TEST(Planner, noWorkerIsScoredForAFunctionThatFitsNowhere) {
+    PlannerFixture b;
+    const size_t starts = b.starts.size();
+    const uint64_t searches = b.planner.counters().workerSearches;
+    lackInstances(b, 500, 5000);
+    b.wait(3000);
+    EXPECT_EQ(b.starts.size(), starts);
+    EXPECT_EQ(b.planner.counters().workerSearches, searches);
+}
+
 // Guards against a holder that answers nobody: the free slots of a function without a limit were granted
 // ahead one by one, each with a search (review/5). All numbers that a configuration can have must cost the
 // same.
