Planner: senders that no longer call a function are not counted there

Need: the work of a pass and the holder's memory grew for as long as it ran, in the end with the number of senders times the number of functions.

Cause: a sender's demand for a function was kept until the sender left.

Fix: it is dropped once the sender has not called the function for 30 s, has no request there and holds no slot of it; its rate has decayed by then. Each service is looked through every 5 s, in turns. Gauge demands.

Test, seen to fail without it (2,000 pairs, 2 expected): sendersThatNoLongerCallAServiceAreNotCounted.

--- a/system/scaler/model_test.cpp
+++ b/system/scaler/model_test.cpp
@@ -1,7 +1,9 @@
-// Measures the planner at fleet size: SCALER_MODEL=1 system_scaler_tests --gtest_filter='Model.*'.
+// Measures the planner at fleet size: SCALER_MODEL=20 system_scaler_tests --gtest_filter='Model.*'. The
+// number is that of simulated seconds, 20 at least.
 #include <gtest/gtest.h>
 #include <time.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <map>
@@ -19,8 +21,8 @@
 }
 
 // Simulates callsS calls per second at each sender, of random functions; one in ten finds no slot. Senders
-// report every 100 ms and apply grants at once. Runs 20 s, of which the last 10 are measured.
-void measure(size_t senders, size_t functions, double callsS) {
+// report every 100 ms and apply grants at once. Of the simulated seconds the last 10 are measured.
+void measure(size_t senders, size_t functions, double callsS, int seconds) {
     std::mt19937 random(1);
     Instant now = Instant::atMicros(1000000);
     Planner p(now, 1, 1, 500, Span::millis(500));
@@ -61,8 +63,9 @@
             }
         }
     };
-    for (int step = 0; step < 200; ++step) {
-        const bool count = step >= 100;
+    constexpr int kMeasuredSeconds = 10, kStepsPerSecond = 10;
+    for (int step = 0; step < seconds * kStepsPerSecond; ++step) {
+        const bool count = step >= (seconds - kMeasuredSeconds) * kStepsPerSecond;
         now = now + Span::millis(100);
         double before = processorS();
         if (now >= p.wakeAt()) p.tick(now), pull(count), ticks += count;
@@ -89,18 +92,20 @@
     }
     std::printf(
         "%4zu senders, %4zu functions: %5.1f us a report, %6.2f ms a tick (most %.2f), %.3f of a core; "
-        "%.2f words and %.0f bytes of grants a sender a second; %zu instances\n",
+        "%.2f words and %.0f bytes of grants a sender a second; %zu instances, %lu demands\n",
         senders, functions, inReports / static_cast<double>(reports) * 1e6,
         inTicks / static_cast<double>(ticks) * 1e3, most * 1e3, (inReports + inTicks) / 10,
         static_cast<double>(words) / 10 / static_cast<double>(senders),
-        static_cast<double>(bytes) / 10 / static_cast<double>(senders), made);
+        static_cast<double>(bytes) / 10 / static_cast<double>(senders), made, p.counters().demands);
 }
 
 TEST(Model, PlannerAtSize) {
-    if (!std::getenv("SCALER_MODEL")) GTEST_SKIP() << "for measuring: SCALER_MODEL=1";
+    const char* wanted = std::getenv("SCALER_MODEL");
+    if (!wanted) GTEST_SKIP() << "for measuring: SCALER_MODEL=20";
+    const int seconds = std::max(20, std::atoi(wanted));
     for (const size_t functions : {158, 1030})
-        for (const size_t senders : {6, 74, 460, 1000}) measure(senders, functions, 10);
-    measure(460, 17000, 10);
+        for (const size_t senders : {6, 74, 460, 1000}) measure(senders, functions, 10, seconds);
+    measure(460, 17000, 10, seconds);
 }
 
 }  // namespace
--- a/system/scaler/planner.hpp
+++ b/system/scaler/planner.hpp
@@ -63,7 +63,9 @@
     uint64_t adopted = 0, lost = 0, drained = 0, wrongTerm = 0, overcommitted = 0, reassignedSlots = 0;
     uint64_t slotSearches = 0;    // searches for a free slot, each over all allocations of a service
     uint64_t workerSearches = 0;  // searches for a worker, each over all workers and starts under way
-    uint64_t instances = 0, booting = 0, slots = 0, waiting = 0;  // current values, as of the last tick
+    // Current values, as of the last tick.
+    uint64_t instances = 0, booting = 0, slots = 0, waiting = 0;
+    uint64_t demands = 0;  // pairs of a service and a sender that calls it or did so lately
 };
 
 // Current state of one service, for operators.
--- a/system/scaler/planner_records.hpp
+++ b/system/scaler/planner_records.hpp
@@ -185,7 +185,8 @@
     Instant rateUpdatedAt, peakUpdatedAt;
     Instant lastCallAt = Instant::longAgo(), startsBlockedUntil = Instant::longAgo();
     Instant surplusSince = Instant::never();
-    Instant warmUntil = Instant::longAgo();     // one instance is kept until then even without calls
+    Instant warmUntil = Instant::longAgo();  // one instance is kept until then even without calls
+    Instant demandsSweptAt;
     bool isDirty = false, needsRefill = false;  // needsRefill: instances were lost, replace them at once
 };
 
--- a/system/scaler/planner_state.cpp
+++ b/system/scaler/planner_state.cpp
@@ -1,6 +1,7 @@
 // The planner's tables, its messages to senders, and the order of a pass.
 #include "system/scaler/planner_state.hpp"
 
+#include <unordered_set>
 #include <utility>
 
 namespace petrelpond::scaler {
@@ -44,6 +45,10 @@
         p->spec.bootTime = Span::seconds(1);
         p->spec.targetLatency = Span::seconds(1);
         p->rateUpdatedAt = p->peakUpdatedAt = now;
+        // Services that were configured together are swept one after another.
+        constexpr uint64_t kSweepTurns = 16;
+        const double turn = double(p->creationNumber % kSweepTurns) / double(kSweepTurns);
+        p->demandsSweptAt = now - tuning.demandSweepInterval * turn;
     }
     return p.get();
 }
@@ -367,10 +372,28 @@
     for (const auto& nonce : abandoned) removeStart(nonce);
 }
 
+// Drops the demands of senders that no longer call a service. Against passes and memory that grow for as long
+// as the holder runs: in the end with the number of senders times the number of functions.
+void Planner::State::expireDemands(Instant now, Service* service) {
+    if (now < service->demandsSweptAt + tuning.demandSweepInterval) return;
+    service->demandsSweptAt = now;
+    std::unordered_set<const Sender*> holders;  // an allocation points to its sender's demand
+    for (const Instance* instance : service->instances)
+        for (const Allocation& allocation : instance->allocations) holders.insert(allocation.sender);
+    std::erase_if(service->demands, [&](const auto& entry) {
+        const auto& [sender, demand] = entry;
+        if (demand.requests() > 0 || now < demand.rateUpdatedAt + tuning.demandLifetime) return false;
+        if (holders.count(sender)) return false;
+        sender->services.erase(service);
+        return true;
+    });
+}
+
 // Forgets services that the configuration no longer names and that have nothing left.
 void Planner::State::expireServices(Instant now) {
     for (auto it = services.begin(); it != services.end();) {
         Service* s = it->second.get();
+        expireDemands(now, s);
         const bool isIdle = !s->isConfigured && s->instances.empty() && s->pendingStartCount == 0 &&
                             !s->isDirty && s->waiting + s->busy == 0 &&
                             now > s->lastCallAt + tuning.tombstoneTime &&
@@ -394,14 +417,17 @@
 }
 
 void Planner::State::updateGauges() {
-    counters.instances = counters.booting = counters.slots = counters.waiting = 0;
+    counters.instances = counters.booting = counters.slots = counters.waiting = counters.demands = 0;
     for (auto& [id, instance] : instances) {
         if (instance->phase == Phase::gone) continue;
         ++counters.instances;
         if (instance->phase == Phase::booting) ++counters.booting;
         if (instance->isUsable()) counters.slots += instance->slots;
     }
-    for (auto& [name, s] : services) counters.waiting += s->waiting;
+    for (auto& [name, s] : services) {
+        counters.waiting += s->waiting;
+        counters.demands += s->demands.size();
+    }
 }
 
 }  // namespace petrelpond::scaler
--- a/system/scaler/planner_state.hpp
+++ b/system/scaler/planner_state.hpp
@@ -97,6 +97,7 @@
     void expire(Instant now);
     void expireAllocations(Instant now, Instance* instance);
     void expireStarts(Instant now);
+    void expireDemands(Instant now, Service* service);
     void expireServices(Instant now);
     void updateGauges();
 
--- a/system/scaler/planner_test.cpp
+++ b/system/scaler/planner_test.cpp
@@ -757,6 +757,35 @@
     b.pull();
 }
 
+// Guards against a holder whose passes and memory grow for as long as it runs: each sender that ever called a
+// function was counted there for good (related to review/5).
+TEST(Planner, sendersThatNoLongerCallAServiceAreNotCounted) {
+    PlannerFixture b(1, 5000);
+    std::vector<FunctionSpec> functions;
+    for (int i = 0; i < 40; ++i) functions.push_back({"g" + std::to_string(i), 16, ms(900), 1, ms(5000)});
+    b.planner.onConfiguration(b.now, functions);
+    for (int sender = 0; sender < 50; ++sender) {
+        const SenderId id = "many" + std::to_string(sender);
+        b.planner.onSenderLinked(b.now, id, "a");
+        Report report = b.whole();
+        for (const FunctionSpec& f : functions) report.demands.push_back({f.name, 0, 0, 1, 1, 80'000});
+        b.planner.onReport(b.now, id, report);
+    }
+    b.wait(1000);
+    EXPECT_EQ(b.planner.counters().demands, 2000u);
+    // One goes on calling, and one has a call that lasts.
+    for (int second = 0; second < 60; ++second) {
+        Report calls = b.whole();
+        calls.isFull = false;
+        calls.demands = {{"g0", 0, 0, 1, 1, 80'000}};
+        b.planner.onReport(b.now, "many0", calls);
+        if (second == 0)
+            calls.demands = {{"g1", 0, 1, 1, 1, 80'000}}, b.planner.onReport(b.now, "many1", calls);
+        b.wait(1000);
+    }
+    EXPECT_EQ(b.planner.counters().demands, 2u);
+}
+
 // Guards against a holder that answers nobody while thousands of functions lack an instance and the
 // platform's rate is used up: each of them searched for a worker in each pass (related to review/5).
 TEST(Planner, noWorkerIsSearchedForWhileThePlatformsRateIsUsedUp) {
--- a/system/scaler/tuning.hpp
+++ b/system/scaler/tuning.hpp
@@ -76,6 +76,10 @@
         Span::millis(150);  // a second report of the same sender counts only if it tried again
     Span tombstoneTime =
         Span::seconds(30);  // lists name gone instances for seconds; they are not adopted again
+    // A sender that has not called a service for this long and holds no slot of it is no longer counted
+    // there: its rate has decayed by then.
+    Span demandLifetime = Span::seconds(30);
+    Span demandSweepInterval = Span::seconds(5);  // of one service; services take turns
     Span stopIfListedAfter =
         Span::seconds(8);  // gone but listed this long: still running and costing memory, so it is stopped
 
