Planner: a long pass is done in parts, between which the core answers others

Need: nothing bounded a pass. A pass of 700 ms costs the lease, and so does the next holder's.

Drawback: with more, the services at the end get their slots some turns later. Counters records visited, cut_passes. Not in parts: one service alone, what is due by time, a list of the platform.

Test, seen to fail without the bound (402,001 records in one part, 108,000 allowed): aPassIsDoneInPartsWhenThereIsMuchToLookAt.

--- a/system/control_plane/scaler_host.cpp
+++ b/system/control_plane/scaler_host.cpp
@@ -291,11 +291,11 @@
         "wrong_term={} overheld={} lent={} searches={} worker_searches={} instances={} booting={} slots={} "
         "waiting={} demands={} "
         "list_calls={} "
-        "list_failures={} longest_pass_ms={} long_passes={}",
+        "list_failures={} longest_pass_ms={} long_passes={} cut_passes={}",
         term_, c.starts, c.startsFailed, c.stops, c.grantMessages, c.recalledSlots, c.adopted, c.lost,
         c.drained, c.wrongTerm, c.overcommitted, c.reassignedSlots, c.slotSearches, c.workerSearches,
         c.instances, c.booting, c.slots, c.waiting, c.demands, listCalls_, listFailures_,
-        passMonitor_.longest().inMicros() / 1000, passMonitor_.longPassCount());
+        passMonitor_.longest().inMicros() / 1000, passMonitor_.longPassCount(), c.cutPasses);
 }
 
 }  // namespace petrelpond::control_plane
--- a/system/proxy/slots_sim_for_test.hpp
+++ b/system/proxy/slots_sim_for_test.hpp
@@ -262,7 +262,10 @@
         ++electionCount_;
         for (SenderStatus& a : senderStatuses_) a = {};
         for (size_t s = 0; s < senders_.size(); ++s) onSenderAnswered(s);
-        core.planner = std::make_unique<scaler::Planner>(now(), term_, random_(), 150, listDelay_);
+        // Every second holder does its passes one service at a time.
+        const uint64_t maxRecordsPerPass = term_ % 2 == 0 ? 1 : scaler::kMaxRecordsPerPass;
+        core.planner =
+            std::make_unique<scaler::Planner>(now(), term_, random_(), 150, listDelay_, maxRecordsPerPass);
         core.term = term_, core.hasGranted = core.isBeingReplaced = false, core.wakeScheduledFor = -1;
         core.syncedSenders.clear();
         const int generation = ++core.generation;
--- a/system/scaler/model_test.cpp
+++ b/system/scaler/model_test.cpp
@@ -67,10 +67,16 @@
     for (int step = 0; step < seconds * kStepsPerSecond; ++step) {
         const bool count = step >= (seconds - kMeasuredSeconds) * kStepsPerSecond;
         now = now + Span::millis(100);
-        double before = processorS();
-        if (now >= p.wakeAt()) p.tick(now), pull(count), ticks += count;
-        const double tick = processorS() - before;
-        if (count) inTicks += tick, most = std::max(most, tick);
+        double before = 0;
+        // In as many parts as the planner wants; a part longer than any other is what holds up the caller.
+        if (now >= p.wakeAt()) ticks += count;
+        while (now >= p.wakeAt()) {
+            before = processorS();
+            p.tick(now);
+            pull(count);
+            const double part = processorS() - before;
+            if (count) inTicks += part, most = std::max(most, part);
+        }
         for (size_t s = 0; s < senders; ++s) {
             Agent& a = agents[s];
             Report r;
@@ -91,7 +97,8 @@
         }
     }
     std::printf(
-        "%4zu senders, %4zu functions: %5.1f us a report, %6.2f ms a tick (most %.2f), %.3f of a core; "
+        "%4zu senders, %4zu functions: %5.1f us a report, %6.2f ms a tick (longest part %.2f), %.3f of a "
+        "core; "
         "%.2f words and %.0f bytes of grants a sender a second; %zu instances, %lu demands\n",
         senders, functions, inReports / static_cast<double>(reports) * 1e6,
         inTicks / static_cast<double>(ticks) * 1e3, most * 1e3, (inReports + inTicks) / 10,
--- a/system/scaler/planner.cpp
+++ b/system/scaler/planner.cpp
@@ -8,8 +8,9 @@
 
 namespace petrelpond::scaler {
 
-Planner::Planner(Instant now, uint64_t term, uint32_t randomSeed, double maxCallsPerSecond, Span listLag)
-    : state_(std::make_unique<State>(now, term, randomSeed, maxCallsPerSecond, listLag)) {}
+Planner::Planner(Instant now, uint64_t term, uint32_t randomSeed, double maxCallsPerSecond, Span listLag,
+                 uint64_t maxRecordsPerPass)
+    : state_(std::make_unique<State>(now, term, randomSeed, maxCallsPerSecond, listLag, maxRecordsPerPass)) {}
 Planner::~Planner() = default;
 Planner::Planner(Planner&&) noexcept = default;
 Planner& Planner::operator=(Planner&&) noexcept = default;
@@ -327,10 +328,7 @@
 void Planner::tick(Instant now) { state_->tick(now); }
 
 Instant Planner::wakeAt() const {
-    const State& st = *state_;
-    // Without tokens, wakes when a few are available again, not a whole tick later.
-    return std::min(st.lastTick + (st.isOutOfTokens ? st.tuning.tickInterval * 0.25 : st.tuning.tickInterval),
-                    st.nextReservationEnd);
+    return state_->hasUnfinishedWork() ? Instant::longAgo() : state_->nextTickAt();
 }
 
 std::optional<Output> Planner::next() {
--- a/system/scaler/planner.hpp
+++ b/system/scaler/planner.hpp
@@ -5,6 +5,9 @@
 // every StartCall with onStarted() or onStartFailed() and its nonce, every StopCall with onStopped(). The
 // next holder of the duty creates a new Planner; one that wins it again calls onTermRenewed().
 //
+// What takes long is done in parts: wakeAt() then lies in the past, and the caller attends to other events
+// before it calls tick() again.
+//
 // Invariant: the slots of an instance that senders may use or still use never exceed its total. A revoked
 // slot is free only once its sender has confirmed it. Exception: for a sender that does not respond, recalled
 // slots not known to be in use are released after 0.6 s, and all slots of an unlinked one after 5 s.
@@ -66,8 +69,15 @@
     // Current values, as of the last tick.
     uint64_t instances = 0, booting = 0, slots = 0, waiting = 0;
     uint64_t demands = 0;  // pairs of a service and a sender that calls it or did so lately
+    // Demands, instances and allocations that were looked at; passes that left a rest for later.
+    uint64_t recordsVisited = 0, cutPasses = 0;
 };
 
+// Records that are looked at in one pass and in one round over the services; the service at which the number
+// is reached is finished. Against a holder that answers nobody while it computes. Drawback: with more records
+// the services at the end get their slots some turns of the event loop later.
+constexpr uint64_t kMaxRecordsPerPass = 50'000;
+
 // Current state of one service, for operators.
 struct ServiceState {
     std::string name;
@@ -90,7 +100,8 @@
   public:
     // maxCallsPerSecond: starts and stops that the platform accepts per second from all callers; listLag:
     // maximum age of the instance and worker lists.
-    Planner(Instant now, uint64_t term, uint32_t randomSeed, double maxCallsPerSecond, Span listLag);
+    Planner(Instant now, uint64_t term, uint32_t randomSeed, double maxCallsPerSecond, Span listLag,
+            uint64_t maxRecordsPerPass = kMaxRecordsPerPass);
     ~Planner();
     Planner(Planner&&) noexcept;
     Planner& operator=(Planner&&) noexcept;
@@ -116,8 +127,8 @@
     void onStopped(Instant now, const std::string& instance, int status);
 
     void tick(Instant now);
-    bool isReady() const;  // whether senders' slots are known, so that grants and starts are made
-    Instant wakeAt() const;
+    bool isReady() const;    // whether senders' slots are known, so that grants and starts are made
+    Instant wakeAt() const;  // in the past while a pass is unfinished
     std::optional<Output> next();
 
     const Counters& counters() const;
--- a/system/scaler/planner_records.hpp
+++ b/system/scaler/planner_records.hpp
@@ -187,7 +187,8 @@
     Instant surplusSince = Instant::never();
     Instant warmUntil = Instant::longAgo();  // one instance is kept until then even without calls
     Instant demandsSweptAt;
-    bool isDirty = false, needsRefill = false;  // needsRefill: instances were lost, replace them at once
+    bool isDirty = false, isInRound = false;
+    bool needsRefill = false;  // instances were lost, replace them at once
 };
 
 struct PendingStart {
--- a/system/scaler/planner_slots.cpp
+++ b/system/scaler/planner_slots.cpp
@@ -89,7 +89,9 @@
     ++counters.slotSearches;
     Instance* best = nullptr;
     int bestScore = 0;
+    uint64_t records = 0;
     for (Instance* instance : service->instances) {
+        records += 1 + instance->allocations.size();
         if (instance->phase != phase || instance->freeSlots() == 0 || instance->suspectedBy) continue;
         Allocation* own = instance->findAllocation(sender);
         if (own && !own->canIncrease()) continue;
@@ -98,6 +100,7 @@
         if (phase == Phase::up) score += int(std::min(instance->freeSlots(), kScoredFreeSlots));
         if (score > bestScore) best = instance, bestScore = score;
     }
+    countRecords(records);
     return best;
 }
 
--- a/system/scaler/planner_state.cpp
+++ b/system/scaler/planner_state.cpp
@@ -243,62 +243,114 @@
 }
 
 void Planner::State::runPass(Instant now) {
-    isPassDue = false;
+    recordsLeft = maxRecordsPerPass;
+    continuePass(now);
+}
+
+void Planner::State::continuePass(Instant now) {
+    isPassDue = isPassCut = false;
     finishLearning(now);
     if (isReady) {
         std::vector<Service*> work;
         work.swap(dirtyServices);
-        for (Service* service : work) {
-            service->isDirty = false;
-            decayRates(now, service);
-            if (service->waiting > 0) {
-                ServiceCapacity capacity = usableCapacity(service);
-                double need = slotsNeededNow(service, capacity.up) + double(unavailableSlots(service));
-                if (need > double(capacity.slots)) startUpTo(now, service, need, true);
-            }
-            if (service->needsRefill) {
-                service->needsRefill = false;
-                double want = wantedSlots(now, service);
-                if (want > double(usableCapacity(service).slots)) startUpTo(now, service, want, true);
-            }
-            serveWaiting(now, service);
+        auto next = work.begin();
+        for (; next != work.end() && recordsLeft > 0; ++next) handleDirty(now, *next);
+        if (next != work.end()) {
+            isPassCut = true;
+            ++counters.cutPasses;
+            dirtyServices.insert(dirtyServices.begin(), next, work.end());
         }
         advanceClosing(now);
     }
     sendGrants(now);
 }
 
+void Planner::State::handleDirty(Instant now, Service* service) {
+    countRecords(service);
+    service->isDirty = false;
+    decayRates(now, service);
+    if (service->waiting > 0) {
+        ServiceCapacity capacity = usableCapacity(service);
+        double need = slotsNeededNow(service, capacity.up) + double(unavailableSlots(service));
+        if (need > double(capacity.slots)) startUpTo(now, service, need, true);
+    }
+    if (service->needsRefill) {
+        service->needsRefill = false;
+        double want = wantedSlots(now, service);
+        if (want > double(usableCapacity(service).slots)) startUpTo(now, service, want, true);
+    }
+    serveWaiting(now, service);
+}
+
+void Planner::State::countRecords(uint64_t n) {
+    counters.recordsVisited += n;
+    recordsLeft -= std::min(recordsLeft, n);
+}
+void Planner::State::countRecords(const Service* service) {
+    uint64_t n = 1 + service->demands.size();
+    for (const Instance* instance : service->instances) n += 1 + instance->allocations.size();
+    countRecords(n);
+}
+
+Instant Planner::State::nextTickAt() const {
+    // Without tokens, wakes when a few are available again, not a whole tick later.
+    return std::min(lastTick + (isOutOfTokens ? tuning.tickInterval * 0.25 : tuning.tickInterval),
+                    nextReservationEnd);
+}
+
 void Planner::State::tick(Instant now) {
+    const bool onlyContinues = hasUnfinishedWork() && now < nextTickAt();
+    if (!onlyContinues) beginTick(now);
+    if (isReady) {
+        runPass(now);
+        continueRound(now);
+    }
+    continuePass(now);
+    if (!onlyContinues) updateGauges();
+}
+
+void Planner::State::beginTick(Instant now) {
     detectUnresponsiveSenders(now);
     lastTick = now;
     isOutOfTokens = false;
     if (now >= nextReservationEnd) nextReservationEnd = Instant::never();
     expire(now);
     finishLearning(now);
-    if (isReady) {
-        for (auto& [name, p] : services) {
-            Service* service = p.get();
-            if (service->waiting > 0)
-                markDirty(service);  // runPass() below starts instances for waiting requests first
-        }
-        runPass(now);
-        for (auto& [name, p] : services) {
-            Service* service = p.get();
-            if (service->instances.empty() && service->pendingStartCount == 0 && service->waiting == 0 &&
-                now > service->lastCallAt + tuning.maxKeepTime && now >= service->warmUntil)
-                continue;
-            decayRates(now, service);
-            double peak = service->peakBusy * decayFactor(service->peakUpdatedAt, now, tuning.peakTau);
-            service->peakBusy = std::max(double(service->busy), peak);
-            service->peakUpdatedAt = now;
-            double want = wantedSlots(now, service);
-            if (want > double(usableCapacity(service).slots)) startUpTo(now, service, want, false);
-            spreadFreeSlots(now, service);
-            retireSurplus(now, service);
-        }
+    if (!isReady) return;
+    const bool beginsRound = roundServices.empty();
+    for (auto& [name, p] : services) {
+        Service* service = p.get();
+        if (service->waiting > 0) markDirty(service);  // a pass starts instances for waiting requests first
+        if (!beginsRound) continue;
+        service->isInRound = true;
+        roundServices.push_back(service);
+    }
+}
+
+void Planner::State::continueRound(Instant now) {
+    recordsLeft = maxRecordsPerPass;
+    while (!roundServices.empty() && recordsLeft > 0) {
+        Service* service = roundServices.front();
+        roundServices.pop_front();
+        service->isInRound = false;
+        reviewService(now, service);
     }
-    runPass(now);
-    updateGauges();
+}
+
+// What a service needs without any event: fewer or more instances, slots ahead of demand.
+void Planner::State::reviewService(Instant now, Service* service) {
+    if (service->instances.empty() && service->pendingStartCount == 0 && service->waiting == 0 &&
+        now > service->lastCallAt + tuning.maxKeepTime && now >= service->warmUntil)
+        return countRecords(1);
+    countRecords(service);
+    decayRates(now, service);
+    double peak = service->peakBusy * decayFactor(service->peakUpdatedAt, now, tuning.peakTau);
+    service->peakBusy = std::max(double(service->busy), peak);
+    service->peakUpdatedAt = now;
+    double want = wantedSlots(now, service);
+    if (want > double(usableCapacity(service).slots)) startUpTo(now, service, want, false);
+    spreadFreeSlots(now, service);
+    retireSurplus(now, service);
 }
 
 // Ends what is due by time.
@@ -395,7 +447,7 @@
         Service* s = it->second.get();
         expireDemands(now, s);
         const bool isIdle = !s->isConfigured && s->instances.empty() && s->pendingStartCount == 0 &&
-                            !s->isDirty && s->waiting + s->busy == 0 &&
+                            !s->isDirty && !s->isInRound && s->waiting + s->busy == 0 &&
                             now > s->lastCallAt + tuning.tombstoneTime &&
                             std::none_of(pendingStarts.begin(), pendingStarts.end(),
                                          [&](const auto& x) { return x.second.service == s; });
--- a/system/scaler/planner_state.hpp
+++ b/system/scaler/planner_state.hpp
@@ -30,9 +30,9 @@
 }
 
 struct Planner::State {
-    State(Instant now, uint64_t t, uint32_t randomSeed, double duty, Span lag)
+    State(Instant now, uint64_t t, uint32_t randomSeed, double duty, Span lag, uint64_t maxRecords)
         : createdAt(now), term(t), random(randomSeed), listLag(lag), maxCallsPerSecond(std::max(duty, 0.1)),
-          lastTick(now) {
+          maxRecordsPerPass(maxRecords), lastTick(now) {
         tokens = bucketDepth();
         tokensUpdatedAt = now;
         noncePrefix = std::to_string(term) + "-" + std::to_string(random()) + "-";
@@ -44,6 +44,7 @@
     std::mt19937 random;
     Span listLag;
     double maxCallsPerSecond;
+    uint64_t maxRecordsPerPass, recordsLeft = 0;  // recordsLeft: that this pass may still look at
     Instant lastTick, tokensUpdatedAt;
     double tokens = 0;
     std::string noncePrefix;
@@ -51,7 +52,7 @@
     Instant nextReservationEnd = Instant::never();  // when the first slots of ended senders are released
     Instant passTime;                               // time of the newest event
     Instant backlogReportedAt = Instant::longAgo();
-    bool isPassDue = false;
+    bool isPassDue = false, isPassCut = false;  // isPassCut: the newest pass left dirty services
     bool isReady = false, isOutOfTokens = false, hasConfiguration = false, hasInstanceList = false;
     std::unordered_map<std::string, std::unique_ptr<Service>> services;
     std::unordered_map<std::string, std::unique_ptr<Instance>> instances;
@@ -60,6 +61,7 @@
     std::unordered_map<std::string, PendingStart> pendingStarts;  // by nonce
     std::map<ServiceGroupKey, ServiceGroup> groups;
     std::vector<Service*> dirtyServices;
+    std::deque<Service*> roundServices;  // still to be looked at in the round that the newest tick began
     std::vector<Sender*> sendersWithGrants;
     // Instances that are retiring, stopping without a response, or gone but still listed.
     std::set<Instance*, CreationOrder> closing;
@@ -93,7 +95,16 @@
     void finishLearning(Instant now);
     void schedulePass(Instant now);
     void runPass(Instant now);
+    void continuePass(Instant now);
+    void handleDirty(Instant now, Service* service);
     void tick(Instant now);
+    void beginTick(Instant now);
+    void continueRound(Instant now);
+    void reviewService(Instant now, Service* service);
+    Instant nextTickAt() const;
+    bool hasUnfinishedWork() const { return isPassCut || !roundServices.empty(); }
+    void countRecords(uint64_t n);
+    void countRecords(const Service* service);
     void expire(Instant now);
     void expireAllocations(Instant now, Instance* instance);
     void expireStarts(Instant now);
--- a/system/scaler/planner_test.cpp
+++ b/system/scaler/planner_test.cpp
@@ -786,6 +786,51 @@
     EXPECT_EQ(b.planner.counters().demands, 2u);
 }
 
+// Guards against a holder that answers nobody for as long as a pass takes, whatever there is so much of: what
+// takes long is done in parts (related to review/5).
+TEST(Planner, aPassIsDoneInPartsWhenThereIsMuchToLookAt) {
+    PlannerFixture b;
+    constexpr int kSenders = 200, kFunctions = 1000;
+    std::vector<FunctionSpec> functions;
+    Report report = b.whole();
+    for (int i = 0; i < kFunctions; ++i) {
+        functions.push_back({"g" + std::to_string(i), 16, ms(900), 1, ms(1500)});
+        report.demands.push_back({functions.back().name, 1, 0, 1, 1, 80'000});
+    }
+    b.planner.onConfiguration(b.now, functions);
+    // The dearest service: its demands, and as many searches for a slot as senders wait.
+    constexpr uint64_t kMostForOneService = 20 * kSenders;
+    constexpr uint64_t kMost = 2 * (kMaxRecordsPerPass + kMostForOneService);
+    uint64_t before = 0, parts = 0;
+    const auto checkPart = [&] {
+        const uint64_t visited = b.planner.counters().recordsVisited;
+        EXPECT_LE(visited - before, kMost);
+        before = visited, ++parts;
+    };
+    for (int sender = 0; sender < kSenders; ++sender) {
+        const SenderId id = "many" + std::to_string(sender);
+        b.planner.onSenderLinked(b.now, id, "a");
+        b.planner.onReport(b.now, id, report);
+    }
+    before = b.planner.counters().recordsVisited;
+    b.pull();
+    checkPart();
+    for (int tick = 0; tick < 5; ++tick) {
+        b.now = b.now + ms(200);
+        const uint64_t atTick = before;
+        do {
+            b.planner.tick(b.now);
+            b.pull();
+            checkPart();
+        } while (b.planner.wakeAt() <= b.now && parts < 1000);
+        // Each service was dealt with, for its waiting requests and in the round.
+        EXPECT_GE(before - atTick, 2u * kSenders * kFunctions);
+    }
+    EXPECT_LT(parts, 1000u);
+    EXPECT_GT(b.planner.counters().cutPasses, 0u);
+    EXPECT_GT(b.starts.size(), 40u);
+}
+
 // Guards against a holder that answers nobody while thousands of functions lack an instance and the
 // platform's rate is used up: each of them searched for a worker in each pass (related to review/5).
 TEST(Planner, noWorkerIsSearchedForWhileThePlatformsRateIsUsedUp) {
